--- /dev/null
+++ b/src/core/config/routing_table.ts
@@ -0,0 +1,117 @@
+/** Lookup structures built once for each version and then swapped whole. */
+import {Config, Route, Service, Upstream} from '../../model/config.js';
+
+const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
+  'GET',
+  'HEAD',
+  'OPTIONS',
+  'PUT',
+  'DELETE',
+]);
+
+export interface UpstreamTarget extends Upstream {
+  readonly id: string;
+}
+
+export interface ServiceTargets extends Service {
+  readonly name: string;
+  /** Sorted by identifier. */
+  readonly upstreams: readonly UpstreamTarget[];
+  readonly upstreamIds: readonly string[];
+}
+
+export interface RouteTarget extends Route {
+  readonly id: string;
+  readonly target: ServiceTargets;
+}
+
+export interface RoutingTable {
+  readonly version: number;
+  readonly services: ReadonlyMap<string, ServiceTargets>;
+  readonly upstreams: ReadonlyMap<string, UpstreamTarget>;
+  /** Longest prefix first; a route with a host before one without. */
+  readonly routes: readonly RouteTarget[];
+}
+
+/**
+ * Builds the table of one version.
+ * @param version - The version.
+ * @param config - Its configuration, whose references have been checked.
+ * @returns The table.
+ */
+export function createRoutingTable(
+  version: number,
+  config: Config,
+): RoutingTable {
+  const upstreams = new Map<string, UpstreamTarget>();
+  for (const id of Object.keys(config.upstreams).sort()) {
+    upstreams.set(id, {...config.upstreams[id], id});
+  }
+  const services = new Map<string, ServiceTargets>();
+  for (const [name, service] of Object.entries(config.services)) {
+    const members = [...upstreams.values()].filter(u => u.service === name);
+    const upstreamIds = members.map(({id}) => id);
+    services.set(name, {...service, name, upstreams: members, upstreamIds});
+  }
+  const routes: RouteTarget[] = [];
+  for (const [id, route] of Object.entries(config.routes)) {
+    const target = services.get(route.service);
+    if (target !== undefined) {
+      routes.push({...route, id, target});
+    }
+  }
+  routes.sort(compareRoutes);
+  return {version, services, upstreams, routes};
+}
+
+function compareRoutes(a: RouteTarget, b: RouteTarget): number {
+  return (
+    b.pathPrefix.length - a.pathPrefix.length ||
+    Number(b.host !== undefined) - Number(a.host !== undefined) ||
+    Number(b.methods !== undefined) - Number(a.methods !== undefined) ||
+    (a.id < b.id ? -1 : 1)
+  );
+}
+
+/**
+ * Finds the most specific route of a request.
+ * @param table - The table.
+ * @param method - HTTP method in capitals.
+ * @param host - The request's host, with or without a port.
+ * @param path - The request's path.
+ * @returns The route, or undefined where none matches.
+ */
+export function findRoute(
+  table: RoutingTable,
+  method: string,
+  host: string,
+  path: string,
+): RouteTarget | undefined {
+  return table.routes.find(
+    route =>
+      matchesPath(route.pathPrefix, path) &&
+      (route.host === undefined || route.host === host) &&
+      (route.methods === undefined || route.methods.includes(method)),
+  );
+}
+
+/** A prefix matches whole path segments only. */
+function matchesPath(prefix: string, path: string): boolean {
+  if (!path.startsWith(prefix)) {
+    return false;
+  }
+  const next = path.charAt(prefix.length);
+  return prefix.endsWith('/') || next === '' || next === '/' || next === '?';
+}
+
+/**
+ * Tells whether a request may run more than once.
+ * @param route - The route it takes.
+ * @param method - HTTP method in capitals.
+ * @returns True if so.
+ */
+export function isIdempotent(route: Route, method: string): boolean {
+  return route.idempotent === 'by-method'
+    ? IDEMPOTENT_METHODS.has(method)
+    : route.idempotent;
+}
--- /dev/null
+++ b/src/model/fold_state.ts
@@ -0,0 +1,58 @@
+/** What folding the published submissions yields, as sent between proxies. */
+import {z} from 'zod';
+import {ConfigSchema, SubmissionSchema} from './config.js';
+import {NameSchema, SequenceSchema} from './primitives.js';
+
+/** A set of upstreams that a service had until a later version replaced it. */
+export const FormerHomesSchema = z.strictObject({
+  service: NameSchema,
+  /** First version in which the set was no longer in force. */
+  untilVersion: SequenceSchema,
+  /** When the replacing submission was published, in Unix milliseconds. */
+  untilMs: z.number(),
+  upstreams: z.array(z.strictObject({id: NameSchema, peerAddress: z.string()})),
+});
+
+export const VerdictSchema = z.discriminatedUnion('kind', [
+  z.strictObject({kind: z.literal('accepted'), version: SequenceSchema}),
+  z.strictObject({
+    kind: z.literal('refused'),
+    code: z.string(),
+    detail: z.string(),
+  }),
+]);
+
+/** What became of one submission. */
+export const SubmissionOutcomeSchema = z.strictObject({
+  sequence: SequenceSchema,
+  id: z.string(),
+  base: SequenceSchema,
+  verdict: VerdictSchema,
+});
+
+export const FoldStateSchema = z.strictObject({
+  /** Sequence number of the last submission folded. */
+  sequence: SequenceSchema,
+  version: SequenceSchema,
+  /** Chained digest over every submission and verdict up to `sequence`. */
+  digest: z.string(),
+  config: ConfigSchema,
+  formerHomes: z.array(FormerHomesSchema),
+  /** The most recent outcomes, oldest first. */
+  outcomes: z.array(SubmissionOutcomeSchema),
+});
+
+/** Answer to a peer that asks for what follows a sequence number. */
+export const CatchUpSchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('submissions'),
+    submissions: z.array(SubmissionSchema),
+  }),
+  z.strictObject({kind: z.literal('state'), state: FoldStateSchema}),
+]);
+
+export type FormerHomes = z.infer<typeof FormerHomesSchema>;
+export type Verdict = z.infer<typeof VerdictSchema>;
+export type SubmissionOutcome = z.infer<typeof SubmissionOutcomeSchema>;
+export type FoldState = z.infer<typeof FoldStateSchema>;
+export type CatchUp = z.infer<typeof CatchUpSchema>;
--- /dev/null
+++ b/tools/run_tests.ts
@@ -0,0 +1,76 @@
+/**
+ * Runs every test file with mocha, passes over the failures that
+ * KNOWN-RED.txt lists, and ends with one line of counts.
+ */
+import {existsSync, readFileSync, readdirSync} from 'node:fs';
+import {join} from 'node:path';
+import Mocha from 'mocha';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const TEST_TIMEOUT_MS = 120_000;
+
+/** Titles of tests that may fail, one for each line `test: <full title>`. */
+function readKnownRed(): ReadonlySet<string> {
+  if (!existsSync(KNOWN_RED_FILE)) {
+    return new Set();
+  }
+  const titles = readFileSync(KNOWN_RED_FILE, 'utf8')
+    .split('\n')
+    .filter(line => line.startsWith('test: '))
+    .map(line => line.slice('test: '.length).trim());
+  return new Set(titles);
+}
+
+function findTestFiles(dir: string): string[] {
+  return readdirSync(dir, {recursive: true, encoding: 'utf8'})
+    .filter(file => file.endsWith('.test.ts'))
+    .map(file => join(dir, file))
+    .sort();
+}
+
+/** Runs the files and resolves to the full titles of the failed tests. */
+async function runMocha(files: readonly string[], grep: string | undefined) {
+  const mocha = new Mocha({timeout: TEST_TIMEOUT_MS, reporter: 'spec'});
+  if (grep !== undefined) {
+    mocha.grep(grep);
+  }
+  for (const file of files) {
+    mocha.addFile(file);
+  }
+  await mocha.loadFilesAsync();
+  const failed: string[] = [];
+  return new Promise<{passed: number; skipped: number; failed: string[]}>(
+    resolve => {
+      const runner = mocha.run(() => {
+        const stats = runner.stats;
+        resolve({
+          passed: stats?.passes ?? 0,
+          skipped: stats?.pending ?? 0,
+          failed,
+        });
+      });
+      runner.on('fail', test => failed.push(test.fullTitle()));
+    },
+  );
+}
+
+async function main(): Promise<void> {
+  const [filter, grep] = process.argv.slice(2);
+  const files = findTestFiles('test').filter(
+    file => filter === undefined || file.includes(filter),
+  );
+  const knownRed = readKnownRed();
+  const result = await runMocha(files, grep);
+  const known = result.failed.filter(title => knownRed.has(title));
+  const unexpected = result.failed.filter(title => !knownRed.has(title));
+  for (const title of known) {
+    console.log(`known red, see ${KNOWN_RED_FILE}: ${title}`);
+  }
+  console.log(
+    `${result.passed} passed, ${unexpected.length} failed, ` +
+      `${result.skipped + known.length} skipped`,
+  );
+  process.exit(unexpected.length === 0 && result.passed > 0 ? 0 : 1);
+}
+
+void main();
