--- /dev/null
+++ b/src/core/config/config_log.ts
@@ -0,0 +1,265 @@
+/**
+ * The proxy's copy of the submission log: what it has folded (`latest`) and
+ * what it has put in force (`active`), which may be a step behind.
+ */
+import {Submission} from '../../model/config.js';
+import {CatchUp, FoldState} from '../../model/fold_state.js';
+import {Emit} from '../types.js';
+import {foldSubmission, INITIAL_FOLD_STATE} from './fold.js';
+import {createRoutingTable, RoutingTable} from './routing_table.js';
+
+/** Submissions kept for peers that are a little behind. */
+const KEPT_SUBMISSIONS = 256;
+
+/** Submissions kept beyond a gap until the gap is filled. */
+const MAX_WAITING = 1_024;
+
+/** Peers whose digests are compared with ours. */
+const MAX_COMPARED_PEERS = 64;
+
+export interface ConfigLog {
+  latest: FoldState;
+  active: FoldState;
+  /** Built from `active`; replaced whole, never edited. */
+  table: RoutingTable;
+  /** When `active` was put in force, in Unix milliseconds. */
+  adoptedAt: number;
+  /** The last submissions up to `latest`, oldest first, without gaps. */
+  readonly recent: Submission[];
+  /** Submissions that arrived ahead of a missing one, by sequence. */
+  readonly waiting: Map<number, Submission>;
+  /** States folded since `active` that changed the upstreams, oldest first. */
+  readonly steps: FoldState[];
+  /** Digest of each recent sequence number. */
+  readonly digests: Map<number, string>;
+  /** Whether each compared peer agrees with our digest. */
+  readonly agreement: Map<string, boolean>;
+}
+
+export function createConfigLog(): ConfigLog {
+  return {
+    latest: INITIAL_FOLD_STATE,
+    active: INITIAL_FOLD_STATE,
+    table: createRoutingTable(0, INITIAL_FOLD_STATE.config),
+    adoptedAt: 0,
+    recent: [],
+    waiting: new Map(),
+    steps: [],
+    digests: new Map(),
+    agreement: new Map(),
+  };
+}
+
+/**
+ * Folds submissions that may be old, repeated, crossed or ahead of a gap.
+ * @param log - The log.
+ * @param submissions - Submissions in any order.
+ * @param emit - Takes counters and log lines.
+ * @returns The submissions that were new and have been folded, in order.
+ */
+export function acceptSubmissions(
+  log: ConfigLog,
+  submissions: readonly Submission[],
+  emit: Emit,
+): Submission[] {
+  for (const submission of submissions) {
+    const {sequence} = submission;
+    if (sequence <= log.latest.sequence) {
+      emit({kind: 'count', counter: 'update_ignored', reason: 'old'});
+    } else if (log.waiting.size < MAX_WAITING) {
+      log.waiting.set(sequence, submission);
+    } else {
+      emit({kind: 'count', counter: 'update_ignored', reason: 'gap_full'});
+    }
+  }
+  if (isHalted(log)) {
+    return [];
+  }
+  const folded = foldWaiting(log, emit);
+  if (log.waiting.size > 0) {
+    emit({kind: 'count', counter: 'update_ignored', reason: 'gap'});
+  }
+  return folded;
+}
+
+function foldWaiting(log: ConfigLog, emit: Emit): Submission[] {
+  const folded: Submission[] = [];
+  for (;;) {
+    const next = log.waiting.get(log.latest.sequence + 1);
+    if (next === undefined) {
+      return folded;
+    }
+    log.waiting.delete(next.sequence);
+    const state = foldSubmission(log.latest, next);
+    if (state.isErr()) {
+      return folded;
+    }
+    setLatest(log, state.value);
+    log.recent.push(next);
+    if (log.recent.length > KEPT_SUBMISSIONS) {
+      log.recent.shift();
+    }
+    folded.push(next);
+    reportVerdict(state.value, emit);
+  }
+}
+
+function reportVerdict(state: FoldState, emit: Emit): void {
+  const outcome = state.outcomes[state.outcomes.length - 1];
+  if (outcome.verdict.kind === 'accepted') {
+    emit({kind: 'count', counter: 'submission_accepted', reason: 'valid'});
+    return;
+  }
+  const {code, detail} = outcome.verdict;
+  emit({kind: 'count', counter: 'submission_refused', reason: code});
+  emit({
+    kind: 'log',
+    level: 'warn',
+    part: 'config',
+    message: `Refused submission ${outcome.sequence} (${outcome.id}). ${detail}`,
+  });
+}
+
+/**
+ * Takes a folded state from a peer where it is newer than ours.
+ * @param log - The log.
+ * @param state - The peer's state.
+ * @param emit - Takes counters.
+ * @returns True where the log advanced.
+ */
+export function acceptFoldState(
+  log: ConfigLog,
+  state: FoldState,
+  emit: Emit,
+): boolean {
+  if (state.sequence <= log.latest.sequence) {
+    emit({kind: 'count', counter: 'update_ignored', reason: 'old_state'});
+    return false;
+  }
+  if (isHalted(log)) {
+    return false;
+  }
+  setLatest(log, state);
+  log.recent.length = 0;
+  for (const sequence of log.waiting.keys()) {
+    if (sequence <= state.sequence) {
+      log.waiting.delete(sequence);
+    }
+  }
+  foldWaiting(log, emit);
+  return true;
+}
+
+function setLatest(log: ConfigLog, state: FoldState): void {
+  if (state.config.upstreams !== log.latest.config.upstreams) {
+    log.steps.push(state);
+    if (log.steps.length > KEPT_SUBMISSIONS) {
+      log.steps.shift();
+    }
+  }
+  log.latest = state;
+  log.digests.set(state.sequence, state.digest);
+  if (log.digests.size > KEPT_SUBMISSIONS) {
+    const [oldest] = log.digests.keys();
+    log.digests.delete(oldest);
+  }
+}
+
+/**
+ * Puts a folded state in force: one assignment swaps the whole table.
+ * @param log - The log.
+ * @param state - A state at or above the one in force.
+ * @param at - Now, in Unix milliseconds.
+ * @param emit - Takes counters and log lines.
+ */
+export function adoptState(
+  log: ConfigLog,
+  state: FoldState,
+  at: number,
+  emit: Emit,
+): void {
+  if (state.sequence < log.active.sequence) {
+    emit({kind: 'count', counter: 'update_ignored', reason: 'backwards'});
+    return;
+  }
+  if (state.version !== log.active.version) {
+    log.table = createRoutingTable(state.version, state.config);
+    log.adoptedAt = at;
+    emit({kind: 'count', counter: 'version_adopted', reason: 'announced'});
+    emit({
+      kind: 'log',
+      level: 'info',
+      part: 'config',
+      message: `Version ${state.version} is in force.`,
+    });
+  }
+  log.active = state;
+  while (log.steps.length > 0 && log.steps[0].sequence <= state.sequence) {
+    log.steps.shift();
+  }
+}
+
+/**
+ * Answers a peer that asks for what follows a sequence number.
+ * @param log - The log.
+ * @param afterSequence - The last sequence number that the peer has folded.
+ * @returns Submissions where they are kept, and the folded state otherwise.
+ */
+export function getCatchUp(log: ConfigLog, afterSequence: number): CatchUp {
+  const submissions = log.recent.filter(s => s.sequence > afterSequence);
+  const missing = log.latest.sequence - afterSequence;
+  return submissions.length >= missing
+    ? {kind: 'submissions', submissions}
+    : {kind: 'state', state: log.latest};
+}
+
+/**
+ * Compares a peer's digest with ours at the same sequence number.
+ * @param log - The log.
+ * @param peerId - The peer.
+ * @param sequence - Its last folded sequence number.
+ * @param digest - Its digest.
+ * @param emit - Takes counters and log lines.
+ */
+export function compareDigest(
+  log: ConfigLog,
+  peerId: string,
+  sequence: number,
+  digest: string,
+  emit: Emit,
+): void {
+  const own = log.digests.get(sequence);
+  if (own === undefined) {
+    return;
+  }
+  const agrees = own === digest;
+  log.agreement.delete(peerId);
+  log.agreement.set(peerId, agrees);
+  if (log.agreement.size > MAX_COMPARED_PEERS) {
+    const [oldest] = log.agreement.keys();
+    log.agreement.delete(oldest);
+  }
+  if (!agrees) {
+    emit({kind: 'count', counter: 'digest_mismatch', reason: 'peer'});
+    emit({
+      kind: 'log',
+      level: 'error',
+      part: 'config',
+      message: `Digest of sequence ${sequence} differs from ${peerId}; compare the builds of both proxies.`,
+    });
+  }
+}
+
+/**
+ * Tells whether the proxy stopped advancing because more peers disagree with
+ * its digests than agree. It goes on serving the version in force.
+ * @param log - The log.
+ * @returns True while it is halted.
+ */
+export function isHalted(log: ConfigLog): boolean {
+  let balance = 0;
+  for (const agrees of log.agreement.values()) {
+    balance += agrees ? 1 : -1;
+  }
+  return balance < 0;
+}
--- a/src/core/config/routing_table.ts
+++ b/src/core/config/routing_table.ts
@@ -51,7 +51,15 @@
   for (const [name, service] of Object.entries(config.services)) {
     const members = [...upstreams.values()].filter(u => u.service === name);
     const upstreamIds = members.map(({id}) => id);
-    services.set(name, {...service, name, upstreams: members, upstreamIds});
+    // One connection stays free for health probes.
+    const slots = Math.min(service.slots, service.connections - 1);
+    services.set(name, {
+      ...service,
+      slots,
+      name,
+      upstreams: members,
+      upstreamIds,
+    });
   }
   const routes: RouteTarget[] = [];
   for (const [id, route] of Object.entries(config.routes)) {
--- a/src/core/config/validate.ts
+++ b/src/core/config/validate.ts
@@ -98,12 +98,16 @@
 }
 
 function patchEntries<T>(
-  entries: Readonly<Record<string, T>>,
+  entries: Record<string, T>,
   changes: Readonly<Record<string, T | null>> | undefined,
   noun: string,
 ): Result<Record<string, T>, SubmissionError> {
+  if (changes === undefined) {
+    // Unchanged records keep their identity, which others compare.
+    return ok(entries);
+  }
   const patched = new Map(Object.entries(entries));
-  for (const [name, change] of Object.entries(changes ?? {})) {
+  for (const [name, change] of Object.entries(changes)) {
     if (change !== null) {
       patched.set(name, change);
     } else if (!patched.delete(name)) {
--- /dev/null
+++ b/src/core/entry/load_view.ts
@@ -0,0 +1,87 @@
+/** What an entry knows of each upstream's load, from answers and failures. */
+import {LoadReport} from '../../model/peer.js';
+
+/** First time that an upstream is avoided after a failure. */
+const EJECTION_BASE_MS = 500;
+const EJECTION_MAX_MS = 10_000;
+
+/** Time after which a load report says nothing any more. */
+const REPORT_LIFETIME_MS = 2_000;
+
+export interface UpstreamLoad {
+  report?: LoadReport;
+  reportedAt: number;
+  /** Attempts that this entry has under way there. */
+  ownAttempts: number;
+  consecutiveFailures: number;
+  ejectedUntil: number;
+}
+
+export type LoadView = Map<string, UpstreamLoad>;
+
+/**
+ * Gets an upstream's record, making an empty one where there is none.
+ * @param view - The view.
+ * @param upstreamId - The upstream.
+ * @returns The record, which the caller may change.
+ */
+export function getLoad(view: LoadView, upstreamId: string): UpstreamLoad {
+  let load = view.get(upstreamId);
+  if (load === undefined) {
+    load = {
+      reportedAt: 0,
+      ownAttempts: 0,
+      consecutiveFailures: 0,
+      ejectedUntil: 0,
+    };
+    view.set(upstreamId, load);
+  }
+  return load;
+}
+
+/**
+ * Notes the load that came with an answer; any answer ends an ejection.
+ * @param load - The upstream's record.
+ * @param report - Its load, where the answer carried one.
+ * @param at - Now, in Unix milliseconds.
+ */
+export function noteAnswer(
+  load: UpstreamLoad,
+  report: LoadReport | undefined,
+  at: number,
+): void {
+  load.consecutiveFailures = 0;
+  load.ejectedUntil = 0;
+  if (report !== undefined) {
+    load.report = report;
+    load.reportedAt = at;
+  }
+}
+
+/**
+ * Ejects an upstream after a failure, longer with each one in a row.
+ * @param load - The upstream's record.
+ * @param at - Now, in Unix milliseconds.
+ */
+export function noteFailure(load: UpstreamLoad, at: number): void {
+  const factor = 2 ** Math.min(load.consecutiveFailures, 10);
+  load.consecutiveFailures += 1;
+  load.ejectedUntil = at + Math.min(EJECTION_MAX_MS, EJECTION_BASE_MS * factor);
+}
+
+/**
+ * Estimates how busy an upstream is.
+ * @param load - Its record.
+ * @param slots - Its slots by the configuration.
+ * @param at - Now, in Unix milliseconds.
+ * @returns Requests for each slot; above 1 a new one waits.
+ */
+export function getUtilization(
+  load: UpstreamLoad,
+  slots: number,
+  at: number,
+): number {
+  const fresh = at - load.reportedAt < REPORT_LIFETIME_MS;
+  const {running = 0, queued = 0} = (fresh ? load.report : undefined) ?? {};
+  return (Math.max(running + queued, load.ownAttempts) + 1) / slots;
+}
--- /dev/null
+++ b/src/core/owner/key_doubt.ts
@@ -0,0 +1,80 @@
+/** Decides whether a home can vouch that an unrecorded key never ran. */
+import {FoldState} from '../../model/fold_state.js';
+import {getRendezvousWinner} from '../hashing.js';
+
+/** Hexadecimal digits of a UUIDv7 that hold its Unix milliseconds. */
+const UUID_V7 =
+  /^([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
+
+const HEXADECIMAL = 16;
+
+/**
+ * Reads the time at which a UUIDv7 was made.
+ * @param key - Any key.
+ * @returns Unix milliseconds, or undefined for a key of another form.
+ */
+export function tryGetMintTime(key: string): number | undefined {
+  const match = UUID_V7.exec(key);
+  return match === null
+    ? undefined
+    : parseInt(match[1] + match[2], HEXADECIMAL);
+}
+
+/**
+ * Tells whether an earlier process at this home may have run a key.
+ * @param key - The key.
+ * @param startedAt - Start of this process, in Unix milliseconds.
+ * @param keyLifetimeMs - How long callers may resend a key.
+ * @param clockSkewMs - Largest difference between any two VMs' clocks.
+ * @param at - Now, in Unix milliseconds.
+ * @returns False where the key is younger than this process, or every key
+ *     from before its start has expired.
+ */
+export function mayPredateStart(
+  key: string,
+  startedAt: number,
+  keyLifetimeMs: number,
+  clockSkewMs: number,
+  at: number,
+): boolean {
+  if (at - startedAt > keyLifetimeMs) {
+    return false;
+  }
+  const mintedAt = tryGetMintTime(key);
+  return mintedAt === undefined || mintedAt <= startedAt + clockSkewMs;
+}
+
+/**
+ * Lists the other upstreams that were the key's home within a key lifetime.
+ * @param state - The configuration in force, with its former homes.
+ * @param ownId - This home.
+ * @param service - The service.
+ * @param key - The key.
+ * @param at - Now, in Unix milliseconds.
+ * @param clockSkewMs - Largest difference between any two VMs' clocks.
+ * @returns Identifier and peer address of each.
+ */
+export function getFormerHomes(
+  state: FoldState,
+  ownId: string,
+  service: string,
+  key: string,
+  at: number,
+  clockSkewMs: number,
+): Map<string, string> {
+  const keyLifetimeMs = state.config.services[service]?.keyLifetimeMs ?? 0;
+  const homes = new Map<string, string>();
+  for (const former of state.formerHomes) {
+    const forgotten = at - former.untilMs > keyLifetimeMs + clockSkewMs;
+    if (former.service !== service || forgotten) {
+      continue;
+    }
+    const ids = former.upstreams.map(({id}) => id);
+    const winner = getRendezvousWinner(key, ids);
+    const home = former.upstreams.find(({id}) => id === winner);
+    if (home !== undefined && home.id !== ownId) {
+      homes.set(home.id, home.peerAddress);
+    }
+  }
+  return homes;
+}
--- /dev/null
+++ b/src/core/owner/owner.ts
@@ -0,0 +1,471 @@
+/**
+ * The owner role: alone decides what the upstream beside it runs, and never
+ * runs a key twice.
+ */
+import {createRefusal, Refusal, weakenToUnknown} from '../refusals.js';
+import {getHome} from '../entry/balancer.js';
+import {Attempt, KeyVerdict, PeerReply, PeerRequest} from '../../model/peer.js';
+import {Answer, Emit, FailureKind} from '../types.js';
+import {
+  endRunning,
+  removeExpired,
+  removeQueued,
+  tryEnqueue,
+  tryStartNext,
+} from './admission.js';
+import {
+  clearSuspect,
+  isQuarantined,
+  isSuspect,
+  noteCrash,
+} from './crash_suspects.js';
+import {
+  closeKey,
+  createHandOvers,
+  forgetKey,
+  KeyDecision,
+  markKeyEnded,
+  markKeyRunning,
+  openKey,
+  settleFormerHome,
+  takeHandOver,
+} from './key_protocol.js';
+import {expireRecords} from './key_records.js';
+import {
+  getLoadReport,
+  getOwnService,
+  isOwnerLeaving,
+  Owner,
+  OwnerView,
+} from './owner_state.js';
+
+const LEAVING_RETRY_AFTER_MS = 100;
+const DOWN_RETRY_AFTER_MS = 500;
+
+function hasSharedKey(attempt: Attempt): boolean {
+  return attempt.key !== undefined && !attempt.privateKey;
+}
+
+/**
+ * Admits, queues or refuses an attempt.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param attempt - The attempt.
+ * @param emit - Takes effects.
+ */
+export function acceptAttempt(
+  owner: Owner,
+  view: OwnerView,
+  attempt: Attempt,
+  emit: Emit,
+): void {
+  const refusal = findRefusal(owner, view, attempt);
+  if (refusal !== undefined) {
+    // The key has not been looked up, so nothing is known of other tries.
+    const final = hasSharedKey(attempt) ? weakenToUnknown(refusal) : refusal;
+    finishAttempt(owner, view, attempt.attemptId, final, emit);
+    return;
+  }
+  const deadlineAt = view.at + attempt.timeoutMs;
+  const decision: KeyDecision =
+    attempt.key === undefined
+      ? {kind: 'admit'}
+      : openKey(owner, view, attempt, deadlineAt, emit);
+  applyDecision(owner, view, attempt, deadlineAt, decision, emit);
+}
+
+function findRefusal(
+  owner: Owner,
+  view: OwnerView,
+  attempt: Attempt,
+): Refusal | undefined {
+  const {log, settings, at} = view;
+  if (!view.ready) {
+    return createRefusal('proxy_not_ready', DOWN_RETRY_AFTER_MS);
+  }
+  const service = getOwnService(view);
+  const isOwn =
+    attempt.upstreamId === settings.id && attempt.service === service?.name;
+  if (!isOwn || service === undefined) {
+    return createRefusal('wrong_home', LEAVING_RETRY_AFTER_MS);
+  }
+  if (hasSharedKey(attempt)) {
+    if (owner.handOver !== undefined) {
+      // The heirs have been told all; this home may no longer decide.
+      return createRefusal('upstream_leaving', LEAVING_RETRY_AFTER_MS);
+    }
+    const home = getHome(log.table, service, attempt.key ?? '');
+    const behind = log.active.version < attempt.version;
+    if (behind || home?.id !== settings.id) {
+      return createRefusal('wrong_home', LEAVING_RETRY_AFTER_MS);
+    }
+  }
+  if (isQuarantined(view.suspects, attempt.fingerprint, at)) {
+    return createRefusal('quarantined');
+  }
+  return undefined;
+}
+
+function applyDecision(
+  owner: Owner,
+  view: OwnerView,
+  attempt: Attempt,
+  deadlineAt: number,
+  decision: KeyDecision,
+  emit: Emit,
+): void {
+  switch (decision.kind) {
+    case 'wait':
+      return;
+    case 'finish':
+      finishAttempt(owner, view, attempt.attemptId, decision.result, emit);
+      return;
+    case 'admit':
+      admitAttempt(owner, view, attempt, deadlineAt, emit);
+      return;
+  }
+}
+
+function admitAttempt(
+  owner: Owner,
+  view: OwnerView,
+  attempt: Attempt,
+  deadlineAt: number,
+  emit: Emit,
+): void {
+  const refusal = tryAdmit(owner, view, attempt, deadlineAt);
+  if (refusal !== undefined) {
+    refuseUnrun(owner, view, attempt, refusal, emit);
+    return;
+  }
+  startQueued(owner, view, emit);
+}
+
+function tryAdmit(
+  owner: Owner,
+  view: OwnerView,
+  attempt: Attempt,
+  deadlineAt: number,
+): Refusal | undefined {
+  if (isOwnerLeaving(owner, view)) {
+    return createRefusal('upstream_leaving', LEAVING_RETRY_AFTER_MS);
+  }
+  const service = getOwnService(view);
+  if (service === undefined) {
+    return createRefusal('wrong_home', LEAVING_RETRY_AFTER_MS);
+  }
+  const suspect =
+    attempt.suspect || isSuspect(view.suspects, attempt.fingerprint);
+  const admitted = {attempt, deadlineAt, suspect};
+  return tryEnqueue(owner.admission, service, admitted, view.at);
+}
+
+/** Refuses an attempt that did not run, and closes its key first. */
+function refuseUnrun(
+  owner: Owner,
+  view: OwnerView,
+  attempt: Attempt,
+  refusal: Refusal,
+  emit: Emit,
+): void {
+  const waiters = markKeyEnded(owner, attempt, 'never-ran');
+  if (attempt.key !== undefined) {
+    emit({kind: 'count', counter: 'key_closed', reason: refusal.reason});
+  }
+  for (const attemptId of [attempt.attemptId, ...waiters]) {
+    finishAttempt(owner, view, attemptId, refusal, emit);
+  }
+}
+
+/** Dispatches queued attempts while slots are free. */
+function startQueued(owner: Owner, view: OwnerView, emit: Emit): void {
+  const service = getOwnService(view);
+  if (service === undefined) {
+    return;
+  }
+  refuseExpired(owner, view, emit);
+  for (;;) {
+    const next = tryStartNext(owner.admission, service, view.at);
+    if (next === undefined) {
+      return;
+    }
+    markKeyRunning(owner, next.attempt);
+    emit({
+      kind: 'dispatch',
+      attemptId: next.attempt.attemptId,
+      timeoutMs: next.deadlineAt - view.at,
+    });
+  }
+}
+
+/** A process that wakes late must not dispatch what has expired meanwhile. */
+function refuseExpired(owner: Owner, view: OwnerView, emit: Emit): void {
+  for (const {attempt} of removeExpired(owner.admission, view.at)) {
+    const refusal = createRefusal('deadline_too_short');
+    refuseUnrun(owner, view, attempt, refusal, emit);
+  }
+}
+
+function finishAttempt(
+  owner: Owner,
+  view: OwnerView,
+  attemptId: string,
+  result: Answer | Refusal,
+  emit: Emit,
+): void {
+  if (result.kind === 'refusal') {
+    emit({kind: 'count', counter: 'attempt_refused', reason: result.reason});
+  }
+  const load = getLoadReport(owner, view);
+  emit({kind: 'finishAttempt', attemptId, result, load});
+}
+
+/**
+ * Takes the upstream's whole answer.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param attemptId - The attempt.
+ * @param answer - The answer.
+ * @param emit - Takes effects.
+ */
+export function takeUpstreamAnswer(
+  owner: Owner,
+  view: OwnerView,
+  attemptId: string,
+  answer: Answer,
+  emit: Emit,
+): void {
+  const ended = endRunning(owner.admission, attemptId, view.at);
+  if (ended === undefined) {
+    return;
+  }
+  noteUpstreamUp(owner, view.at);
+  clearSuspect(view.suspects, ended.attempt.fingerprint, emit);
+  const waiters = markKeyEnded(owner, ended.attempt, answer);
+  for (const id of [attemptId, ...waiters]) {
+    finishAttempt(owner, view, id, answer, emit);
+  }
+  startQueued(owner, view, emit);
+}
+
+/**
+ * Takes the failure of a dispatched attempt.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param attemptId - The attempt.
+ * @param failure - How it failed.
+ * @param emit - Takes effects.
+ */
+export function takeUpstreamFailure(
+  owner: Owner,
+  view: OwnerView,
+  attemptId: string,
+  failure: FailureKind,
+  emit: Emit,
+): void {
+  const ended = endRunning(owner.admission, attemptId, view.at);
+  if (ended === undefined) {
+    return;
+  }
+  const {attempt} = ended;
+  if (failure === 'connect') {
+    const refusal = createRefusal('upstream_down', DOWN_RETRY_AFTER_MS);
+    refuseUnrun(owner, view, attempt, refusal, emit);
+    startQueued(owner, view, emit);
+    return;
+  }
+  if (failure === 'reset') {
+    noteUpstreamCrash(owner, view, attempt.fingerprint, emit);
+  }
+  const waiters = markKeyEnded(owner, attempt, 'in-doubt');
+  const refusal = createLostRefusal(failure);
+  for (const id of [attemptId, ...waiters]) {
+    finishAttempt(owner, view, id, refusal, emit);
+  }
+  startQueued(owner, view, emit);
+}
+
+function createLostRefusal(failure: Exclude<FailureKind, 'connect'>): Refusal {
+  switch (failure) {
+    case 'reset':
+      return createRefusal('attempt_lost');
+    case 'timeout':
+      return createRefusal('attempt_timeout');
+    case 'truncated':
+      return createRefusal('answer_truncated');
+    case 'too-large':
+      return createRefusal('answer_too_large');
+  }
+}
+
+function noteUpstreamUp(owner: Owner, at: number): void {
+  owner.crashed = false;
+  owner.admission.upSince ??= at;
+}
+
+function noteUpstreamCrash(
+  owner: Owner,
+  view: OwnerView,
+  fingerprint: string,
+  emit: Emit,
+): void {
+  // All that one crash cut off belongs to that one crash.
+  if (!owner.crashed) {
+    owner.crashed = true;
+    owner.crashCount += 1;
+    owner.admission.upSince = undefined;
+  }
+  const {id, startedAt, limits} = view.settings;
+  const crash = `${id}/${startedAt}/${owner.crashCount}`;
+  const expiresAt = view.at + limits.quarantineMs;
+  noteCrash(view.suspects, fingerprint, crash, expiresAt, emit);
+}
+
+/**
+ * Stops an attempt whose entry went away, where that is safe.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param attemptId - The attempt.
+ * @param emit - Takes effects.
+ */
+export function cancelAttempt(
+  owner: Owner,
+  view: OwnerView,
+  attemptId: string,
+  emit: Emit,
+): void {
+  const queued = removeQueued(owner.admission, attemptId);
+  if (queued !== undefined) {
+    forgetKey(owner, queued.attempt);
+    emit({kind: 'count', counter: 'attempt_refused', reason: 'call_cancelled'});
+    startQueued(owner, view, emit);
+    return;
+  }
+  const running = owner.admission.running.get(attemptId);
+  // A keyed request runs on, so that a resend finds its answer.
+  if (running?.attempt.idempotent === true) {
+    emit({kind: 'abortDispatch', attemptId});
+  }
+}
+
+/**
+ * Takes in what the upstream's health endpoint said; only a hint.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param healthy - The endpoint answered well.
+ * @param draining - The upstream said that it drains.
+ */
+export function takeProbe(
+  owner: Owner,
+  view: OwnerView,
+  healthy: boolean,
+  draining: boolean,
+): void {
+  owner.upstreamDraining = draining;
+  if (healthy) {
+    noteUpstreamUp(owner, view.at);
+  }
+}
+
+/**
+ * Answers a peer's request about keys.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param request - The request.
+ * @param emit - Takes effects.
+ * @returns The reply.
+ */
+export function answerKeyRequest(
+  owner: Owner,
+  view: OwnerView,
+  request: Extract<PeerRequest, {kind: 'closeKey' | 'handOver'}>,
+  emit: Emit,
+): PeerReply {
+  if (request.kind === 'handOver') {
+    takeHandOver(owner, view, request);
+    return {kind: 'ok'};
+  }
+  const {verdict, stoppedAttemptId} = closeKey(owner, view, request);
+  emit({kind: 'count', counter: 'key_closed', reason: verdict.status});
+  if (stoppedAttemptId !== undefined) {
+    removeQueued(owner.admission, stoppedAttemptId);
+    const refusal = createRefusal('key_closed');
+    finishAttempt(owner, view, stoppedAttemptId, refusal, emit);
+  }
+  return {kind: 'closeKey', verdict};
+}
+
+/**
+ * Takes a former home's word on a key, or its silence.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param address - The former home's peer address.
+ * @param attemptId - The attempt that waits.
+ * @param verdict - Its word, or undefined where it did not answer.
+ * @param emit - Takes effects.
+ */
+export function takeFormerHomeVerdict(
+  owner: Owner,
+  view: OwnerView,
+  address: string,
+  attemptId: string,
+  verdict: KeyVerdict | undefined,
+  emit: Emit,
+): void {
+  const settled = settleFormerHome(owner, address, attemptId, verdict);
+  if (settled === undefined) {
+    return;
+  }
+  const {attempt, deadlineAt, decision} = settled;
+  applyDecision(owner, view, attempt, deadlineAt, decision, emit);
+}
+
+export function startDrain(owner: Owner): void {
+  owner.draining = true;
+}
+
+/**
+ * Does what time has made due: expiry, and the steps of a planned stop.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param callsUnderWay - Calls that this proxy's entry has not answered.
+ * @param emit - Takes effects.
+ */
+export function tickOwner(
+  owner: Owner,
+  view: OwnerView,
+  callsUnderWay: number,
+  emit: Emit,
+): void {
+  expireRecords(owner.keys, view.at);
+  startQueued(owner, view, emit);
+  const {admission, draining, drained} = owner;
+  const idle = admission.running.size === 0 && admission.queue.length === 0;
+  if (!draining || drained || !idle || callsUnderWay > 0) {
+    return;
+  }
+  advanceHandOver(owner, view, emit);
+}
+
+function advanceHandOver(owner: Owner, view: OwnerView, emit: Emit): void {
+  if (owner.handOver === undefined) {
+    const requests = createHandOvers(owner, view);
+    owner.handOver = {
+      silentPeers: new Set(requests.keys()),
+      startedAt: view.at,
+    };
+    for (const [address, request] of requests) {
+      emit({kind: 'askPeer', address, request});
+    }
+  }
+  const {silentPeers, startedAt} = owner.handOver;
+  const {handOverTimeoutMs} = view.settings.limits;
+  if (silentPeers.size === 0 || view.at - startedAt > handOverTimeoutMs) {
+    owner.drained = true;
+    emit({kind: 'drained'});
+  }
+}
+
+export function noteHandOverSettled(owner: Owner, address: string): void {
+  owner.handOver?.silentPeers.delete(address);
+}
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -114,6 +114,8 @@
 export interface Refusal {
   readonly kind: 'refusal';
   readonly reason: RefusalReason;
+  /** What is known of the request, and of every earlier try under its key. */
+  readonly outcome: Exclude<Outcome, 'answered'>;
   /** Wait after which another try has a chance, in milliseconds. */
   readonly retryAfterMs?: number;
   readonly detail?: string;
@@ -131,7 +133,18 @@
   retryAfterMs?: number,
   detail?: string,
 ): Refusal {
-  return {kind: 'refusal', reason, retryAfterMs, detail};
+  const {outcome} = REFUSALS[reason];
+  return {kind: 'refusal', reason, outcome, retryAfterMs, detail};
+}
+
+/**
+ * Weakens a refusal that speaks for one try only. Another try under the same
+ * key may have run elsewhere, so only the key's home may say `not-run` of it.
+ * @param refusal - The refusal of one try.
+ * @returns The refusal with outcome `unknown`.
+ */
+export function weakenToUnknown(refusal: Refusal): Refusal {
+  return {...refusal, outcome: 'unknown'};
 }
 
 /**
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -3,8 +3,8 @@
  * every effect that it can ask for, closed unions told apart by `kind`.
  */
 import {Submission} from '../model/config.js';
-import {CatchUp, FoldState} from '../model/fold_state.js';
 import {VmList} from '../model/platform.js';
+import {Attempt, LoadReport, PeerReply, PeerRequest} from '../model/peer.js';
 import {Refusal} from './refusals.js';
 
 /** A whole answer of an upstream; the core passes the body on unread. */
@@ -15,14 +15,6 @@
   readonly body: Uint8Array;
 }
 
-/** Load of one upstream, as its owner reports it with each answer. */
-export interface LoadReport {
-  readonly running: number;
-  readonly queued: number;
-  readonly slots: number;
-  readonly leaving: boolean;
-}
-
 /** A caller's request, as far as decisions need it. */
 export interface CallInfo {
   readonly method: string;
@@ -38,120 +30,6 @@
   readonly retriedByOuter: boolean;
 }
 
-/** One try of a call at one owner. */
-export interface Attempt {
-  readonly attemptId: string;
-  readonly service: string;
-  readonly upstreamId: string;
-  /** Configuration version under which the entry chose the owner. */
-  readonly version: number;
-  readonly idempotent: boolean;
-  /** Present for a request that must run at most once under this key. */
-  readonly key?: string;
-  /** The key was made by the entry, so no other entry can know it. */
-  readonly privateKey: boolean;
-  /** Time left when the attempt was sent, in milliseconds. */
-  readonly timeoutMs: number;
-  readonly fingerprint: string;
-  readonly priority: 'interactive' | 'batch';
-}
-
-/** What a proxy tells its peers about one proxy of the fleet. */
-export interface MemberInfo {
-  readonly id: string;
-  readonly zone: string;
-  readonly region: string;
-  readonly peerAddress: string;
-  /** Start time of the process, in Unix milliseconds. */
-  readonly incarnation: number;
-  /** Counts up with each heartbeat of one incarnation. */
-  readonly heartbeat: number;
-  readonly sequence: number;
-  readonly version: number;
-  readonly digest: string;
-  readonly leaving: boolean;
-  readonly ready: boolean;
-}
-
-/** A request fingerprint that was running when an upstream crashed. */
-export interface SuspectInfo {
-  readonly fingerprint: string;
-  /** Upstreams that crashed while running it, each named once. */
-  readonly crashedAt: readonly string[];
-  /** It later ran to its end, so it did not cause the crash. */
-  readonly cleared: boolean;
-  readonly expiresAt: number;
-}
-
-/** Control message between proxies. */
-export type PeerRequest =
-  | {
-      readonly kind: 'gossip';
-      readonly from: MemberInfo;
-      readonly members: readonly MemberInfo[];
-      readonly suspects: readonly SuspectInfo[];
-      readonly vmList?: VmList;
-      readonly vmRevision: number;
-    }
-  | {
-      readonly kind: 'push';
-      readonly fromId: string;
-      readonly submissions: readonly Submission[];
-    }
-  | {readonly kind: 'pull'; readonly afterSequence: number}
-  | {
-      readonly kind: 'announce';
-      readonly id: string;
-      readonly sequence: number;
-    }
-  | {readonly kind: 'join'; readonly id: string}
-  | {
-      readonly kind: 'closeKey';
-      readonly service: string;
-      readonly key: string;
-      /** `give-up`: an entry stops waiting. `moved`: another home takes over. */
-      readonly cause: 'give-up' | 'moved';
-      readonly version: number;
-    }
-  | {
-      readonly kind: 'handOver';
-      readonly service: string;
-      readonly fromId: string;
-      readonly records: readonly KeyVerdict[];
-    };
-
-/** What a home says of one key. */
-export interface KeyVerdict {
-  readonly key: string;
-  readonly status: 'never-ran' | 'running' | 'finished' | 'in-doubt';
-}
-
-export type PeerReply =
-  | {
-      readonly kind: 'gossip';
-      readonly from: MemberInfo;
-      readonly members: readonly MemberInfo[];
-      readonly suspects: readonly SuspectInfo[];
-      readonly vmList?: VmList;
-    }
-  | {readonly kind: 'ok'}
-  | {readonly kind: 'pull'; readonly catchUp: CatchUp}
-  | {
-      readonly kind: 'join';
-      readonly ready: boolean;
-      readonly sequence: number;
-      /** Highest sequence that the asking proxy has announced, 0 if none. */
-      readonly floor: number;
-      readonly state: FoldState;
-      readonly members: readonly MemberInfo[];
-    }
-  | {readonly kind: 'closeKey'; readonly verdict: KeyVerdict}
-  | {
-      readonly kind: 'refused';
-      readonly code: 'not_ready' | 'behind' | 'bad_message';
-      readonly detail: string;
-    };
-
 /** Where and when an event happened; nothing else may bring time or chance. */
 interface EventBase {
   /** Unix milliseconds on a clock that never runs backwards. */
@@ -311,7 +189,9 @@
   | 'digest_mismatch'
   | 'crash_suspected'
   | 'key_closed'
-  | 'member_changed';
+  | 'key_asked'
+  | 'member_changed'
+  | 'bad_input';
 
 export type PartName =
   'config' | 'spread' | 'members' | 'entry' | 'owner' | 'keys' | 'crash';
--- /dev/null
+++ b/src/model/peer.ts
@@ -0,0 +1,153 @@
+/** Messages between proxies, checked on arrival. */
+import {z} from 'zod';
+import {SubmissionSchema} from './config.js';
+import {CatchUpSchema, FoldStateSchema} from './fold_state.js';
+import {VmListSchema} from './platform.js';
+import {NameSchema, SequenceSchema} from './primitives.js';
+
+const MAX_SUBMISSIONS_PER_MESSAGE = 1_024;
+const MAX_MEMBERS_PER_MESSAGE = 64;
+const MAX_SUSPECTS_PER_MESSAGE = 64;
+const MAX_KEYS_PER_MESSAGE = 200_000;
+
+const KeySchema = z.string().min(1).max(256);
+const AttemptIdSchema = z.string().min(1).max(128);
+
+/** Load of one upstream, as its owner reports it with each answer. */
+export const LoadReportSchema = z.strictObject({
+  running: z.int().min(0),
+  queued: z.int().min(0),
+  slots: z.int().min(0),
+  leaving: z.boolean(),
+});
+
+/** One try of a call at one owner. */
+export const AttemptSchema = z.strictObject({
+  attemptId: AttemptIdSchema,
+  service: NameSchema,
+  upstreamId: NameSchema,
+  /** Configuration version under which the entry chose the owner. */
+  version: SequenceSchema,
+  idempotent: z.boolean(),
+  /** Present for a request that must run at most once under this key. */
+  key: KeySchema.optional(),
+  /** The key was made by the entry, so no other entry can know it. */
+  privateKey: z.boolean(),
+  /** Time left when the attempt was sent, in milliseconds. */
+  timeoutMs: z.number().min(0),
+  fingerprint: z.string().max(128),
+  /** An earlier attempt was running when its upstream crashed. */
+  suspect: z.boolean(),
+  priority: z.enum(['interactive', 'batch']),
+});
+
+/** What a proxy tells its peers about one proxy of the fleet. */
+export const MemberInfoSchema = z.strictObject({
+  id: NameSchema,
+  zone: NameSchema,
+  region: NameSchema,
+  peerAddress: z.string(),
+  /** Start time of the process, in Unix milliseconds. */
+  incarnation: z.number(),
+  /** Counts up with each heartbeat of one incarnation. */
+  heartbeat: SequenceSchema,
+  /** Last sequence number folded. */
+  sequence: SequenceSchema,
+  /** Version in force. */
+  version: SequenceSchema,
+  digest: z.string(),
+  leaving: z.boolean(),
+  ready: z.boolean(),
+});
+
+/** A request fingerprint that was running when an upstream crashed. */
+export const SuspectInfoSchema = z.strictObject({
+  fingerprint: z.string().max(128),
+  /** Crashes during which it ran, each named once. */
+  crashedAt: z.array(z.string()).max(64).readonly(),
+  /** It later ran to its end, so it did not cause the crash. */
+  cleared: z.boolean(),
+  expiresAt: z.number(),
+});
+
+/** What a home says of one key. */
+export const KeyVerdictSchema = z.strictObject({
+  key: KeySchema,
+  /**
+   * `never-ran`: it had no record and is closed now. `closed`: a caller was
+   * told that it did not run, so no home may run it.
+   */
+  status: z.enum(['never-ran', 'closed', 'running', 'finished', 'in-doubt']),
+});
+
+const GossipFields = {
+  kind: z.literal('gossip'),
+  from: MemberInfoSchema,
+  members: z.array(MemberInfoSchema).max(MAX_MEMBERS_PER_MESSAGE).readonly(),
+  suspects: z.array(SuspectInfoSchema).max(MAX_SUSPECTS_PER_MESSAGE).readonly(),
+  vmList: VmListSchema.optional(),
+};
+
+/** Control message between proxies. */
+export const PeerRequestSchema = z.discriminatedUnion('kind', [
+  z.strictObject({...GossipFields, vmRevision: SequenceSchema}),
+  z.strictObject({
+    kind: z.literal('push'),
+    submissions: z
+      .array(SubmissionSchema)
+      .max(MAX_SUBMISSIONS_PER_MESSAGE)
+      .readonly(),
+    vmList: VmListSchema.optional(),
+  }),
+  z.strictObject({kind: z.literal('pull'), afterSequence: SequenceSchema}),
+  z.strictObject({
+    kind: z.literal('announce'),
+    id: NameSchema,
+    sequence: SequenceSchema,
+  }),
+  z.strictObject({kind: z.literal('join'), id: NameSchema}),
+  z.strictObject({
+    kind: z.literal('closeKey'),
+    service: NameSchema,
+    key: KeySchema,
+    attemptId: AttemptIdSchema,
+    /** `give-up`: an entry stops waiting. `moved`: another home takes over. */
+    cause: z.enum(['give-up', 'moved']),
+    version: SequenceSchema,
+  }),
+  z.strictObject({
+    kind: z.literal('handOver'),
+    service: NameSchema,
+    fromId: NameSchema,
+    records: z.array(KeyVerdictSchema).max(MAX_KEYS_PER_MESSAGE).readonly(),
+  }),
+]);
+
+export const PeerReplySchema = z.discriminatedUnion('kind', [
+  z.strictObject(GossipFields),
+  z.strictObject({kind: z.literal('ok')}),
+  z.strictObject({kind: z.literal('pull'), catchUp: CatchUpSchema}),
+  z.strictObject({
+    kind: z.literal('join'),
+    ready: z.boolean(),
+    sequence: SequenceSchema,
+    /** Highest sequence that the asking proxy has announced, 0 if none. */
+    floor: SequenceSchema,
+    state: FoldStateSchema,
+    members: z.array(MemberInfoSchema).max(MAX_MEMBERS_PER_MESSAGE).readonly(),
+  }),
+  z.strictObject({kind: z.literal('closeKey'), verdict: KeyVerdictSchema}),
+  z.strictObject({
+    kind: z.literal('refused'),
+    code: z.enum(['not_ready', 'behind', 'bad_message']),
+    detail: z.string(),
+  }),
+]);
+
+export type LoadReport = z.infer<typeof LoadReportSchema>;
+export type Attempt = z.infer<typeof AttemptSchema>;
+export type MemberInfo = z.infer<typeof MemberInfoSchema>;
+export type SuspectInfo = z.infer<typeof SuspectInfoSchema>;
+export type KeyVerdict = z.infer<typeof KeyVerdictSchema>;
+export type PeerRequest = z.infer<typeof PeerRequestSchema>;
+export type PeerReply = z.infer<typeof PeerReplySchema>;
--- a/src/model/settings.ts
+++ b/src/model/settings.ts
@@ -40,8 +40,9 @@
   maxKeyRecords: z.int().min(1).default(100_000),
   /** Largest difference between any two VMs' clocks. */
   clockSkewMs: MillisSchema.default(1_000),
-  /** Longest time that a planned stop waits for running requests. */
-  drainTimeoutMs: MillisSchema.default(30_000),
+  /** Longest time that a planned stop waits for peers to take key records. */
+  handOverTimeoutMs: MillisSchema.default(2_000),
+  /** How long a request that crashed upstreams is refused. */
   quarantineMs: MillisSchema.default(600_000),
 });
 
--- /dev/null
+++ b/src/proxy/attempt_sender.ts
@@ -0,0 +1,71 @@
+/** Sends attempts to the proxies that own their upstreams. */
+import {EventBody} from '../core/types.js';
+import {Attempt} from '../model/peer.js';
+import {OutboundRequest} from './caller_server.js';
+import {ConnectionPools} from './connections.js';
+import {ATTEMPT_HEADER} from './headers.js';
+import {exchangeHttp} from './http_exchange.js';
+import {tryReadAttemptResult} from './results.js';
+
+export class AttemptSender {
+  private readonly underWay = new Map<string, AbortController>();
+
+  constructor(
+    private readonly pools: ConnectionPools,
+    private readonly maxAnswerBytes: number,
+    private readonly post: (event: EventBody) => void,
+  ) {}
+
+  /**
+   * Sends an attempt and posts its result or failure.
+   * @param address - The owner's peer address.
+   * @param attempt - The attempt.
+   * @param outbound - The caller's request.
+   */
+  async send(
+    address: string,
+    attempt: Attempt,
+    outbound: OutboundRequest,
+  ): Promise<void> {
+    const {attemptId, timeoutMs} = attempt;
+    const controller = new AbortController();
+    this.underWay.set(attemptId, controller);
+    const timer = setTimeout(() => controller.abort(), timeoutMs);
+    const answer = await exchangeHttp(this.pools.get(address), {
+      method: outbound.method,
+      path: outbound.path,
+      headers: {
+        ...outbound.headers,
+        [ATTEMPT_HEADER]: JSON.stringify(attempt),
+      },
+      body: outbound.body,
+      timeoutMs,
+      maxAnswerBytes: this.maxAnswerBytes,
+      signal: controller.signal,
+    });
+    clearTimeout(timer);
+    if (!this.underWay.delete(attemptId)) {
+      return;
+    }
+    if (answer.isErr()) {
+      this.post({kind: 'attemptFailed', attemptId, failure: answer.error});
+      return;
+    }
+    const read = tryReadAttemptResult(attemptId, answer.value);
+    if (read === undefined) {
+      this.post({kind: 'attemptFailed', attemptId, failure: 'truncated'});
+      return;
+    }
+    this.post({kind: 'attemptAnswered', attemptId, ...read});
+  }
+
+  /**
+   * Breaks off an attempt; its owner sees the connection close.
+   * @param attemptId - The attempt.
+   */
+  cancel(attemptId: string): void {
+    const controller = this.underWay.get(attemptId);
+    this.underWay.delete(attemptId);
+    controller?.abort();
+  }
+}
--- /dev/null
+++ b/src/proxy/body.ts
@@ -0,0 +1,47 @@
+/** Collects a request body within a limit. */
+import {IncomingMessage} from 'node:http';
+import {err, ok, Result} from 'neverthrow';
+
+export type BodyError = 'too-large' | 'aborted';
+
+const EMPTY = new Uint8Array(0);
+
+/**
+ * Reads a whole request body.
+ * @param req - The request.
+ * @param maxBytes - Largest body that is accepted.
+ * @returns The body, or why it could not be had.
+ */
+export function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<Uint8Array, BodyError>> {
+  const declared = Number(req.headers['content-length'] ?? 0);
+  if (declared > maxBytes) {
+    return Promise.resolve(err('too-large'));
+  }
+  const hasBody =
+    declared > 0 || req.headers['transfer-encoding'] !== undefined;
+  if (!hasBody) {
+    req.resume();
+    return Promise.resolve(ok(EMPTY));
+  }
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) {
+        chunks.length = 0;
+        resolve(err('too-large'));
+        return;
+      }
+      chunks.push(chunk);
+    });
+    req.on('end', () =>
+      resolve(ok(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks))),
+    );
+    req.on('error', () => resolve(err('aborted')));
+    req.on('close', () => resolve(err('aborted')));
+  });
+}
--- /dev/null
+++ b/src/proxy/caller_server.ts
@@ -0,0 +1,182 @@
+/** Takes callers' requests and gives each its one answer. */
+import {createHash} from 'node:crypto';
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {v7 as createUuidV7} from 'uuid';
+import {createRefusal, Refusal, weakenToUnknown} from '../core/refusals.js';
+import {Answer, CallInfo, EventBody} from '../core/types.js';
+import {Settings} from '../model/settings.js';
+import {readBody} from './body.js';
+import {
+  copyEndToEndHeaders,
+  DEADLINE_HEADER,
+  HeaderRecord,
+  IDEMPOTENCY_KEY_HEADER,
+  RETRY_LAYER_HEADER,
+} from './headers.js';
+import {writeCallResult} from './results.js';
+
+const MAX_KEY_LENGTH = 200;
+
+/** A caller's request as it will be sent on. */
+export interface OutboundRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: HeaderRecord;
+  readonly body: Uint8Array;
+}
+
+interface PendingCall {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly outbound: OutboundRequest;
+}
+
+export class CallerServer {
+  private readonly pending = new Map<string, PendingCall>();
+  /** Set while the proxy stops, so that connections end after their answer. */
+  closing = false;
+
+  constructor(
+    private readonly limits: Settings['limits'],
+    private readonly post: (event: EventBody) => void,
+    private readonly count: (reason: string) => void,
+  ) {}
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const body = await readBody(req, this.limits.maxRequestBytes);
+    if (body.isErr()) {
+      if (body.error === 'too-large') {
+        this.refuse(req, res, createRefusal('body_too_large'), true);
+      }
+      return;
+    }
+    const call = parseCall(req, body.value);
+    if (call.kind === 'refusal') {
+      this.refuse(req, res, call, false);
+      return;
+    }
+    this.accept(req, res, call.info, body.value);
+  }
+
+  private accept(
+    req: IncomingMessage,
+    res: ServerResponse,
+    info: CallInfo,
+    body: Uint8Array,
+  ): void {
+    const callId = createUuidV7();
+    const outbound: OutboundRequest = {
+      method: info.method,
+      path: info.path,
+      headers: copyEndToEndHeaders(req.headers),
+      body,
+    };
+    this.pending.set(callId, {req, res, outbound});
+    res.on('close', () => {
+      if (this.pending.delete(callId)) {
+        this.post({kind: 'callerGone', callId});
+      }
+    });
+    this.post({kind: 'callArrived', callId, call: info});
+  }
+
+  private refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    refusal: Refusal,
+    close: boolean,
+  ): void {
+    this.count(refusal.reason);
+    const keyed = req.headers[IDEMPOTENCY_KEY_HEADER] !== undefined;
+    const final = keyed ? weakenToUnknown(refusal) : refusal;
+    writeCallResult(res, final, close || this.closing);
+  }
+
+  /**
+   * Finds the request of a call.
+   * @param callId - The call.
+   * @returns The request, or undefined where the caller went away.
+   */
+  getOutbound(callId: string): OutboundRequest | undefined {
+    return this.pending.get(callId)?.outbound;
+  }
+
+  /**
+   * Gives a call its answer.
+   * @param callId - The call.
+   * @param result - The answer or refusal.
+   */
+  answer(callId: string, result: Answer | Refusal): void {
+    const call = this.pending.get(callId);
+    if (call === undefined) {
+      return;
+    }
+    this.pending.delete(callId);
+    writeCallResult(call.res, result, this.closing);
+  }
+}
+
+function parseCall(
+  req: IncomingMessage,
+  body: Uint8Array,
+): {readonly kind: 'call'; readonly info: CallInfo} | Refusal {
+  const method = req.method ?? 'GET';
+  const path = req.url ?? '/';
+  const key = req.headers[IDEMPOTENCY_KEY_HEADER];
+  if (!path.startsWith('/')) {
+    return badRequest(`Request target ${path.slice(0, 64)}; send a path`);
+  }
+  if (key !== undefined && !isValidKey(key)) {
+    return badRequest(
+      `Idempotency-Key; use 1 to ${MAX_KEY_LENGTH} visible ASCII characters, once`,
+    );
+  }
+  const timeoutMs = parseDeadline(req.headers[DEADLINE_HEADER]);
+  if (Number.isNaN(timeoutMs)) {
+    return badRequest(`${DEADLINE_HEADER}; give remaining milliseconds`);
+  }
+  const info: CallInfo = {
+    method,
+    path,
+    host: req.headers.host ?? '',
+    key,
+    timeoutMs,
+    fingerprint: getFingerprint(method, path, body),
+    retriedByOuter: req.headers[RETRY_LAYER_HEADER] !== undefined,
+  };
+  return {kind: 'call', info};
+}
+
+function badRequest(detail: string): Refusal {
+  return createRefusal('bad_request', undefined, detail);
+}
+
+function isValidKey(key: string | string[]): key is string {
+  return (
+    typeof key === 'string' &&
+    /^[\x21-\x7e]+$/.test(key) &&
+    key.length <= MAX_KEY_LENGTH
+  );
+}
+
+function parseDeadline(
+  value: string | string[] | undefined,
+): number | undefined {
+  if (value === undefined) {
+    return undefined;
+  }
+  return typeof value === 'string' && /^\d{1,9}(\.\d+)?$/.test(value)
+    ? Number(value)
+    : NaN;
+}
+
+function getFingerprint(
+  method: string,
+  path: string,
+  body: Uint8Array,
+): string {
+  return createHash('sha1')
+    .update(`${method} ${path}\n`)
+    .update(body)
+    .digest('base64url');
+}
--- /dev/null
+++ b/src/proxy/failures.ts
@@ -0,0 +1,59 @@
+/** Sorts the errors of HTTP clients into the failures that the core knows. */
+import {FailureKind} from '../core/types.js';
+
+/** Errors after which it is certain that nothing was sent. */
+const CONNECT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const TRUNCATED_CODES: ReadonlySet<string> = new Set([
+  'UND_ERR_RES_CONTENT_LENGTH_MISMATCH',
+  'HPE_INVALID_CHUNK_SIZE',
+  'HPE_INVALID_CONSTANT',
+  'HPE_INVALID_EOF_STATE',
+]);
+
+const TIMEOUT_CODES: ReadonlySet<string> = new Set([
+  'UND_ERR_HEADERS_TIMEOUT',
+  'UND_ERR_BODY_TIMEOUT',
+  'UND_ERR_ABORTED',
+  'ABORT_ERR',
+]);
+
+/**
+ * Classifies an error.
+ * @param error - What the client threw.
+ * @param headersReceived - Whether the answer had begun.
+ * @returns The failure; `reset` where nothing better is known.
+ */
+export function classifyFailure(
+  error: unknown,
+  headersReceived: boolean,
+): FailureKind {
+  const code = getErrorCode(error);
+  if (!headersReceived && CONNECT_CODES.has(code)) {
+    return 'connect';
+  }
+  if (TIMEOUT_CODES.has(code)) {
+    return 'timeout';
+  }
+  if (TRUNCATED_CODES.has(code) || headersReceived) {
+    return 'truncated';
+  }
+  return 'reset';
+}
+
+function getErrorCode(error: unknown): string {
+  if (typeof error !== 'object' || error === null) {
+    return '';
+  }
+  const {code, name} = error as {code?: unknown; name?: unknown};
+  if (name === 'AbortError' || name === 'TimeoutError') {
+    return 'ABORT_ERR';
+  }
+  return typeof code === 'string' ? code : '';
+}
--- /dev/null
+++ b/src/proxy/listener.ts
@@ -0,0 +1,90 @@
+/** Creates HTTP servers that bound what one sender can take. */
+import {createServer, RequestListener, Server} from 'node:http';
+import {AddressInfo} from 'node:net';
+import {Settings} from '../model/settings.js';
+import {formatAddress, parseAddress} from './addresses.js';
+
+/** Above the keep-alive time of our clients, so that they close first. */
+const KEEP_ALIVE_MS = 65_000;
+const MAX_HEADER_BYTES = 16_384;
+const CONNECTION_CHECK_MS = 1_000;
+
+/** Status line for input that Node's parser rejects, by error code. */
+const PARSER_STATUS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+export interface Listener {
+  readonly server: Server;
+  /** The address on which it listens, with the actual port. */
+  readonly address: string;
+}
+
+/**
+ * Starts a server.
+ * @param address - Where to listen; port 0 lets the system choose.
+ * @param limits - Bounds on senders.
+ * @param maxConnections - Connections accepted at the same time.
+ * @param onBadInput - Told of each connection whose input was not HTTP.
+ * @param handle - Handles well-formed requests.
+ * @returns The listener, once it accepts connections.
+ */
+export async function listen(
+  address: string,
+  limits: Settings['limits'],
+  maxConnections: number,
+  onBadInput: (kind: string) => void,
+  handle: RequestListener,
+): Promise<Listener> {
+  const server = createServer(
+    {
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      requestTimeout: limits.receiveTimeoutMs,
+      headersTimeout: limits.receiveTimeoutMs,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      noDelay: true,
+    },
+    handle,
+  );
+  server.maxConnections = maxConnections;
+  server.on('drop', () => onBadInput('too_many_connections'));
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    const code = error.code ?? 'unknown';
+    if (code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    onBadInput(code);
+    const status = PARSER_STATUS[code] ?? '400 Bad Request';
+    const body = JSON.stringify({
+      error: {
+        code: 'bad_request',
+        outcome: 'not-run',
+        message: `The request was not accepted (${code}); send well-formed HTTP within the limits.`,
+      },
+    });
+    socket.end(
+      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Type: application/json\r\n` +
+        `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    );
+  });
+  const {host, port} = parseAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  return {server, address: formatAddress(server.address() as AddressInfo)};
+}
+
+/**
+ * Stops accepting, closes idle connections and waits for the others.
+ * @param listener - The listener.
+ */
+export async function closeGracefully(listener: Listener): Promise<void> {
+  const {server} = listener;
+  const closed = new Promise<void>(resolve => server.close(() => resolve()));
+  server.closeIdleConnections();
+  await closed;
+}
--- /dev/null
+++ b/src/proxy/log.ts
@@ -0,0 +1,39 @@
+/** Structured logs with one fixed prefix for each part. */
+import {ILogObj, Logger} from 'tslog';
+import {PartName} from '../core/types.js';
+import {Settings} from '../model/settings.js';
+
+const LEVELS: Readonly<Record<Settings['logLevel'], number>> = {
+  silly: 0,
+  trace: 1,
+  debug: 2,
+  info: 3,
+  warn: 4,
+  error: 5,
+  fatal: 6,
+};
+
+export type LogLevel = 'info' | 'warn' | 'error';
+
+export class PartLogs {
+  private readonly root: Logger<ILogObj>;
+  private readonly parts = new Map<string, Logger<ILogObj>>();
+
+  constructor(name: string, level: Settings['logLevel']) {
+    this.root = new Logger({
+      name,
+      type: 'json',
+      minLevel: LEVELS[level],
+      hideLogPositionForProduction: true,
+    });
+  }
+
+  write(part: PartName | 'daemon', level: LogLevel, message: string): void {
+    let logger = this.parts.get(part);
+    if (logger === undefined) {
+      logger = this.root.getSubLogger({prefix: [`[${part}]`]});
+      this.parts.set(part, logger);
+    }
+    logger[level](message);
+  }
+}
--- /dev/null
+++ b/src/proxy/peer_server.ts
@@ -0,0 +1,163 @@
+/** Takes attempts and control messages from other proxies. */
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {createRefusal, Refusal} from '../core/refusals.js';
+import {Answer, EventBody} from '../core/types.js';
+import {
+  Attempt,
+  AttemptSchema,
+  LoadReport,
+  PeerReply,
+  PeerRequest,
+} from '../model/peer.js';
+import {Settings} from '../model/settings.js';
+import {readBody} from './body.js';
+import {OutboundRequest} from './caller_server.js';
+import {
+  ControlTraffic,
+  CONTROL_PATH,
+  createControlServer,
+} from './control_channel.js';
+import {ATTEMPT_HEADER, copyEndToEndHeaders} from './headers.js';
+import {writeAttemptResult} from './results.js';
+
+const MAX_CONTROL_BYTES = 8 * 1_048_576;
+
+/** An attempt at the local upstream, from a peer or from this proxy's entry. */
+export interface ReceivedAttempt {
+  readonly key?: string;
+  readonly outbound: OutboundRequest;
+  finish(result: Answer | Refusal, load: LoadReport): void;
+}
+
+export class PeerServer {
+  /** Attempts that have not been finished, by attempt. */
+  readonly attempts = new Map<string, ReceivedAttempt>();
+  private readonly replies = new Map<string, (reply: PeerReply) => void>();
+  private readonly answerRpc: (text: string) => Promise<string>;
+  private nextRequestId = 1;
+
+  constructor(
+    private readonly limits: Settings['limits'],
+    private readonly traffic: ControlTraffic,
+    private readonly post: (event: EventBody) => void,
+    private readonly countBadInput: (kind: string) => void,
+  ) {
+    this.answerRpc = createControlServer(request => this.ask(request));
+  }
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const header = req.headers[ATTEMPT_HEADER];
+    if (typeof header === 'string') {
+      await this.handleAttempt(req, res, header);
+      return;
+    }
+    if (req.method !== 'POST' || req.url !== CONTROL_PATH) {
+      this.countBadInput('unknown_peer_path');
+      req.resume();
+      writeError(res, 404, `Send attempts, or POST ${CONTROL_PATH}.`);
+      return;
+    }
+    await this.handleControl(req, res);
+  }
+
+  private async handleControl(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const body = await readBody(req, MAX_CONTROL_BYTES);
+    if (body.isErr()) {
+      this.countBadInput('control_body');
+      writeError(res, 413, `Send at most ${MAX_CONTROL_BYTES} bytes.`);
+      return;
+    }
+    this.traffic.receivedBytes += body.value.length;
+    const text = await this.answerRpc(Buffer.from(body.value).toString('utf8'));
+    const reply = Buffer.from(text);
+    this.traffic.sentBytes += reply.length;
+    res.writeHead(200, {
+      'content-type': 'application/json',
+      'content-length': reply.length,
+    });
+    res.end(reply);
+  }
+
+  private ask(request: PeerRequest): Promise<PeerReply> {
+    const requestId = String(this.nextRequestId++);
+    return new Promise(resolve => {
+      this.replies.set(requestId, resolve);
+      this.post({kind: 'peerAsked', requestId, request});
+    });
+  }
+
+  /**
+   * Sends the core's reply to a control message.
+   * @param requestId - The message.
+   * @param reply - The reply.
+   */
+  reply(requestId: string, reply: PeerReply): void {
+    this.replies.get(requestId)?.(reply);
+    this.replies.delete(requestId);
+  }
+
+  private async handleAttempt(
+    req: IncomingMessage,
+    res: ServerResponse,
+    header: string,
+  ): Promise<void> {
+    const attempt = tryParseAttempt(header);
+    if (attempt === undefined || this.attempts.has(attempt.attemptId)) {
+      this.countBadInput('bad_attempt');
+      req.resume();
+      writeError(res, 400, `Send a valid ${ATTEMPT_HEADER} header, once.`);
+      return;
+    }
+    const {attemptId} = attempt;
+    const body = await readBody(req, this.limits.maxRequestBytes);
+    if (body.isErr()) {
+      if (body.error === 'too-large') {
+        const load = {running: 0, queued: 0, slots: 0, leaving: false};
+        const refusal = createRefusal('body_too_large');
+        writeAttemptResult(res, attemptId, refusal, load);
+      }
+      return;
+    }
+    this.attempts.set(attemptId, {
+      key: attempt.key,
+      outbound: {
+        method: req.method ?? 'GET',
+        path: req.url ?? '/',
+        headers: copyEndToEndHeaders(req.headers),
+        body: body.value,
+      },
+      finish: (result, load) =>
+        writeAttemptResult(res, attemptId, result, load),
+    });
+    res.on('close', () => {
+      if (!res.writableFinished && this.attempts.has(attemptId)) {
+        this.post({kind: 'attemptCancelled', attemptId});
+      }
+    });
+    this.post({kind: 'attemptArrived', attempt});
+  }
+}
+
+function tryParseAttempt(header: string): Attempt | undefined {
+  try {
+    return AttemptSchema.safeParse(JSON.parse(header)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+function writeError(res: ServerResponse, status: number, message: string) {
+  if (res.headersSent || res.destroyed) {
+    return;
+  }
+  const body = JSON.stringify({error: {code: 'bad_request', message}});
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    connection: 'close',
+  });
+  res.end(body);
+}
--- /dev/null
+++ b/src/proxy/proxy_runtime.ts
@@ -0,0 +1,288 @@
+/** Wires the decision core of one proxy to sockets, timers and logs. */
+import {createCoreSettings} from '../core/core_settings.js';
+import {Effect, EventBody} from '../core/types.js';
+import {Attempt} from '../model/peer.js';
+import {Settings} from '../model/settings.js';
+import {AttemptSender} from './attempt_sender.js';
+import {CallerServer} from './caller_server.js';
+import {Clock, SystemClock} from './clock.js';
+import {ConnectionPools} from './connections.js';
+import {ControlClient, ControlTraffic} from './control_channel.js';
+import {CoreLoop} from './core_loop.js';
+import {closeGracefully, listen, Listener} from './listener.js';
+import {PartLogs} from './log.js';
+import {ProxyLevels, ProxyMetrics} from './metrics.js';
+import {OperatorServer} from './operator_server.js';
+import {PeerServer} from './peer_server.js';
+import {SourceClient} from './source_client.js';
+import {UpstreamClient} from './upstream_client.js';
+
+const TICK_INTERVAL_MS = 25;
+
+/** Connections to one peer for calls, and apart from them for control. */
+const CALL_CONNECTIONS_PER_PEER = 64;
+const CONTROL_CONNECTIONS_PER_PEER = 2;
+
+/** Connections that peers and operators may open. */
+const MAX_PEER_CONNECTIONS = 16_384;
+const MAX_OPERATOR_CONNECTIONS = 64;
+
+/** The addresses on which a running proxy listens. */
+export interface ProxyAddresses {
+  readonly callers: string;
+  readonly peers: string;
+  readonly operators: string;
+}
+
+export class ProxyRuntime {
+  private readonly closing = new AbortController();
+  private readonly callPools = new ConnectionPools(CALL_CONNECTIONS_PER_PEER);
+  private readonly controlPools = new ConnectionPools(
+    CONTROL_CONNECTIONS_PER_PEER,
+  );
+  private readonly traffic: ControlTraffic = {sentBytes: 0, receivedBytes: 0};
+  private readonly metrics = new ProxyMetrics(() => this.getLevels());
+  private readonly timers: NodeJS.Timeout[] = [];
+  private readonly callers: CallerServer;
+  private readonly peers: PeerServer;
+  private readonly sender: AttemptSender;
+  private readonly upstream: UpstreamClient;
+  private readonly source: SourceClient;
+  private readonly control: ControlClient;
+  private listeners: Listener[] = [];
+  private loop?: CoreLoop;
+  private ownAddress = '';
+  private finishDrain: () => void = () => undefined;
+
+  /** Resolves when a planned stop has finished all that it must. */
+  readonly drained = new Promise<void>(resolve => {
+    this.finishDrain = resolve;
+  });
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly logs: PartLogs,
+    private readonly clock: Clock = new SystemClock(),
+  ) {
+    const {limits} = settings;
+    const post = (event: EventBody) => this.post(event);
+    const countBadInput = (kind: string) =>
+      this.metrics.count('bad_input', kind);
+    this.callers = new CallerServer(limits, post, reason =>
+      this.metrics.count('call_refused', reason),
+    );
+    this.peers = new PeerServer(limits, this.traffic, post, countBadInput);
+    this.sender = new AttemptSender(
+      this.callPools,
+      limits.maxAnswerBytes,
+      post,
+    );
+    this.upstream = new UpstreamClient(settings, this.callPools, post);
+    this.source = new SourceClient(
+      settings.source,
+      this.controlPools,
+      this.closing.signal,
+      post,
+    );
+    this.control = new ControlClient(
+      this.controlPools,
+      this.traffic,
+      this.closing.signal,
+    );
+  }
+
+  /**
+   * Starts listening and joining the fleet.
+   * @returns The actual addresses.
+   */
+  async start(): Promise<ProxyAddresses> {
+    const {limits} = this.settings;
+    const countBadInput = (kind: string) =>
+      this.metrics.count('bad_input', kind);
+    const peers = await listen(
+      this.settings.listen.peers,
+      limits,
+      MAX_PEER_CONNECTIONS,
+      countBadInput,
+      (req, res) => void this.peers.handle(req, res),
+    );
+    this.ownAddress = peers.address;
+    const loop = this.createLoop(peers.address);
+    const callers = await listen(
+      this.settings.listen.callers,
+      limits,
+      limits.maxCallerConnections,
+      countBadInput,
+      (req, res) => void this.callers.handle(req, res),
+    );
+    const operator = new OperatorServer(loop, this.metrics, () =>
+      this.startDrain(),
+    );
+    const operators = await listen(
+      this.settings.listen.operators,
+      limits,
+      MAX_OPERATOR_CONNECTIONS,
+      countBadInput,
+      (req, res) => void operator.handle(req, res),
+    );
+    this.listeners = [callers, peers, operators];
+    this.startTimers();
+    loop.post({kind: 'started'});
+    return {
+      callers: callers.address,
+      peers: peers.address,
+      operators: operators.address,
+    };
+  }
+
+  private createLoop(peerAddress: string): CoreLoop {
+    const core = createCoreSettings(
+      this.settings,
+      peerAddress,
+      this.clock.now(),
+    );
+    this.loop = new CoreLoop(core, this.clock, effect => this.perform(effect));
+    return this.loop;
+  }
+
+  private startTimers(): void {
+    const {healthIntervalMs} = this.settings.upstream;
+    void this.upstream.probe();
+    this.timers.push(
+      setInterval(() => this.post({kind: 'tick'}), TICK_INTERVAL_MS),
+      setInterval(() => void this.upstream.probe(), healthIntervalMs),
+    );
+  }
+
+  private post(event: EventBody): void {
+    this.loop?.post(event);
+  }
+
+  /** Begins a planned stop; {@link drained} tells when it is done. */
+  startDrain(): void {
+    if (this.callers.closing) {
+      return;
+    }
+    this.callers.closing = true;
+    this.logs.write('daemon', 'info', 'Planned stop begins.');
+    this.post({kind: 'drainRequested'});
+  }
+
+  /** Closes every socket and timer; running requests get their answers. */
+  async stop(): Promise<void> {
+    await Promise.all(this.listeners.map(closeGracefully));
+    for (const timer of this.timers) {
+      clearInterval(timer);
+    }
+    this.closing.abort();
+    await Promise.all([this.callPools.destroy(), this.controlPools.destroy()]);
+  }
+
+  private perform(effect: Effect): void {
+    switch (effect.kind) {
+      case 'watchSource':
+        void this.source.watch(
+          effect.afterSequence,
+          effect.vmRevision,
+          effect.waitMs,
+        );
+        return;
+      case 'askPeer':
+        void this.askPeer(effect);
+        return;
+      case 'replyPeer':
+        return this.peers.reply(effect.requestId, effect.reply);
+      case 'sendAttempt':
+        return this.sendAttempt(effect);
+      case 'cancelAttempt':
+        return this.cancelAttempt(effect.attemptId);
+      case 'answerCall':
+        return this.callers.answer(effect.callId, effect.result);
+      case 'dispatch':
+        return this.dispatch(effect.attemptId, effect.timeoutMs);
+      case 'abortDispatch':
+        return this.upstream.abort(effect.attemptId);
+      case 'finishAttempt': {
+        const attempt = this.peers.attempts.get(effect.attemptId);
+        this.peers.attempts.delete(effect.attemptId);
+        return attempt?.finish(effect.result, effect.load);
+      }
+      case 'drained':
+        return this.finishDrain();
+      case 'count':
+        return this.metrics.count(effect.counter, effect.reason);
+      case 'log':
+        return this.logs.write(effect.part, effect.level, effect.message);
+    }
+  }
+
+  private async askPeer(
+    effect: Extract<Effect, {kind: 'askPeer'}>,
+  ): Promise<void> {
+    const {address, request} = effect;
+    const reply = await this.control.ask(address, request);
+    this.post(
+      reply === undefined
+        ? {kind: 'peerFailed', address, request}
+        : {kind: 'peerReplied', address, request, reply},
+    );
+  }
+
+  private sendAttempt(effect: Extract<Effect, {kind: 'sendAttempt'}>): void {
+    const {callId, address, attempt} = effect;
+    const outbound = this.callers.getOutbound(callId);
+    if (outbound === undefined) {
+      return;
+    }
+    if (address !== this.ownAddress) {
+      void this.sender.send(address, attempt, outbound);
+      return;
+    }
+    this.sendToOwnUpstream(attempt, outbound);
+  }
+
+  /** The entry is also the owner, so no socket lies between the two. */
+  private sendToOwnUpstream(
+    attempt: Attempt,
+    outbound: Parameters<AttemptSender['send']>[2],
+  ): void {
+    const {attemptId, key} = attempt;
+    this.peers.attempts.set(attemptId, {
+      key,
+      outbound,
+      finish: (result, load) =>
+        this.post({kind: 'attemptAnswered', attemptId, result, load}),
+    });
+    this.post({kind: 'attemptArrived', attempt});
+  }
+
+  private cancelAttempt(attemptId: string): void {
+    this.sender.cancel(attemptId);
+    if (this.peers.attempts.has(attemptId)) {
+      this.post({kind: 'attemptCancelled', attemptId});
+    }
+  }
+
+  private dispatch(attemptId: string, timeoutMs: number): void {
+    const attempt = this.peers.attempts.get(attemptId);
+    if (attempt !== undefined) {
+      const {key, outbound} = attempt;
+      void this.upstream.dispatch(attemptId, key, timeoutMs, outbound);
+    }
+  }
+
+  private getLevels(): ProxyLevels {
+    const state = this.loop?.state;
+    return {
+      version: state?.log.active.version ?? 0,
+      sequence: state?.log.latest.sequence ?? 0,
+      ready: state?.startup.ready ?? false,
+      leaving: state?.owner.draining ?? false,
+      running: state?.owner.admission.running.size ?? 0,
+      queued: state?.owner.admission.queue.length ?? 0,
+      keyRecords: state?.owner.keys.size ?? 0,
+      controlBytesSent: this.traffic.sentBytes,
+      controlBytesReceived: this.traffic.receivedBytes,
+    };
+  }
+}
--- /dev/null
+++ b/src/proxy/results.ts
@@ -0,0 +1,161 @@
+/** How results of attempts and calls look as HTTP. */
+import {ServerResponse} from 'node:http';
+import {z} from 'zod';
+import {Refusal, REFUSALS, isRefusalReason} from '../core/refusals.js';
+import {Answer} from '../core/types.js';
+import {LoadReport, LoadReportSchema} from '../model/peer.js';
+import {
+  copyEndToEndHeaders,
+  HeaderRecord,
+  OUTCOME_HEADER,
+  REASON_HEADER,
+  RESULT_HEADER,
+  RETRY_AFTER_HEADER,
+} from './headers.js';
+import {WholeAnswer} from './http_exchange.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** What an owner adds to its answer for the entry, in one header. */
+const AttemptResultSchema = z.strictObject({
+  attemptId: z.string(),
+  load: LoadReportSchema,
+  refusal: z
+    .strictObject({
+      reason: z.string(),
+      outcome: z.enum(['not-run', 'unknown']),
+      retryAfterMs: z.number().optional(),
+      detail: z.string().optional(),
+    })
+    .optional(),
+});
+
+/**
+ * Answers an entry.
+ * @param res - The response to the entry.
+ * @param attemptId - The attempt, repeated so that the entry can check it.
+ * @param result - The upstream's answer or a refusal.
+ * @param load - The upstream's load.
+ */
+export function writeAttemptResult(
+  res: ServerResponse,
+  attemptId: string,
+  result: Answer | Refusal,
+  load: LoadReport,
+): void {
+  if (result.kind === 'answer') {
+    const header = JSON.stringify({attemptId, load});
+    writeWhole(res, result.status, result.body, {
+      ...result.headers,
+      [RESULT_HEADER]: header,
+    });
+    return;
+  }
+  const {reason, outcome, retryAfterMs, detail} = result;
+  const refusal = {reason, outcome, retryAfterMs, detail};
+  writeWhole(res, REFUSALS[reason].status, Buffer.alloc(0), {
+    [RESULT_HEADER]: JSON.stringify({attemptId, load, refusal}),
+  });
+}
+
+/**
+ * Reads an owner's answer.
+ * @param attemptId - The attempt to which it must belong.
+ * @param answer - The HTTP answer.
+ * @returns The result, or undefined where it is not the owner's answer to
+ *     this attempt.
+ */
+export function tryReadAttemptResult(
+  attemptId: string,
+  answer: WholeAnswer,
+): {result: Answer | Refusal; load: LoadReport} | undefined {
+  const header = answer.headers[RESULT_HEADER];
+  const parsed = AttemptResultSchema.safeParse(tryParseJson(header));
+  if (!parsed.success || parsed.data.attemptId !== attemptId) {
+    return undefined;
+  }
+  const {load, refusal} = parsed.data;
+  if (refusal === undefined) {
+    const {status, body} = answer;
+    const headers = copyEndToEndHeaders(answer.headers);
+    return {result: {kind: 'answer', status, headers, body}, load};
+  }
+  const {reason} = refusal;
+  // A newer build may refuse for a reason that this one does not know.
+  const known = isRefusalReason(reason) ? reason : 'attempt_lost';
+  return {result: {...refusal, kind: 'refusal', reason: known}, load};
+}
+
+function tryParseJson(text: unknown): unknown {
+  if (typeof text !== 'string') {
+    return undefined;
+  }
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Answers a caller.
+ * @param res - The response to the caller.
+ * @param result - The upstream's answer or a refusal.
+ * @param close - Whether to close the connection afterwards.
+ */
+export function writeCallResult(
+  res: ServerResponse,
+  result: Answer | Refusal,
+  close: boolean,
+): void {
+  const extra: HeaderRecord = close ? {connection: 'close'} : {};
+  if (result.kind === 'answer') {
+    writeWhole(res, result.status, result.body, {
+      ...result.headers,
+      ...extra,
+      [OUTCOME_HEADER]: 'answered',
+    });
+    return;
+  }
+  writeRefusal(res, result, extra);
+}
+
+function writeRefusal(
+  res: ServerResponse,
+  refusal: Refusal,
+  extra: HeaderRecord,
+): void {
+  const {reason, outcome, retryAfterMs, detail} = refusal;
+  const {status, message} = REFUSALS[reason];
+  const headers: HeaderRecord = {
+    ...extra,
+    'content-type': 'application/json',
+    [OUTCOME_HEADER]: outcome,
+    [REASON_HEADER]: reason,
+  };
+  if (retryAfterMs !== undefined) {
+    const seconds = Math.ceil(retryAfterMs / MS_PER_SECOND);
+    headers['retry-after'] = String(seconds);
+    headers[RETRY_AFTER_HEADER] = String(Math.ceil(retryAfterMs));
+  }
+  const error = {code: reason, outcome, message, detail, retryAfterMs};
+  writeWhole(res, status, Buffer.from(JSON.stringify({error})), headers);
+}
+
+function writeWhole(
+  res: ServerResponse,
+  status: number,
+  body: Uint8Array,
+  headers: Readonly<Record<string, string | readonly string[]>>,
+): void {
+  if (res.headersSent || res.destroyed) {
+    return;
+  }
+  const mayHaveBody = status !== 204 && status !== 304;
+  const length = mayHaveBody ? {'content-length': String(body.length)} : {};
+  res.writeHead(status, {...headers, ...length} as Record<
+    string,
+    string | string[]
+  >);
+  res.end(mayHaveBody ? body : undefined);
+}
--- /dev/null
+++ b/src/proxy/source_client.ts
@@ -0,0 +1,64 @@
+/** Reads and watches the platform's configuration service. */
+import {EventBody} from '../core/types.js';
+import {WatchAnswerSchema} from '../model/platform.js';
+import {ConnectionPools} from './connections.js';
+import {exchangeHttp} from './http_exchange.js';
+
+/** Time that the platform may take beyond the wait that it was asked for. */
+const ANSWER_GRACE_MS = 2_000;
+const MAX_ANSWER_BYTES = 16 * 1_048_576;
+const EMPTY = new Uint8Array(0);
+
+export class SourceClient {
+  constructor(
+    private readonly address: string,
+    private readonly pools: ConnectionPools,
+    private readonly closing: AbortSignal,
+    private readonly post: (event: EventBody) => void,
+  ) {}
+
+  /**
+   * Makes one watch call and posts what came of it.
+   * @param afterSequence - The last sequence number known.
+   * @param vmRevision - The last revision of the VM list known.
+   * @param waitMs - How long the platform may wait for news.
+   */
+  async watch(
+    afterSequence: number,
+    vmRevision: number,
+    waitMs: number,
+  ): Promise<void> {
+    const answer = await exchangeHttp(this.pools.get(this.address), {
+      method: 'GET',
+      path: `/v1/watch?after=${afterSequence}&vms=${vmRevision}&waitMs=${waitMs}`,
+      headers: {accept: 'application/json'},
+      body: EMPTY,
+      timeoutMs: waitMs + ANSWER_GRACE_MS,
+      maxAnswerBytes: MAX_ANSWER_BYTES,
+      signal: AbortSignal.any([
+        this.closing,
+        AbortSignal.timeout(waitMs + ANSWER_GRACE_MS),
+      ]),
+    });
+    if (answer.isErr()) {
+      this.post({kind: 'sourceFailed', detail: answer.error});
+      return;
+    }
+    const {status, body} = answer.value;
+    const parsed = parseWatchAnswer(body);
+    if (status !== 200 || parsed === undefined) {
+      this.post({kind: 'sourceFailed', detail: `HTTP status ${status}`});
+      return;
+    }
+    this.post({kind: 'sourceAnswered', ...parsed});
+  }
+}
+
+function parseWatchAnswer(body: Uint8Array) {
+  try {
+    const text = Buffer.from(body).toString('utf8');
+    return WatchAnswerSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/proxy/upstream_client.ts
@@ -0,0 +1,121 @@
+/** Sends dispatched attempts to the local upstream, and probes its health. */
+import {z} from 'zod';
+import {EventBody} from '../core/types.js';
+import {Settings} from '../model/settings.js';
+import {OutboundRequest} from './caller_server.js';
+import {ConnectionPools} from './connections.js';
+import {
+  ATTEMPT_HEADER,
+  copyEndToEndHeaders,
+  DEADLINE_HEADER,
+  HeaderRecord,
+  KEY_HEADER,
+  RETRY_LAYER_HEADER,
+} from './headers.js';
+import {exchangeHttp} from './http_exchange.js';
+
+const MAX_HEALTH_BYTES = 4_096;
+const EMPTY = new Uint8Array(0);
+
+const HealthSchema = z.object({
+  status: z.enum(['ok', 'draining', 'down']).optional(),
+});
+
+export class UpstreamClient {
+  private readonly running = new Map<string, AbortController>();
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly pools: ConnectionPools,
+    private readonly post: (event: EventBody) => void,
+  ) {}
+
+  /**
+   * Sends an attempt to the upstream and posts the answer or failure.
+   * @param attemptId - The attempt.
+   * @param key - Its idempotency key, if it has one.
+   * @param timeoutMs - Time until its deadline.
+   * @param outbound - The request.
+   */
+  async dispatch(
+    attemptId: string,
+    key: string | undefined,
+    timeoutMs: number,
+    outbound: OutboundRequest,
+  ): Promise<void> {
+    const controller = new AbortController();
+    this.running.set(attemptId, controller);
+    const timer = setTimeout(() => controller.abort(), timeoutMs);
+    const keyHeader: HeaderRecord =
+      key === undefined ? {} : {[KEY_HEADER]: key};
+    const answer = await exchangeHttp(this.getPool(), {
+      method: outbound.method,
+      path: outbound.path,
+      headers: {
+        ...outbound.headers,
+        ...keyHeader,
+        [ATTEMPT_HEADER]: attemptId,
+        [DEADLINE_HEADER]: String(Math.floor(timeoutMs)),
+        [RETRY_LAYER_HEADER]: 'outer',
+      },
+      body: outbound.body,
+      timeoutMs,
+      maxAnswerBytes: this.settings.limits.maxAnswerBytes,
+      signal: controller.signal,
+    });
+    clearTimeout(timer);
+    this.running.delete(attemptId);
+    if (answer.isErr()) {
+      this.post({kind: 'upstreamFailed', attemptId, failure: answer.error});
+      return;
+    }
+    const {status, body} = answer.value;
+    const headers = copyEndToEndHeaders(answer.value.headers);
+    this.post({
+      kind: 'upstreamAnswered',
+      attemptId,
+      answer: {kind: 'answer', status, headers, body},
+    });
+  }
+
+  abort(attemptId: string): void {
+    this.running.get(attemptId)?.abort();
+  }
+
+  /** Asks the upstream's health endpoint and posts what it said. */
+  async probe(): Promise<void> {
+    const {healthPath, healthIntervalMs} = this.settings.upstream;
+    const answer = await exchangeHttp(this.getPool(), {
+      method: 'GET',
+      path: healthPath,
+      headers: {},
+      body: EMPTY,
+      timeoutMs: healthIntervalMs,
+      maxAnswerBytes: MAX_HEALTH_BYTES,
+      signal: AbortSignal.timeout(healthIntervalMs),
+    });
+    if (answer.isErr()) {
+      this.post({kind: 'upstreamProbed', healthy: false, draining: false});
+      return;
+    }
+    const status = parseHealth(answer.value.body);
+    const healthy = answer.value.status < 300 && status !== 'down';
+    const draining = status === 'draining';
+    this.post({kind: 'upstreamProbed', healthy, draining});
+  }
+
+  private getPool() {
+    return this.pools.get(this.settings.upstream.address);
+  }
+}
+
+/** An endpoint without a JSON body is judged by its HTTP status alone. */
+function parseHealth(body: Uint8Array): string | undefined {
+  try {
+    const text = Buffer.from(body).toString('utf8');
+    const parsed = HealthSchema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data.status : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/tools/run_tests.ts
+++ b/tools/run_tests.ts
@@ -55,7 +55,10 @@
 }
 
 async function main(): Promise<void> {
-  const [filter, grep] = process.argv.slice(2);
+  // The snapshot plugin reads `--update` from the arguments itself.
+  const [filter, grep] = process.argv
+    .slice(2)
+    .filter(argument => !argument.startsWith('--'));
   const files = findTestFiles('test').filter(
     file => filter === undefined || file.includes(filter),
   );
