Stand-ins for the platform and for an upstream

Cause: the system reads a platform and fronts upstreams that this repository must bring itself. Ruled out: one shared listener for reads and publishing, because the system must find nothing that it could write to.

--- /dev/null
+++ b/src/standins/platform/platform_standin.ts
@@ -0,0 +1,206 @@
+/**
+ * Stand-in for the platform's configuration service. Its first listener can
+ * only be read and watched; a second one lets operators and tests publish and
+ * cause failures.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Server} from 'node:http';
+import {err, ok, Result} from 'neverthrow';
+import {createStandinError, StandinError} from '../errors.js';
+import {
+  closeServer,
+  createJsonServer,
+  JsonHandler,
+  JsonRequest,
+  listen,
+  parseQuery,
+  readJson,
+} from '../json_server.js';
+import {CallKind, CallMeter} from './call_meter.js';
+import {
+  AfterQuerySchema,
+  FaultBodySchema,
+  PlatformOptions,
+  PlatformOptionsSchema,
+  PublishBodySchema,
+  VmsBodySchema,
+  WatchQuerySchema,
+} from './options.js';
+import {MAX_ANSWER_BYTES, Publications, sizeOf} from './publications.js';
+
+/** A longer body than any value that can be published, to answer 413 well. */
+const MAX_SIDE_BODY_BYTES = 4 * MAX_ANSWER_BYTES;
+
+export interface PlatformPorts {
+  readonly port: number;
+  readonly sidePort: number;
+}
+
+export class PlatformStandin {
+  private readonly publications = new Publications();
+  private readonly meter: CallMeter;
+  private readonly options: PlatformOptions;
+  private readonly readServer: Server;
+  private readonly sideServer: Server;
+  private readonly vmTimers = new Set<NodeJS.Timeout>();
+  private isDown = false;
+  private latencyMs: number;
+
+  /**
+   * @param options - Checked against {@link PlatformOptionsSchema}; throws
+   *   where an option is out of range.
+   * @param now - Clock in milliseconds that never runs backwards.
+   */
+  constructor(
+    options: Partial<PlatformOptions> = {},
+    now: () => number = () => performance.now(),
+  ) {
+    this.options = PlatformOptionsSchema.parse(options);
+    this.latencyMs = this.options.latencyMs;
+    this.meter = new CallMeter(this.options.callsPerSecond, now);
+    this.readServer = this.createReadServer();
+    this.sideServer = this.createSideServer();
+  }
+
+  /** Starts both listeners. @returns Their ports. */
+  async start(): Promise<PlatformPorts> {
+    const port = await listen(this.readServer, this.options.port);
+    const sidePort = await listen(this.sideServer, this.options.sidePort);
+    return {port, sidePort};
+  }
+
+  /** Closes both listeners and their connections. */
+  async stop(): Promise<void> {
+    this.vmTimers.forEach(timer => clearTimeout(timer));
+    await closeServer(this.readServer);
+    await closeServer(this.sideServer);
+  }
+
+  private createReadServer(): Server {
+    const server = createJsonServer({
+      '/v1/watch': {GET: this.metered('watch', r => this.watch(r))},
+      '/v1/submissions': {
+        GET: this.metered('submissions', async r => this.readSubmissions(r)),
+      },
+      '/v1/vms': {
+        GET: this.metered('vms', async () => ok(this.publications.getVmList())),
+      },
+    });
+    server.on('connection', socket => {
+      if (this.isDown) {
+        socket.destroy();
+      }
+    });
+    return server;
+  }
+
+  private createSideServer(): Server {
+    return createJsonServer({
+      '/side/submissions': {POST: r => this.publish(r)},
+      '/side/vms': {POST: r => this.replaceVms(r)},
+      '/side/fault': {POST: r => this.setFault(r)},
+      '/side/stats': {GET: async () => ok(this.getStats())},
+    });
+  }
+
+  /** Counts a call, refuses it over the rate, and delays its answer. */
+  private metered(kind: CallKind, handler: JsonHandler): JsonHandler {
+    return async request => {
+      if (!this.meter.tryCall(kind)) {
+        return err(createStandinError('too_many_calls'));
+      }
+      if (this.latencyMs > 0) {
+        await sleep(this.latencyMs);
+      }
+      return handler(request);
+    };
+  }
+
+  private async watch({
+    url,
+    signal,
+  }: JsonRequest): Promise<Result<unknown, StandinError>> {
+    const query = parseQuery(url, WatchQuerySchema);
+    if (query.isErr()) {
+      return err(query.error);
+    }
+    const {after, vms, waitMs} = query.value;
+    const endsAt = performance.now() + waitMs;
+    while (!this.publications.hasNews(after, vms) && !signal.aborted) {
+      const remainingMs = endsAt - performance.now();
+      if (remainingMs <= 0) {
+        break;
+      }
+      await this.publications.wait(remainingMs, signal);
+    }
+    return ok(this.publications.read(after, vms));
+  }
+
+  private readSubmissions({url}: JsonRequest): Result<unknown, StandinError> {
+    return parseQuery(url, AfterQuerySchema).map(({after}) =>
+      this.publications.read(after, undefined),
+    );
+  }
+
+  private async publish({
+    req,
+  }: JsonRequest): Promise<Result<unknown, StandinError>> {
+    const body = await readJson(req, PublishBodySchema, MAX_SIDE_BODY_BYTES);
+    return body.mapErr(toValueError).andThen(submission => {
+      const sequence = this.publications.tryAppend(submission, Date.now());
+      return sequence === undefined
+        ? err(createStandinError('value_too_large', submission.id))
+        : ok({sequence});
+    });
+  }
+
+  private async replaceVms({
+    req,
+  }: JsonRequest): Promise<Result<unknown, StandinError>> {
+    const body = await readJson(req, VmsBodySchema, MAX_SIDE_BODY_BYTES);
+    return body.mapErr(toValueError).andThen(({vms, lagMs}) => {
+      if (sizeOf(vms) > MAX_ANSWER_BYTES / 2) {
+        return err(createStandinError('value_too_large', 'vms'));
+      }
+      const showsAfterMs = lagMs ?? this.options.vmLagMs;
+      const timer = setTimeout(() => {
+        this.vmTimers.delete(timer);
+        this.publications.setVms(vms);
+      }, showsAfterMs);
+      this.vmTimers.add(timer);
+      return ok({showsAfterMs});
+    });
+  }
+
+  private async setFault({
+    req,
+  }: JsonRequest): Promise<Result<unknown, StandinError>> {
+    const body = await readJson(req, FaultBodySchema, MAX_SIDE_BODY_BYTES);
+    return body.map(fault => {
+      this.isDown = fault.down ?? this.isDown;
+      this.latencyMs = fault.latencyMs ?? this.latencyMs;
+      if (fault.staleAtSequence !== undefined) {
+        this.publications.setStaleAt(fault.staleAtSequence ?? undefined);
+      }
+      if (this.isDown) {
+        this.readServer.closeAllConnections();
+      }
+      return {down: this.isDown, latencyMs: this.latencyMs};
+    });
+  }
+
+  private getStats() {
+    return {
+      calls: this.meter.getCounts(),
+      waiting: this.publications.getWaiting(),
+      head: this.publications.getHead(),
+    };
+  }
+}
+
+/** At the publishing door an oversized body is an oversized value. */
+function toValueError(error: StandinError): StandinError {
+  return error.code === 'body_too_large'
+    ? createStandinError('value_too_large', error.detail)
+    : error;
+}
--- /dev/null
+++ b/src/standins/upstream/upstream_standin.ts
@@ -0,0 +1,260 @@
+/**
+ * Stand-in for an upstream: limited slots and connections, cold start, drain,
+ * shedding, deadlines and cancellation, and a journal of what it ran. A second
+ * listener shows the journal and causes failures.
+ */
+import {once} from 'node:events';
+import {
+  createServer,
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {ok, Result} from 'neverthrow';
+import {StandinError} from '../errors.js';
+import {
+  closeServer,
+  createJsonListener,
+  createJsonServer,
+  JsonRequest,
+  listen,
+  parseRequestUrl,
+  readBody,
+  readJson,
+  sendError,
+} from '../json_server.js';
+import {sendAnswer, sendRefusal, sendStopped} from './answers.js';
+import {HealthBoard} from './health.js';
+import {Journal, JournalSink} from './journal.js';
+import {
+  DrainBodySchema,
+  HealthBodySchema,
+  Marks,
+  UpstreamOptions,
+  UpstreamOptionsSchema,
+} from './options.js';
+import {readMarks, readProxyHeaders} from './request_reader.js';
+import {runWork} from './work.js';
+
+const MAX_BODY_BYTES = 16_777_216;
+const MAX_SIDE_BODY_BYTES = 65_536;
+
+/** Time for the last answers to leave after the last work has ended. */
+const LAST_ANSWERS_MS = 1_000;
+
+export interface UpstreamPorts {
+  readonly port: number;
+  readonly sidePort: number;
+}
+
+/** What the stand-in needs of the process around it. */
+export interface UpstreamHost {
+  /** Unix milliseconds. */
+  now(): number;
+  /** Receives each new or changed journal entry. */
+  readonly onJournal: JournalSink;
+  /** Ends the process at once. */
+  crash(): void;
+}
+
+export class UpstreamStandin {
+  private readonly options: UpstreamOptions;
+  private readonly journal: Journal;
+  private readonly health: HealthBoard;
+  private readonly server: Server;
+  private readonly sideServer: Server;
+  private readonly coldUntil: number;
+  private isDraining = false;
+  private running = 0;
+  private shed = 0;
+  private connectionsDropped = 0;
+  private readonly idleWaiters: Array<() => void> = [];
+
+  /**
+   * @param options - Checked against {@link UpstreamOptionsSchema}; throws
+   *   where an option is out of range.
+   * @param host - The process around the stand-in.
+   */
+  constructor(
+    options: Partial<UpstreamOptions> & Pick<UpstreamOptions, 'id'>,
+    private readonly host: UpstreamHost,
+  ) {
+    this.options = UpstreamOptionsSchema.parse(options);
+    this.journal = new Journal(this.options.journalEntries, host.onJournal);
+    this.health = new HealthBoard(this.options.healthLagMs, host.now);
+    this.coldUntil = host.now() + this.options.coldStartMs;
+    this.server = createServer(this.createListener());
+    this.server.maxConnections = this.options.connections;
+    this.server.on('drop', () => (this.connectionsDropped += 1));
+    this.sideServer = this.createSideServer();
+  }
+
+  /** Starts both listeners. @returns Their ports. */
+  async start(): Promise<UpstreamPorts> {
+    const port = await listen(this.server, this.options.port);
+    const sidePort = await listen(this.sideServer, this.options.sidePort);
+    return {port, sidePort};
+  }
+
+  /** Refuses new work, lets running work end, then closes. */
+  async drain(): Promise<void> {
+    this.setDraining(true);
+    if (this.running > 0) {
+      await new Promise<void>(resolve => this.idleWaiters.push(resolve));
+    }
+    // Closing lets connections with an answer under way finish.
+    this.server.close();
+    const closed = once(this.server, 'close');
+    await Promise.race([
+      closed,
+      sleep(LAST_ANSWERS_MS, undefined, {ref: false}),
+    ]);
+    await this.stop();
+  }
+
+  /** Closes both listeners and their connections at once. */
+  async stop(): Promise<void> {
+    await closeServer(this.server);
+    await closeServer(this.sideServer);
+  }
+
+  private createListener(): RequestListener {
+    const tellHealth = createJsonListener({
+      '/health': {GET: async () => ok({status: this.health.tell().status})},
+      '/load': {GET: async () => ok(this.tellLoad())},
+    });
+    return (req, res) => {
+      const {pathname} = parseRequestUrl(req);
+      if (pathname === '/health' || pathname === '/load') {
+        tellHealth(req, res);
+      } else {
+        void this.serve(req, res);
+      }
+    };
+  }
+
+  private createSideServer(): Server {
+    return createJsonServer({
+      '/side/journal': {GET: async () => ok(this.journal.read())},
+      '/side/stats': {GET: async () => ok(this.getStats())},
+      '/side/health': {POST: r => this.setHealth(r)},
+      '/side/drain': {POST: r => this.setDrainMode(r)},
+    });
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (this.isDraining || this.running >= this.options.slots) {
+      this.shed += 1;
+      sendRefusal(res, this.isDraining ? 'draining' : 'shed');
+      return;
+    }
+    this.changeRunning(1);
+    try {
+      await this.run(req, res);
+      if (!res.closed) {
+        await once(res, 'close');
+      }
+    } finally {
+      this.changeRunning(-1);
+    }
+  }
+
+  private async run(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const url = parseRequestUrl(req);
+    const abort = new AbortController();
+    res.on('close', () => abort.abort());
+    const body = await readBody(req, MAX_BODY_BYTES);
+    const read = Result.combine([readMarks(req, url), readProxyHeaders(req)]);
+    if (body.isErr() || read.isErr()) {
+      const error = body.isErr() ? body.error : read._unsafeUnwrapErr();
+      return res.destroyed ? undefined : sendError(res, error);
+    }
+    const [marks, {attemptId, key, deadlineMs}] = read.value;
+    const entry = this.journal.start({
+      upstreamId: this.options.id,
+      key,
+      attemptId,
+      method: req.method ?? '',
+      path: url.pathname,
+      startedAt: this.host.now(),
+    });
+    const end = await runWork(this.getWorkMs(marks), deadlineMs, abort.signal);
+    if (marks.crash) {
+      return this.host.crash();
+    }
+    if (end !== 'finished') {
+      this.journal.cancel(entry, end);
+      sendStopped(res, end);
+      return;
+    }
+    this.journal.finish(entry, this.host.now());
+    const served = {upstreamId: this.options.id, entry, body: body.value};
+    sendAnswer(req, res, served, marks);
+  }
+
+  private getWorkMs(marks: Marks): number {
+    const workMs = marks.workMs ?? this.options.workMs;
+    const isCold = this.host.now() < this.coldUntil;
+    return isCold ? workMs * this.options.coldStartFactor : workMs;
+  }
+
+  private changeRunning(change: 1 | -1): void {
+    this.running += change;
+    this.recordHealth();
+    if (this.running === 0) {
+      this.idleWaiters.splice(0).forEach(resolve => resolve());
+    }
+  }
+
+  private setDraining(draining: boolean): void {
+    this.isDraining = draining;
+    this.recordHealth();
+  }
+
+  private recordHealth(): void {
+    this.health.record(this.isDraining ? 'draining' : 'ok', this.running);
+  }
+
+  private tellLoad() {
+    return {running: this.health.tell().running, slots: this.options.slots};
+  }
+
+  private getStats() {
+    return {
+      running: this.running,
+      shed: this.shed,
+      connectionsDropped: this.connectionsDropped,
+      draining: this.isDraining,
+    };
+  }
+
+  private async setHealth({
+    req,
+  }: JsonRequest): Promise<Result<unknown, StandinError>> {
+    const body = await readJson(req, HealthBodySchema, MAX_SIDE_BODY_BYTES);
+    return body.map(({lagMs, pretend}) => {
+      if (lagMs !== undefined) {
+        this.health.setLag(lagMs);
+      }
+      if (pretend !== undefined) {
+        this.health.pretend(pretend ?? undefined);
+      }
+      return this.health.tell();
+    });
+  }
+
+  private async setDrainMode({
+    req,
+  }: JsonRequest): Promise<Result<unknown, StandinError>> {
+    const body = await readJson(req, DrainBodySchema, MAX_SIDE_BODY_BYTES);
+    return body.map(({draining}) => {
+      this.setDraining(draining);
+      return this.getStats();
+    });
+  }
+}
