Demo and the harness of child processes, not yet run against a proxy

Change: src/standins/harness starts, stops and audits; src/demo holds the steps. Not run end to end: the proxy daemon has not landed.

--- /dev/null
+++ b/src/demo/demo.ts
@@ -0,0 +1,49 @@
+/** The demo: a fleet of processes, its promises shown one by one. */
+import {Caller} from '../standins/harness/caller.js';
+import {Fleet} from '../standins/harness/fleet.js';
+import {DEMO_PLAN} from './demo_plan.js';
+import {DemoReport} from './report.js';
+import {stopUpstreamUnderLoad} from './planned_stop.js';
+import {killProxyUnderLoad} from './proxy_kill.js';
+import {publishPatches} from './publish_patches.js';
+import {sendRealRequests} from './send_requests.js';
+
+/**
+ * Runs the demo.
+ * @param write - Takes one line of the report.
+ * @returns True where every expectation held; no process is left behind.
+ */
+export async function runDemo(write: (line: string) => void): Promise<boolean> {
+  const report = new DemoReport(write);
+  const caller = new Caller();
+  let fleet: Fleet | undefined;
+  try {
+    report.step('Platform, upstreams and proxies as processes');
+    fleet = await Fleet.prepare(DEMO_PLAN);
+    await fleet.publish('first', 0, fleet.firstPatch);
+    await fleet.startProxies();
+    sayFleet(report, fleet);
+    const demo = {fleet, caller, report};
+    await sendRealRequests(demo);
+    await publishPatches(demo);
+    await stopUpstreamUnderLoad(demo);
+    await killProxyUnderLoad(demo);
+  } catch (error) {
+    write(`demo: failed; ${error instanceof Error ? error.message : error}`);
+    return false;
+  } finally {
+    await caller.close();
+    await fleet?.stop();
+  }
+  write('demo: ok');
+  return true;
+}
+
+function sayFleet(report: DemoReport, fleet: Fleet): void {
+  for (const {id, service, proxy, upstream} of fleet.nodes) {
+    report.say(
+      `${id} of ${service}: upstream pid ${upstream.child.pid}, ` +
+        `proxy pid ${proxy.child.pid}, callers at port ${proxy.ports.callers}`,
+    );
+  }
+}
--- /dev/null
+++ b/src/demo/proxy_kill.ts
@@ -0,0 +1,61 @@
+/** Step of the demo: a proxy is killed under load and started again. */
+import {FleetNode} from '../standins/harness/fleet.js';
+import {describeResult} from '../standins/harness/load.js';
+import {
+  DemoContext,
+  describeCounts,
+  expectCleanAudit,
+  REQUESTS_AFTER_FAULT,
+  REQUESTS_BEFORE_FAULT,
+  sayResults,
+  startLoad,
+  untilRecords,
+} from './context.js';
+import {STOPPED} from './planned_stop.js';
+
+const KILLED = 'billing-1';
+
+/** Kills one proxy while requests go on and tells what callers got. */
+export async function killProxyUnderLoad(demo: DemoContext): Promise<void> {
+  const {fleet, report} = demo;
+  report.step(`kill -9 of the proxy of ${KILLED} under load`);
+  const node = fleet.getNode(KILLED);
+  const alive = fleet.nodes.filter(({id}) => id !== STOPPED);
+  const load = startLoad('kill', alive);
+  await untilRecords(load, REQUESTS_BEFORE_FAULT);
+  const before = load.records.length;
+  await node.proxy.kill();
+  await untilRecords(load, load.records.length + REQUESTS_AFTER_FAULT);
+  const records = await load.stop();
+  report.say(`before the kill: ${describeCounts(records.slice(0, before))}`);
+  report.say('afterwards:');
+  sayResults(report, records.slice(before));
+  await expectCleanAudit(demo, records);
+  const reads = records.filter(({call}) => call.method === 'GET');
+  const brokenReads = reads.filter(
+    ({result, proxyId}) =>
+      describeResult(result) !== 'answered 200' && proxyId !== node.id,
+  );
+  report.expect(
+    'every read through another proxy got its whole answer',
+    brokenReads.length === 0,
+    brokenReads.slice(0, 5),
+  );
+  await restartProxy(demo, node);
+}
+
+/** A replaced proxy has no disk and must not go back to an older version. */
+async function restartProxy(
+  {fleet, report}: DemoContext,
+  node: FleetNode,
+): Promise<void> {
+  const peer = await fleet.getNode('billing-2').proxy.getStatus();
+  await node.proxy.start();
+  await node.proxy.untilReady();
+  const status = await node.proxy.getStatus();
+  report.expect(
+    `started again without a disk, the proxy holds version ${peer.version}`,
+    status.version === peer.version && status.digest === peer.digest,
+    {status: status.version, peer: peer.version},
+  );
+}
--- /dev/null
+++ b/src/standins/harness/standin_process.ts
@@ -0,0 +1,195 @@
+/** Stand-ins as child processes. */
+import {z} from 'zod';
+import {Submission} from '../../model/config.js';
+import {Vm} from '../../model/platform.js';
+import {
+  JournalEntry,
+  JournalEntrySchema,
+  JournalLineSchema,
+} from '../upstream/journal.js';
+import {Child, Exit} from './child.js';
+import {fetchChecked} from './http_client.js';
+import {findDaemon} from './scripts.js';
+import {until} from './until.js';
+
+const ReadyLineSchema = z.object({
+  ready: z.object({port: z.int(), sidePort: z.int()}),
+});
+
+const PublishedSchema = z.object({sequence: z.int()});
+
+const JournalAnswerSchema = z.object({entries: z.array(JournalEntrySchema)});
+
+export type StandinPorts = z.infer<typeof ReadyLineSchema>['ready'];
+
+/** Faults of the platform; absent fields stay as they are. */
+export interface PlatformFault {
+  readonly down?: boolean;
+  readonly staleAtSequence?: number | null;
+  readonly latencyMs?: number;
+}
+
+/** One run of a stand-in's daemon. */
+class StandinRun {
+  readonly child: Child;
+  private ports: StandinPorts | undefined;
+
+  constructor(
+    name: string,
+    daemon: string,
+    args: readonly string[],
+    onValue: (value: unknown) => void = () => {},
+  ) {
+    this.child = new Child(name, findDaemon(daemon), args, line => {
+      const value: unknown = JSON.parse(line);
+      const ready = ReadyLineSchema.safeParse(value);
+      if (ready.success) {
+        this.ports = ready.data.ready;
+      } else {
+        onValue(value);
+      }
+    });
+  }
+
+  untilReady(): Promise<StandinPorts> {
+    return until(`${this.child.name} to listen`, () => {
+      if (this.child.exit !== undefined) {
+        throw new Error(`${this.child.name} ended: ${this.child.errors}`);
+      }
+      return this.ports;
+    });
+  }
+}
+
+/** The platform stand-in as a process. */
+export class PlatformProcess {
+  private constructor(
+    readonly child: Child,
+    readonly ports: StandinPorts,
+  ) {}
+
+  /**
+   * Starts it.
+   * @param args - Arguments of the daemon.
+   * @returns It, listening.
+   */
+  static async start(args: readonly string[] = []): Promise<PlatformProcess> {
+    const run = new StandinRun(
+      'platform',
+      'fireflysill_standin_platform',
+      args,
+    );
+    return new PlatformProcess(run.child, await run.untilReady());
+  }
+
+  /**
+   * Publishes a submission.
+   * @param submission - What the operator submits.
+   * @returns Its sequence number.
+   */
+  async publish(
+    submission: Pick<Submission, 'id' | 'base' | 'patch'>,
+  ): Promise<number> {
+    const path = '/side/submissions';
+    const published = await this.side(path, PublishedSchema, submission);
+    return published.sequence;
+  }
+
+  /** @param vms - The new VM list. */
+  async setVms(vms: readonly Vm[]): Promise<void> {
+    await this.side('/side/vms', z.unknown(), {vms});
+  }
+
+  /** @param fault - Faults to set. */
+  async setFault(fault: PlatformFault): Promise<void> {
+    await this.side('/side/fault', z.unknown(), fault);
+  }
+
+  private side<T>(path: string, schema: z.ZodType<T>, body: unknown) {
+    return fetchChecked(this.ports.sidePort, path, schema, body);
+  }
+}
+
+/** An upstream stand-in as a process that can be started again. */
+export class UpstreamProcess {
+  private readonly entries = new Map<string, JournalEntry>();
+  private runs = 0;
+  private run: StandinRun;
+  private currentPorts: StandinPorts | undefined;
+
+  private constructor(
+    readonly id: string,
+    private readonly args: readonly string[],
+  ) {
+    this.run = this.startRun();
+  }
+
+  /**
+   * Starts it.
+   * @param id - Name of the upstream.
+   * @param args - Further arguments of the daemon.
+   * @returns It, listening.
+   */
+  static async start(
+    id: string,
+    args: readonly string[] = [],
+  ): Promise<UpstreamProcess> {
+    const upstream = new UpstreamProcess(id, args);
+    upstream.currentPorts = await upstream.run.untilReady();
+    return upstream;
+  }
+
+  get child(): Child {
+    return this.run.child;
+  }
+
+  get ports(): StandinPorts {
+    if (this.currentPorts === undefined) {
+      throw new Error(`${this.id} does not listen yet.`);
+    }
+    return this.currentPorts;
+  }
+
+  /** Starts it again on the same port after it has ended. */
+  async restart(): Promise<void> {
+    this.run = this.startRun(['--port', String(this.ports.port)]);
+    this.currentPorts = await this.run.untilReady();
+  }
+
+  /** Asks it to end after its running work. */
+  drain(): Promise<Exit> {
+    return this.child.stop();
+  }
+
+  /** @returns What all its runs have journalled so far, oldest first. */
+  getJournal(): readonly JournalEntry[] {
+    return [...this.entries.values()];
+  }
+
+  /** Takes in journal lines that are still under way, where it runs. */
+  async refreshJournal(): Promise<void> {
+    if (this.child.exit !== undefined) {
+      return;
+    }
+    const {sidePort} = this.ports;
+    const path = '/side/journal';
+    const {entries} = await fetchChecked(sidePort, path, JournalAnswerSchema);
+    entries.forEach(entry => this.keep(entry));
+  }
+
+  private keep(entry: JournalEntry, runNumber = this.runs): void {
+    this.entries.set(`${runNumber}:${entry.entry}`, entry);
+  }
+
+  private startRun(portArgs: readonly string[] = []): StandinRun {
+    this.runs += 1;
+    const runNumber = this.runs;
+    const args = ['--id', this.id, ...this.args, ...portArgs];
+    return new StandinRun(
+      this.id,
+      'fireflysill_standin_upstream',
+      args,
+      value => this.keep(JournalLineSchema.parse(value).journal, runNumber),
+    );
+  }
+}
--- /dev/null
+++ b/src/standins/harness/until.ts
@@ -0,0 +1,44 @@
+/** Waits for conditions instead of for times. */
+import {setTimeout as sleep} from 'node:timers/promises';
+
+const POLL_MS = 20;
+
+/** Longest wait; it ends a run that hangs and decides nothing else. */
+const DEFAULT_TIMEOUT_MS = 30_000;
+
+/**
+ * Asks again and again until there is a value.
+ * @param what - What is awaited, for the error.
+ * @param probe - Gives the value, or undefined to be asked again.
+ * @param timeoutMs - Longest wait.
+ * @returns The value. Rejects after the longest wait.
+ */
+export async function until<T>(
+  what: string,
+  probe: () => Promise<T | undefined> | T | undefined,
+  timeoutMs = DEFAULT_TIMEOUT_MS,
+): Promise<T> {
+  const endsAt = performance.now() + timeoutMs;
+  while (performance.now() < endsAt) {
+    const value = await probe();
+    if (value !== undefined) {
+      return value;
+    }
+    await sleep(POLL_MS);
+  }
+  throw new Error(`Waited ${timeoutMs} ms in vain for ${what}.`);
+}
+
+/**
+ * Asks again and again until a condition holds.
+ * @param what - What is awaited, for the error.
+ * @param condition - The condition.
+ * @param timeoutMs - Longest wait.
+ */
+export async function untilTrue(
+  what: string,
+  condition: () => Promise<boolean> | boolean,
+  timeoutMs?: number,
+): Promise<void> {
+  await until(what, async () => (await condition()) || undefined, timeoutMs);
+}
