Entry stops choosing upstreams that said that they leave

The entry learned of the leaving only by gossip, kept sending to the owner, and used up its retry budget on the refusals. Ruled out: a longer budget; it would hide the repeated choice. Change: the leaving flag in an owner's load report counts at once, and a retry after upstream_leaving is free, as it happens once for each upstream.

--- a/src/core/entry/balancer.ts
+++ b/src/core/entry/balancer.ts
@@ -63,7 +63,10 @@
   at: number,
 ): UpstreamTarget[] {
   const untried = service.upstreams.filter(
-    ({id}) => !tried.has(id) && !isLeaving(membership, id),
+    ({id}) =>
+      !tried.has(id) &&
+      !isLeaving(membership, id) &&
+      (view.get(id)?.leavingUntil ?? 0) <= at,
   );
   const healthy = untried.filter(
     ({id}) => (view.get(id)?.ejectedUntil ?? 0) <= at,
--- a/src/core/entry/entry.ts
+++ b/src/core/entry/entry.ts
@@ -435,7 +435,10 @@
   if (call.info.retriedByOuter || !untried || !inTime) {
     return false;
   }
-  if (!tryWithdrawRetry(entry.budgets, call.route.service)) {
+  // Leaving upstreams are known after one refusal, so they cause no retry
+  // storm, and a planned stop must not use up the budget.
+  const free = reason === 'upstream_leaving';
+  if (!free && !tryWithdrawRetry(entry.budgets, call.route.service)) {
     emit({kind: 'count', counter: 'call_retried', reason: 'no_budget'});
     return false;
   }
--- a/src/core/entry/load_view.ts
+++ b/src/core/entry/load_view.ts
@@ -5,6 +5,12 @@
 const EJECTION_BASE_MS = 500;
 const EJECTION_MAX_MS = 10_000;
 
+/**
+ * Time for which an upstream that said that it leaves is avoided. Membership
+ * news arrives long before it ends.
+ */
+const LEAVING_MEMORY_MS = 10_000;
+
 /** Time after which a load report says nothing any more. */
 const REPORT_LIFETIME_MS = 2_000;
 
@@ -15,6 +21,8 @@
   ownAttempts: number;
   consecutiveFailures: number;
   ejectedUntil: number;
+  /** Until then the upstream's own word that it leaves counts. */
+  leavingUntil: number;
 }
 
 export type LoadView = Map<string, UpstreamLoad>;
@@ -33,6 +41,7 @@
       ownAttempts: 0,
       consecutiveFailures: 0,
       ejectedUntil: 0,
+      leavingUntil: 0,
     };
     view.set(upstreamId, load);
   }
@@ -55,6 +64,7 @@
   if (report !== undefined) {
     load.report = report;
     load.reportedAt = at;
+    load.leavingUntil = report.leaving ? at + LEAVING_MEMORY_MS : 0;
   }
 }
 
--- /dev/null
+++ b/test/support/core_fixture.ts
@@ -0,0 +1,180 @@
+/** Builds a decision core with a configuration already in force. */
+import {INITIAL_FOLD_STATE} from '../../src/core/config/fold.js';
+import {createCoreSettings} from '../../src/core/core_settings.js';
+import {
+  createProxyState,
+  ProxyState,
+  reduceProxy,
+} from '../../src/core/proxy_core.js';
+import {CallInfo, Effect, EventBody} from '../../src/core/types.js';
+import {Patch, Service, Submission} from '../../src/model/config.js';
+import {Settings, SettingsSchema} from '../../src/model/settings.js';
+
+/** Start of every simulated process, in Unix milliseconds. */
+export const START_MS = 1_700_000_000_000;
+
+/**
+ * Creates settings of one proxy.
+ * @param upstreamId - The upstream beside it.
+ * @param changes - Settings that differ from the defaults.
+ * @returns The settings.
+ */
+export function createSettings(
+  upstreamId: string,
+  changes: Partial<Settings> = {},
+): Settings {
+  const settings = SettingsSchema.parse({
+    upstreamId,
+    region: 'centre',
+    zone: 'zilina-a',
+    listen: {
+      callers: '127.0.0.1:1',
+      peers: '127.0.0.1:2',
+      operators: '127.0.0.1:3',
+    },
+    upstream: {address: '127.0.0.1:4'},
+    source: '127.0.0.1:5',
+  });
+  return {...settings, ...changes};
+}
+
+/**
+ * Gets the peer address of an upstream in these fixtures.
+ * @param upstreamId - Its name, which ends in a number.
+ * @returns The address.
+ */
+export function getPeerAddress(upstreamId: string): string {
+  return `127.0.0.1:${7_000 + Number(upstreamId.split('-').at(-1))}`;
+}
+
+/**
+ * Creates a patch with one service, its upstreams and a route to it.
+ * @param upstreamIds - The upstreams.
+ * @param service - Settings of the service that differ from the defaults.
+ * @returns The patch.
+ */
+export function createServicePatch(
+  upstreamIds: readonly string[],
+  service: Partial<Service> = {},
+): Patch {
+  const upstreams = upstreamIds.map(id => [
+    id,
+    {
+      service: 'desk',
+      region: 'centre',
+      zone: 'zilina-a',
+      peerAddress: getPeerAddress(id),
+    },
+  ]);
+  return {
+    services: {
+      desk: {
+        slots: 2,
+        connections: 10,
+        queue: 4,
+        keyLifetimeMs: 60_000,
+        retryBudgetPercent: 10,
+        slowStartMs: 0,
+        ...service,
+      },
+    },
+    upstreams: Object.fromEntries(upstreams),
+    routes: {
+      desk: {
+        pathPrefix: '/',
+        service: 'desk',
+        idempotent: 'by-method',
+        timeoutMs: 5_000,
+        priority: 'interactive',
+      },
+    },
+  };
+}
+
+export function createSubmission(
+  sequence: number,
+  base: number,
+  patch: unknown,
+): Submission {
+  return {sequence, id: `s${sequence}`, base, publishedAt: START_MS, patch};
+}
+
+/** One decision core with a hand-driven clock. */
+export class CoreFixture {
+  readonly state: ProxyState;
+  at = START_MS;
+  private entropy = 1;
+
+  constructor(upstreamId: string, changes: Partial<Settings> = {}) {
+    const settings = createSettings(upstreamId, changes);
+    const address = getPeerAddress(upstreamId);
+    this.state = createProxyState(
+      createCoreSettings(settings, address, START_MS),
+    );
+  }
+
+  /**
+   * Reduces one event at the current time.
+   * @param body - The event.
+   * @returns Its effects without counters and log lines.
+   */
+  reduce(body: EventBody): Effect[] {
+    this.entropy = (Math.imul(this.entropy, 1_664_525) + 1_013_904_223) >>> 0;
+    const event = {...body, at: this.at, entropy: this.entropy};
+    const [, effects] = reduceProxy(this.state, event);
+    return effects.filter(({kind}) => kind !== 'count' && kind !== 'log');
+  }
+
+  /**
+   * Makes the proxy ready at a configuration: the source answers, every peer
+   * is unreachable at the join and acknowledges the announcement.
+   * @param patch - Becomes version 1.
+   */
+  adopt(patch: Patch): void {
+    const submissions = [createSubmission(1, 0, patch)];
+    this.reduce({kind: 'sourceAnswered', head: 1, submissions});
+    const {id} = this.state.settings;
+    for (const other of Object.keys(patch.upstreams ?? {})) {
+      const address = getPeerAddress(other);
+      this.reduce({
+        kind: 'peerReplied',
+        address,
+        request: {kind: 'join', id},
+        reply: {
+          kind: 'join',
+          ready: false,
+          sequence: 0,
+          floor: 0,
+          state: INITIAL_FOLD_STATE,
+          members: [],
+        },
+      });
+    }
+    for (const other of Object.keys(patch.upstreams ?? {})) {
+      this.reduce({
+        kind: 'peerReplied',
+        address: getPeerAddress(other),
+        request: {kind: 'announce', id, sequence: 1},
+        reply: {kind: 'ok'},
+      });
+    }
+  }
+
+  /**
+   * Sends a call to the entry.
+   * @param callId - Identifies it.
+   * @param changes - What differs from a plain GET.
+   * @returns The effects.
+   */
+  call(callId: string, changes: Partial<CallInfo> = {}): Effect[] {
+    const call: CallInfo = {
+      method: 'GET',
+      host: 'desk',
+      path: '/plan',
+      fingerprint: `f-${callId}`,
+      retriedByOuter: false,
+      ...changes,
+    };
+    return this.reduce({kind: 'callArrived', callId, call});
+  }
+}
