Operators' command line: check, status, submissions, versions, diff, explain, export

Every command folds the published log with the function that the proxies run, so `check` cannot disagree with a proxy of the same release. Exit codes: 0 ok, 1 negative verdict, 2 bad usage or input, 3 a process did not answer. The platform and proxies are met through in-process fakes on port 0.

--- /dev/null
+++ b/src/cli/check.ts
@@ -0,0 +1,91 @@
+/** `fireflysill check`: what would become of a patch. */
+import {err, ok, Result} from 'neverthrow';
+import {z} from 'zod';
+import {tryPatch} from '../core/config/fold.js';
+import {describeSubmissionError} from '../core/config/validate.js';
+import {SequenceSchema} from '../model/primitives.js';
+import {diffConfigs, renderChanges} from './diff.js';
+import {CliError, EXIT_CODES} from './errors.js';
+import {History} from './history.js';
+import {describeSchemaError} from './published_log.js';
+import {Report} from './report.js';
+
+/** A patch file may carry the version that it was made against. */
+const PatchWithBaseSchema = z.strictObject({
+  base: SequenceSchema,
+  id: z.string().optional(),
+  patch: z.unknown(),
+});
+
+interface PatchRequest {
+  readonly base: number;
+  readonly patch: unknown;
+}
+
+/**
+ * Reads the content of a patch file: `{base, patch}` or the patch alone.
+ * @param path - Path of the file, for errors.
+ * @param value - Its content.
+ * @param base - Version given by the operator.
+ * @param latest - Version in force, used where no base is given.
+ * @returns The patch and its base, or `file_invalid` or `bad_usage`.
+ */
+function parsePatchFile(
+  path: string,
+  value: unknown,
+  base: number | undefined,
+  latest: number,
+): Result<PatchRequest, CliError> {
+  if (typeof value !== 'object' || value === null || !('patch' in value)) {
+    return ok({base: base ?? latest, patch: value});
+  }
+  const parsed = PatchWithBaseSchema.safeParse(value);
+  if (!parsed.success) {
+    const detail = describeSchemaError(parsed.error);
+    return err({kind: 'file_invalid', path, detail});
+  }
+  if (base !== undefined && base !== parsed.data.base) {
+    const detail = `--base is ${base}, but ${path} says ${parsed.data.base}`;
+    return err({kind: 'bad_usage', detail});
+  }
+  return ok({base: parsed.data.base, patch: parsed.data.patch});
+}
+
+/**
+ * Decides a patch with the fold that the proxies run.
+ * @param history - What is published.
+ * @param path - Path of the patch file, for errors.
+ * @param value - Its content.
+ * @param givenBase - Version given by the operator.
+ * @returns The verdict, or why the file cannot be read.
+ */
+export function checkPatch(
+  history: History,
+  path: string,
+  value: unknown,
+  givenBase: number | undefined,
+): Result<Report, CliError> {
+  const {latest} = history;
+  return parsePatchFile(path, value, givenBase, latest.version).map(
+    ({base, patch}) =>
+      tryPatch(latest, base, patch).match<Report>(
+        config => {
+          const version = latest.version + 1;
+          const changes = diffConfigs(latest.config, config);
+          return {
+            exitCode: EXIT_CODES.ok,
+            data: {verdict: 'accepted', base, version, changes},
+            text: `Accepted: would become version ${version}.\n${renderChanges(changes)}`,
+          };
+        },
+        error => {
+          const detail = describeSubmissionError(error);
+          return {
+            exitCode: EXIT_CODES.negative,
+            data: {verdict: 'refused', base, code: error.kind, detail},
+            text: `Refused (${error.kind}): ${detail}`,
+          };
+        },
+      ),
+  );
+}
--- /dev/null
+++ b/src/cli/errors.ts
@@ -0,0 +1,88 @@
+/** Errors of the operators' command line; each message names the remedy. */
+
+/** Exit codes on which scripts may rely. */
+export const EXIT_CODES = {
+  ok: 0,
+  /** The question was answered, and the answer is no. */
+  negative: 1,
+  usage: 2,
+  unreachable: 3,
+} as const;
+
+export type ExitCode = (typeof EXIT_CODES)[keyof typeof EXIT_CODES];
+
+export type CliError =
+  | {readonly kind: 'bad_usage'; readonly detail: string}
+  | {readonly kind: 'bad_address'; readonly address: string}
+  | {
+      readonly kind: 'file_unreadable';
+      readonly path: string;
+      readonly detail: string;
+    }
+  | {
+      readonly kind: 'file_invalid';
+      readonly path: string;
+      readonly detail: string;
+    }
+  | {
+      readonly kind: 'log_incomplete';
+      readonly expected: number;
+      readonly found: number;
+    }
+  | {
+      readonly kind: 'version_unknown';
+      readonly version: number;
+      readonly first: number;
+      readonly last: number;
+    }
+  | {
+      readonly kind: 'unreachable';
+      readonly address: string;
+      readonly detail: string;
+    }
+  | {
+      readonly kind: 'answer_invalid';
+      readonly address: string;
+      readonly detail: string;
+    };
+
+/**
+ * Renders an error for operators.
+ * @param error - The error.
+ * @returns One sentence on what was found and one on the remedy.
+ */
+export function describeCliError(error: CliError): string {
+  switch (error.kind) {
+    case 'bad_usage':
+      return `${error.detail}; see \`fireflysill --help\`.`;
+    case 'bad_address':
+      return `${error.address} is not an address; use an IP number and a port, such as 10.0.0.1:8080.`;
+    case 'file_unreadable':
+      return `${error.path} cannot be read (${error.detail}); check the path and its permissions.`;
+    case 'file_invalid':
+      return `${error.path} does not fit its schema at ${error.detail}; correct that member.`;
+    case 'log_incomplete':
+      return `The log jumps to submission ${error.found} where ${error.expected} should follow; export it again from submission 1.`;
+    case 'version_unknown':
+      return `Version ${error.version} is not in the log, which holds versions ${error.first} to ${error.last}; choose one of these, or read the log from the platform with --source.`;
+    case 'unreachable':
+      return `${error.address} did not answer (${error.detail}); check the address and that the process runs.`;
+    case 'answer_invalid':
+      return `${error.address} gave an answer that does not fit its schema at ${error.detail}; check that the address and the release are the ones you mean.`;
+  }
+}
+
+/**
+ * Chooses the exit code of an error.
+ * @param error - The error.
+ * @returns 2 for bad usage or input, 3 where a process did not answer.
+ */
+export function getExitCode(error: CliError): ExitCode {
+  switch (error.kind) {
+    case 'unreachable':
+    case 'answer_invalid':
+      return EXIT_CODES.unreachable;
+    default:
+      return EXIT_CODES.usage;
+  }
+}
--- /dev/null
+++ b/src/cli/published_log.ts
@@ -0,0 +1,169 @@
+/** Reads the published submissions, from the platform or from a file. */
+import {err, errAsync, ok, okAsync, Result, ResultAsync} from 'neverthrow';
+import {z} from 'zod';
+import {Submission, SubmissionSchema} from '../model/config.js';
+import {FoldState, FoldStateSchema} from '../model/fold_state.js';
+import {WatchAnswer, WatchAnswerSchema} from '../model/platform.js';
+import {AddressSchema} from '../model/primitives.js';
+import {CliError} from './errors.js';
+import {CliHost} from './host.js';
+
+/** Where the submissions are read. */
+export type LogOrigin =
+  | {readonly kind: 'file'; readonly path: string}
+  | {readonly kind: 'source'; readonly address: string};
+
+/** Submissions, or the state that an earlier fold of them gave. */
+export type PublishedLog =
+  | {readonly kind: 'submissions'; readonly submissions: readonly Submission[]}
+  | {readonly kind: 'state'; readonly state: FoldState};
+
+const SubmissionListSchema = z.array(SubmissionSchema);
+
+/**
+ * Names the first place where a value misses its schema.
+ * @param error - What the schema found.
+ * @returns Path and message.
+ */
+export function describeSchemaError(error: z.ZodError): string {
+  const issue = error.issues[0];
+  const path = issue.path.join('.') || 'the top level';
+  return `${path} (${issue.message})`;
+}
+
+/**
+ * Checks an address that an operator typed.
+ * @param address - The text.
+ * @returns The address, or a `bad_address` error.
+ */
+export function parseAddress(address: string): Result<string, CliError> {
+  return AddressSchema.safeParse(address).success
+    ? ok(address)
+    : err({kind: 'bad_address', address});
+}
+
+/**
+ * Reads and parses a JSON file.
+ * @param host - The machine.
+ * @param path - Path of the file.
+ * @returns The value, or `file_unreadable` or `file_invalid`.
+ */
+export function readJsonFile(
+  host: CliHost,
+  path: string,
+): ResultAsync<unknown, CliError> {
+  return host
+    .readText(path)
+    .mapErr((detail): CliError => ({kind: 'file_unreadable', path, detail}))
+    .andThen(text => parseJson(path, text));
+}
+
+function parseJson(path: string, text: string): Result<unknown, CliError> {
+  try {
+    return ok(JSON.parse(text) as unknown);
+  } catch (failure) {
+    const detail = `the top level (${(failure as Error).message})`;
+    return err({kind: 'file_invalid', path, detail});
+  }
+}
+
+/**
+ * Reads everything that is published.
+ * @param host - The machine.
+ * @param origin - Where to read.
+ * @returns The log, or why it could not be read.
+ */
+export function readPublishedLog(
+  host: CliHost,
+  origin: LogOrigin,
+): ResultAsync<PublishedLog, CliError> {
+  if (origin.kind === 'file') {
+    return readJsonFile(host, origin.path).andThen(value =>
+      parseLogFile(origin.path, value),
+    );
+  }
+  return parseAddress(origin.address)
+    .asyncAndThen(address => readFromSource(host, address, []))
+    .map(submissions => ({kind: 'submissions', submissions}));
+}
+
+/** A file may hold a fold state, a list of submissions or a watch answer. */
+function parseLogFile(
+  path: string,
+  value: unknown,
+): Result<PublishedLog, CliError> {
+  if (Array.isArray(value)) {
+    return parseWith(SubmissionListSchema, path, value).map(submissions => ({
+      kind: 'submissions',
+      submissions,
+    }));
+  }
+  if (typeof value === 'object' && value !== null && 'submissions' in value) {
+    return parseWith(WatchAnswerSchema, path, value).map(({submissions}) => ({
+      kind: 'submissions',
+      submissions,
+    }));
+  }
+  return parseWith(FoldStateSchema, path, value).map(state => ({
+    kind: 'state',
+    state,
+  }));
+}
+
+function parseWith<T>(
+  schema: z.ZodType<T>,
+  path: string,
+  value: unknown,
+): Result<T, CliError> {
+  const parsed = schema.safeParse(value);
+  return parsed.success
+    ? ok(parsed.data)
+    : err({
+        kind: 'file_invalid',
+        path,
+        detail: describeSchemaError(parsed.error),
+      });
+}
+
+/** Asks again until the answer reaches the head, since answers are bounded. */
+function readFromSource(
+  host: CliHost,
+  address: string,
+  known: readonly Submission[],
+): ResultAsync<readonly Submission[], CliError> {
+  const after = known.at(-1)?.sequence ?? 0;
+  return host
+    .getJson(address, `/v1/watch?after=${after}&vms=0&waitMs=0`)
+    .mapErr((detail): CliError => ({kind: 'unreachable', address, detail}))
+    .andThen(value => parseWatchAnswer(address, value))
+    .andThen(({head, submissions}) => {
+      const all = [...known, ...submissions];
+      const last = all.at(-1)?.sequence ?? 0;
+      if (last >= head) {
+        return okAsync<readonly Submission[], CliError>(all);
+      }
+      if (last <= after) {
+        const detail = `submissions (none after ${after}, although the head is ${head})`;
+        return errAsync<readonly Submission[], CliError>({
+          kind: 'answer_invalid',
+          address,
+          detail,
+        });
+      }
+      return readFromSource(host, address, all);
+    });
+}
+
+function parseWatchAnswer(
+  address: string,
+  value: unknown,
+): Result<WatchAnswer, CliError> {
+  const parsed = WatchAnswerSchema.safeParse(value);
+  return parsed.success
+    ? ok(parsed.data)
+    : err({
+        kind: 'answer_invalid',
+        address,
+        detail: describeSchemaError(parsed.error),
+      });
+}
--- /dev/null
+++ b/src/cli/report.ts
@@ -0,0 +1,69 @@
+/** What a command answers, as data for programs and as text for people. */
+import Table from 'cli-table3';
+import {ExitCode} from './errors.js';
+
+export interface Report {
+  readonly exitCode: ExitCode;
+  /** Printed with `--json`. */
+  readonly data: unknown;
+  /** Printed without it. */
+  readonly text: string;
+}
+
+const PLAIN_STYLE = {head: [], border: [], compact: true};
+
+/**
+ * Renders a table without colours, so that it can be piped.
+ * @param head - Column titles.
+ * @param rows - Cells.
+ * @returns The table.
+ */
+export function renderTable(
+  head: readonly string[],
+  rows: ReadonlyArray<ReadonlyArray<string | number>>,
+): string {
+  const table = new Table({head: [...head], style: PLAIN_STYLE});
+  table.push(...rows.map(row => row.map(String)));
+  return table.toString();
+}
+
+/**
+ * Renders names with their values.
+ * @param fields - Name and value.
+ * @returns A table without column titles.
+ */
+export function renderFields(
+  fields: ReadonlyArray<readonly [name: string, value: string]>,
+): string {
+  const table = new Table({style: PLAIN_STYLE});
+  table.push(...fields.map(field => [...field]));
+  return table.toString();
+}
+
+/**
+ * Renders a duration.
+ * @param ms - Milliseconds.
+ * @returns Such as `850 ms`, `12 s` or `3 h 4 min`.
+ */
+export function renderDuration(ms: number): string {
+  if (ms < 1_000) {
+    return `${Math.round(ms)} ms`;
+  }
+  const seconds = Math.floor(ms / 1_000);
+  if (seconds < 60) {
+    return `${seconds} s`;
+  }
+  const minutes = Math.floor(seconds / 60);
+  return minutes < 60
+    ? `${minutes} min ${seconds % 60} s`
+    : `${Math.floor(minutes / 60)} h ${minutes % 60} min`;
+}
+
+/**
+ * Renders a time of day with its date, in UTC.
+ * @param at - Unix milliseconds.
+ * @returns The time in ISO 8601 form, or `unknown`.
+ */
+export function renderTime(at: number | undefined): string {
+  return at === undefined || at <= 0 ? 'unknown' : new Date(at).toISOString();
+}
--- /dev/null
+++ b/test/cli/fakes.ts
@@ -0,0 +1,170 @@
+/** In-process fakes for the tests of the command line. */
+import {createServer, Server} from 'node:http';
+import {AddressInfo} from 'node:net';
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import {CliHost, NodeHost} from '../../src/cli/host.js';
+import {runCli} from '../../src/cli/program.js';
+import {Submission} from '../../src/model/config.js';
+
+/** Submissions that one watch answer of the fake holds at most. */
+const PAGE_SIZE = 2;
+
+/** Answers GET requests by path; other paths get status 404. */
+export class FakeServer {
+  private readonly server: Server;
+
+  constructor(answer: (url: URL) => unknown) {
+    this.server = createServer((req, res) => {
+      const value = answer(new URL(req.url ?? '/', 'http://fake'));
+      res.writeHead(value === undefined ? 404 : 200);
+      res.end(JSON.stringify(value));
+    });
+  }
+
+  /** Starts to listen; resolves to the address. */
+  async start(): Promise<string> {
+    await new Promise<void>(resolve =>
+      this.server.listen(0, '127.0.0.1', resolve),
+    );
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Stops listening. */
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+}
+
+/** A platform that answers watches in pages. */
+export function createFakePlatform(
+  submissions: readonly Submission[],
+): FakeServer {
+  return new FakeServer(url => {
+    if (url.pathname !== '/v1/watch') {
+      return undefined;
+    }
+    const after = Number(url.searchParams.get('after'));
+    const head = submissions.at(-1)?.sequence ?? 0;
+    const news = submissions.filter(({sequence}) => sequence > after);
+    return {head, submissions: news.slice(0, PAGE_SIZE)};
+  });
+}
+
+/** A proxy that answers with a fixed status. */
+export function createFakeProxy(status: object): FakeServer {
+  return new FakeServer(url =>
+    url.pathname === '/v1/status' ? status : undefined,
+  );
+}
+
+function readFake(content: unknown): ResultAsync<string, string> {
+  if (content === undefined) {
+    return errAsync('ENOENT');
+  }
+  return okAsync(
+    typeof content === 'string' ? content : JSON.stringify(content),
+  );
+}
+
+/** What a command printed; addresses with changing ports are masked. */
+export interface CliRun {
+  readonly exitCode: number;
+  readonly out: string;
+  readonly err: string;
+}
+
+/**
+ * Runs a command with a fixed clock.
+ * @param args - Its arguments.
+ * @param files - Files that it may read, by path.
+ * @returns What it printed.
+ */
+export async function run(
+  args: readonly string[],
+  files: Readonly<Record<string, unknown>> = {},
+): Promise<CliRun> {
+  const out: string[] = [];
+  const err: string[] = [];
+  const node = new NodeHost();
+  const host: CliHost = {
+    write: text => out.push(text),
+    writeError: text => err.push(text),
+    now: () => 1_700_000_100_000,
+    readText: path => readFake(files[path]),
+    getJson: (address, path) => node.getJson(address, path),
+  };
+  const exitCode = await runCli(args, host);
+  const mask = (parts: string[]) =>
+    parts.join('').replace(/127\.0\.0\.1:\d+/g, 'ADDRESS');
+  return {exitCode, out: mask(out), err: mask(err)};
+}
+
+const SERVICE = {
+  slots: 10,
+  connections: 120,
+  queue: 32,
+  keyLifetimeMs: 600_000,
+  retryBudgetPercent: 10,
+  slowStartMs: 0,
+};
+
+function upstream(zone: string, port: number) {
+  return {
+    service: 'billing-core',
+    region: 'centre',
+    zone,
+    peerAddress: `10.0.0.1:${port}`,
+  };
+}
+
+/** Two versions, one stale submission and one with an unknown service. */
+export const SUBMISSIONS: readonly Submission[] = [
+  {
+    sequence: 1,
+    id: 'add-billing',
+    base: 0,
+    publishedAt: 1_700_000_000_000,
+    patch: {
+      services: {'billing-core': SERVICE},
+      upstreams: {
+        'bill-1': upstream('zilina-a', 8_001),
+        'bill-2': upstream('zilina-b', 8_002),
+      },
+      routes: {
+        charges: {pathPrefix: '/charges', service: 'billing-core'},
+      },
+    },
+  },
+  {
+    sequence: 2,
+    id: 'raced',
+    base: 0,
+    publishedAt: 1_700_000_010_000,
+    patch: {routes: {charges: null}},
+  },
+  {
+    sequence: 3,
+    id: 'stray-route',
+    base: 1,
+    publishedAt: 1_700_000_020_000,
+    patch: {routes: {plans: {pathPrefix: '/plans', service: 'desk'}}},
+  },
+  {
+    sequence: 4,
+    id: 'slower-charges',
+    base: 1,
+    publishedAt: 1_700_000_030_000,
+    patch: {
+      upstreams: {'bill-2': null, 'bill-3': upstream('martin-c', 8_003)},
+      routes: {
+        charges: {
+          pathPrefix: '/charges',
+          service: 'billing-core',
+          timeoutMs: 9_000,
+          methods: ['GET', 'POST'],
+        },
+      },
+    },
+  },
+];
