--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,225 @@
+/** The commands of `fireflysill` and their arguments. */
+import {Command, InvalidArgumentError, Option} from 'commander';
+import {err, ok, okAsync, Result, ResultAsync} from 'neverthrow';
+import {checkPatch} from './check.js';
+import {diffVersions} from './diff.js';
+import {CliError, EXIT_CODES} from './errors.js';
+import {explainRequest} from './explain.js';
+import {createHistory, History} from './history.js';
+import {CliHost} from './host.js';
+import {listSubmissions, listVersions} from './outcomes.js';
+import {LogOrigin, readJsonFile, readPublishedLog} from './published_log.js';
+import {Report} from './report.js';
+import {reportStatus} from './status.js';
+
+export interface JsonOption {
+  readonly json?: boolean;
+}
+
+interface LogOptions extends JsonOption {
+  readonly source?: string;
+  readonly file?: string;
+}
+
+export type Answer = ResultAsync<Report, CliError>;
+
+/** Takes the answer of the command that was run. */
+export type Finish = (answer: Answer, opts: JsonOption) => Promise<void>;
+
+/**
+ * Makes the program with all its commands.
+ * @param host - The machine.
+ * @param finish - Takes the answer of the command.
+ * @returns The program; parsing bad usage throws a `CommanderError`.
+ */
+export function createProgram(host: CliHost, finish: Finish): Command {
+  const program = new Command('fireflysill')
+    .description('Checks, reads and explains the configuration of a fleet.')
+    .exitOverride()
+    .configureOutput({
+      writeOut: text => host.write(text),
+      writeErr: text => host.writeError(text),
+    })
+    .addHelpText(
+      'after',
+      '\nExit codes: 0 ok, 1 negative verdict, 2 bad usage or input, 3 no answer.',
+    );
+  addCheck(program, host, finish);
+  addStatus(program, host, finish);
+  addLists(program, host, finish);
+  addDiff(program, host, finish);
+  addExplain(program, host, finish);
+  addExport(program, host, finish);
+  return program;
+}
+
+/** Makes a command that reads the published log. */
+function addLogCommand(program: Command, usage: string): Command {
+  return program
+    .command(usage)
+    .addOption(
+      new Option('--source <address>', 'read from the platform').conflicts(
+        'file',
+      ),
+    )
+    .option('--file <path>', 'read an exported log or a saved state instead')
+    .option('--json', 'print JSON');
+}
+
+function readHistory(
+  host: CliHost,
+  opts: LogOptions,
+): ResultAsync<History, CliError> {
+  return chooseOrigin(opts)
+    .asyncAndThen(origin => readPublishedLog(host, origin))
+    .andThen(createHistory);
+}
+
+function chooseOrigin({source, file}: LogOptions): Result<LogOrigin, CliError> {
+  if (source !== undefined) {
+    return ok({kind: 'source', address: source});
+  }
+  if (file !== undefined) {
+    return ok({kind: 'file', path: file});
+  }
+  return err({
+    kind: 'bad_usage',
+    detail: 'Neither --source nor --file is given',
+  });
+}
+
+/** Parses a version or sequence number; commander names the bad option. */
+function parseNumber(text: string): number {
+  if (!/^\d{1,15}$/.test(text)) {
+    throw new InvalidArgumentError('Use a whole number that is not negative.');
+  }
+  return Number(text);
+}
+
+function addCheck(program: Command, host: CliHost, finish: Finish): void {
+  interface Options extends LogOptions {
+    readonly base?: number;
+  }
+  addLogCommand(program, 'check <patch-file>')
+    .description('Tell whether a patch would be accepted.')
+    .option(
+      '--base <version>',
+      'version that the patch was made against (default: the latest)',
+      parseNumber,
+    )
+    .action((path: string, opts: Options) =>
+      finish(
+        readJsonFile(host, path).andThen(value =>
+          readHistory(host, opts).andThen(history =>
+            checkPatch(history, path, value, opts.base),
+          ),
+        ),
+        opts,
+      ),
+    );
+}
+
+function addStatus(program: Command, host: CliHost, finish: Finish): void {
+  interface Options extends LogOptions {
+    readonly proxy: string[];
+    readonly fleet?: boolean;
+  }
+  program
+    .command('status')
+    .description('Show which version proxies hold, since when, and their lag.')
+    .requiredOption(
+      '--proxy <address...>',
+      "operators' address of a proxy; several may be given",
+    )
+    .option('--fleet', 'also show the proxies that these know')
+    .option('--source <address>', 'compare with what the platform publishes')
+    .option('--json', 'print JSON')
+    .action((opts: Options) => {
+      const {proxy: addresses, fleet = false} = opts;
+      const published =
+        opts.source === undefined
+          ? okAsync<History | undefined, CliError>(undefined)
+          : readHistory(host, opts);
+      const answer = published.andThen(history =>
+        reportStatus(host, {addresses, fleet, published: history}),
+      );
+      return finish(answer, opts);
+    });
+}
+
+function addLists(program: Command, host: CliHost, finish: Finish): void {
+  interface Options extends LogOptions {
+    readonly id?: string;
+    readonly refused?: boolean;
+  }
+  addLogCommand(program, 'submissions')
+    .description('List submissions: accepted or refused, and why.')
+    .option('--id <id>', 'only this one; exit code 1 unless it was accepted')
+    .option('--refused', 'only those that were refused')
+    .action((opts: Options) => {
+      const filter = {id: opts.id, refusedOnly: opts.refused};
+      const answer = readHistory(host, opts);
+      return finish(
+        answer.map(history => listSubmissions(history, filter)),
+        opts,
+      );
+    });
+  addLogCommand(program, 'versions')
+    .description('List accepted versions.')
+    .action((opts: LogOptions) =>
+      finish(readHistory(host, opts).map(listVersions), opts),
+    );
+}
+
+function addDiff(program: Command, host: CliHost, finish: Finish): void {
+  addLogCommand(program, 'diff')
+    .description('Show what changed between two versions.')
+    .argument('<from>', 'earlier version', parseNumber)
+    .argument('<to>', 'later version', parseNumber)
+    .action((from: number, to: number, opts: LogOptions) =>
+      finish(
+        readHistory(host, opts).andThen(history =>
+          diffVersions(history, from, to),
+        ),
+        opts,
+      ),
+    );
+}
+
+function addExplain(program: Command, host: CliHost, finish: Finish): void {
+  interface Options extends LogOptions {
+    readonly host: string;
+    readonly at?: number;
+  }
+  addLogCommand(program, 'explain <method> <path>')
+    .description('Show the route, service, upstreams and limits of a request.')
+    .option('--host <host>', "the request's host", 'localhost')
+    .option('--at <version>', 'at this version, not the latest', parseNumber)
+    .action((method: string, path: string, opts: Options) => {
+      const req = {method: method.toUpperCase(), host: opts.host, path};
+      return finish(
+        readHistory(host, opts).andThen(history =>
+          explainRequest(history, req, opts.at),
+        ),
+        opts,
+      );
+    });
+}
+
+function addExport(program: Command, host: CliHost, finish: Finish): void {
+  program
+    .command('export')
+    .description('Print the published log as JSON, for later use with --file.')
+    .requiredOption('--source <address>', 'read from the platform')
+    .action(({source}: {source: string}) => {
+      const log = readPublishedLog(host, {kind: 'source', address: source});
+      return finish(
+        log.map(data => ({
+          exitCode: EXIT_CODES.ok,
+          data: data.kind === 'submissions' ? data.submissions : data.state,
+          text: '',
+        })),
+        {json: true},
+      );
+    });
+}
--- /dev/null
+++ b/src/cli/fleet_rows.ts
@@ -0,0 +1,152 @@
+/** The rows of a fleet's status, from what its proxies answered. */
+import {z} from 'zod';
+import {SequenceSchema} from '../model/primitives.js';
+import {History} from './history.js';
+
+const MemberSchema = z.looseObject({
+  id: z.string(),
+  zone: z.string(),
+  sequence: SequenceSchema,
+  version: SequenceSchema,
+  digest: z.string(),
+  ready: z.boolean(),
+  leaving: z.boolean(),
+});
+
+/** The part of a proxy's status that the command line reads. */
+export const StatusSchema = z.looseObject({
+  id: z.string(),
+  zone: z.string(),
+  ready: z.boolean(),
+  sequence: SequenceSchema,
+  version: SequenceSchema,
+  digest: z.string(),
+  /** When the version was put in force, in Unix milliseconds. */
+  adoptedAt: z.number().optional(),
+  members: z.array(MemberSchema).default([]),
+});
+
+export type ProxyStatus = z.infer<typeof StatusSchema>;
+
+/** One proxy of the fleet, as it answered or as a peer described it. */
+export interface FleetRow {
+  readonly id: string;
+  readonly zone: string;
+  /** `asked`: it answered itself. `heard`: an asked proxy knows it. */
+  readonly by: 'asked' | 'heard';
+  readonly ready: boolean;
+  readonly leaving: boolean;
+  readonly version: number;
+  readonly sequence: number;
+  readonly digest: string;
+  readonly since?: number;
+  /** Submissions that it has yet to fold. */
+  readonly lag: number;
+  /** Time since the first of these was published, in milliseconds. */
+  readonly lagMs?: number;
+}
+
+/**
+ * Makes the rows of a fleet.
+ * @param statuses - What the asked proxies answered.
+ * @param fleet - Also list the proxies that these know.
+ * @param now - Unix milliseconds.
+ * @param published - What is published, where it was read.
+ * @returns The highest sequence seen and one row for each proxy.
+ */
+export function createFleetRows(
+  statuses: readonly ProxyStatus[],
+  fleet: boolean,
+  now: number,
+  published: History | undefined,
+): {head: number; rows: FleetRow[]} {
+  const members = statuses.flatMap(status => status.members);
+  const head = Math.max(
+    0,
+    published?.latest.sequence ?? 0,
+    ...statuses.map(status => status.sequence),
+    ...members.map(member => member.sequence),
+  );
+  const asked = statuses.map(status => createAskedRow(status));
+  const heard = fleet ? createHeardRows(statuses) : [];
+  const rows = [...asked, ...heard]
+    .map(row => addLag(row, head, now, published))
+    .sort((a, b) => (a.id < b.id ? -1 : 1));
+  return {head, rows};
+}
+
+type RowWithoutLag = Omit<FleetRow, 'lag' | 'lagMs'>;
+
+function createAskedRow(status: ProxyStatus): RowWithoutLag {
+  const {id, zone, ready, version, sequence, digest, adoptedAt} = status;
+  const self = status.members.find(member => member.id === id);
+  return {
+    id,
+    zone,
+    by: 'asked',
+    ready,
+    leaving: self?.leaving ?? false,
+    version,
+    sequence,
+    digest,
+    since: adoptedAt,
+  };
+}
+
+/** Takes the newest description of each proxy that was not asked itself. */
+function createHeardRows(statuses: readonly ProxyStatus[]): RowWithoutLag[] {
+  const askedIds = new Set(statuses.map(({id}) => id));
+  const rows = new Map<string, RowWithoutLag>();
+  for (const member of statuses.flatMap(status => status.members)) {
+    const known = rows.get(member.id);
+    const isNewer = known === undefined || member.sequence > known.sequence;
+    if (!askedIds.has(member.id) && isNewer) {
+      const {id, zone, ready, leaving, version, sequence, digest} = member;
+      rows.set(id, {
+        id,
+        zone,
+        by: 'heard',
+        ready,
+        leaving,
+        version,
+        sequence,
+        digest,
+      });
+    }
+  }
+  return [...rows.values()];
+}
+
+function addLag(
+  row: RowWithoutLag,
+  head: number,
+  now: number,
+  published: History | undefined,
+): FleetRow {
+  const missed = published?.outcomes.find(
+    ({sequence}) => sequence === row.sequence + 1,
+  );
+  const publishedAt = missed?.publishedAt;
+  return {
+    ...row,
+    lag: head - row.sequence,
+    lagMs: publishedAt === undefined ? undefined : now - publishedAt,
+  };
+}
+
+/**
+ * Finds sequences at which two proxies hold different digests.
+ * @param rows - The proxies.
+ * @returns The sequences in rising order.
+ */
+export function findDisagreement(rows: readonly FleetRow[]): number[] {
+  const digests = new Map<number, Set<string>>();
+  for (const {sequence, digest} of rows) {
+    const known = digests.get(sequence) ?? new Set();
+    digests.set(sequence, known.add(digest));
+  }
+  return [...digests]
+    .filter(([, known]) => known.size > 1)
+    .map(([sequence]) => sequence)
+    .sort((a, b) => a - b);
+}
