--- /dev/null
+++ b/test/cli/operators_page.test.ts
@@ -0,0 +1,103 @@
+import {readFileSync} from 'node:fs';
+import {z} from 'zod';
+import {REFUSALS} from '../../src/core/refusals.js';
+import {
+  RouteSchema,
+  ServiceSchema,
+  UpstreamSchema,
+} from '../../src/model/config.js';
+import {SettingsSchema} from '../../src/model/settings.js';
+import {expect} from '../support/chai_setup.js';
+
+interface JsonSchema {
+  readonly properties?: Readonly<Record<string, JsonSchema>>;
+  readonly required?: readonly string[];
+  readonly default?: unknown;
+}
+
+/** Rows that the page must have: path of each leaf with its default. */
+function listLeaves(schema: JsonSchema, prefix = ''): string[] {
+  return Object.entries(schema.properties ?? {}).flatMap(([name, member]) => {
+    const path = `${prefix}${name}`;
+    if (member.properties !== undefined) {
+      return listLeaves(member, `${path}.`);
+    }
+    const isRequired = schema.required?.includes(name) ?? false;
+    return [`${path} = ${renderDefault(member.default, isRequired)}`];
+  });
+}
+
+function renderDefault(value: unknown, isRequired: boolean): string {
+  if (value === undefined) {
+    return isRequired ? 'required' : 'none';
+  }
+  return typeof value === 'string' ? value : JSON.stringify(value);
+}
+
+function listExpected(schema: z.ZodType): string[] {
+  const opts = {io: 'input'} as const;
+  return listLeaves(z.toJSONSchema(schema, opts) as JsonSchema).sort();
+}
+
+/** Cells of the table rows below a heading, without code marks. */
+function readRows(heading: string): string[][] {
+  const page = readFileSync('docs/operators.md', 'utf8');
+  const [, section = ''] = page.split(`\n## ${heading}\n`);
+  return section
+    .split('\n## ')[0]
+    .split('\n')
+    .filter(line => line.startsWith('| `'))
+    .map(line => line.replaceAll('`', '').split('|').slice(1, -1))
+    .map(cells => cells.map(cell => cell.trim()));
+}
+
+/** Settings rows are: path, unit, default, meaning. */
+function readSettings(heading: string): string[] {
+  return readRows(heading)
+    .map(([path, , value]) => `${path} = ${value}`)
+    .sort();
+}
+
+describe('docs/operators.md', () => {
+  it('lists every setting with its default', () => {
+    const listed = readSettings('Settings of a proxy');
+    expect(listed).to.deep.equal(listExpected(SettingsSchema));
+  });
+
+  it('gives every setting a unit and a meaning', () => {
+    const bare = readRows('Settings of a proxy').filter(
+      cells => cells.length !== 4 || cells.some(cell => cell === ''),
+    );
+    expect(bare).to.deep.equal([]);
+  });
+
+  for (const [heading, schema] of [
+    ['A service', ServiceSchema],
+    ['An upstream', UpstreamSchema],
+    ['A route', RouteSchema],
+  ] as const) {
+    it(`lists every member of ${heading.toLowerCase()}`, () => {
+      expect(readSettings(heading)).to.deep.equal(listExpected(schema));
+    });
+  }
+
+  it('lists every refusal with its status, outcome and remedy', () => {
+    const listed = readRows('Refusals').map(
+      ([reason, status, outcome, remedy]) => [
+        reason,
+        status,
+        outcome,
+        remedy === '' ? 'no remedy' : 'remedy',
+      ],
+    );
+    const expected = Object.entries(REFUSALS).map(
+      ([reason, {status, outcome}]) => [
+        reason,
+        String(status),
+        outcome,
+        'remedy',
+      ],
+    );
+    expect(listed.sort()).to.deep.equal(expected.sort());
+  });
+});
