--- /dev/null
+++ b/src/bench/children.ts
@@ -0,0 +1,133 @@
+/** Child processes of a bench run, each ended by its own handle. */
+import {ChildProcess, spawn} from 'node:child_process';
+import {readFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {AddressInfo} from 'node:net';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+
+const LOOPBACK = '127.0.0.1';
+const STOP_TIMEOUT_MS = 3_000;
+/** Kernel ticks a second in the accounting of processor time on Linux. */
+const TICKS_PER_SECOND = 100;
+const MS_PER_SECOND = 1_000;
+const KB_PER_MB = 1_024;
+
+/** One child that has printed its first line. */
+export interface Child {
+  readonly pid: number;
+  /** First line of its standard output. */
+  readonly firstLine: string;
+  readonly process: ChildProcess;
+  /** Milliseconds from the start to the first line. */
+  readonly startMs: number;
+}
+
+/** Starts children and ends those that are left. */
+export class Children {
+  private readonly running = new Set<ChildProcess>();
+
+  /**
+   * Starts a program of this repository.
+   * @param script - Path of the built module, relative to this one.
+   * @param args - Its arguments.
+   * @returns The child, once it has printed a line.
+   */
+  async start(script: string, args: readonly string[]): Promise<Child> {
+    const path = fileURLToPath(new URL(script, import.meta.url));
+    const startedAt = performance.now();
+    const child = spawn(process.execPath, [path, ...args], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    this.running.add(child);
+    child.once('exit', () => this.running.delete(child));
+    const firstLine = await readFirstLine(child, script);
+    const startMs = performance.now() - startedAt;
+    return {pid: child.pid ?? 0, firstLine, process: child, startMs};
+  }
+
+  /**
+   * Ends one child and waits until it is gone.
+   * @param child - The child.
+   * @param signal - SIGKILL ends it without a drain.
+   */
+  async stop(child: Child, signal: NodeJS.Signals = 'SIGTERM'): Promise<void> {
+    await stopProcess(child.process, signal);
+  }
+
+  /** Ends all children that are left. */
+  async stopAll(): Promise<void> {
+    await Promise.all(
+      [...this.running].map(child => stopProcess(child, 'SIGKILL')),
+    );
+  }
+}
+
+function readFirstLine(child: ChildProcess, script: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    child.once('error', reject);
+    child.once('exit', code =>
+      reject(new Error(`${script} ended with ${code} before it was ready.`)),
+    );
+    if (child.stdout !== null) {
+      // The reader goes on after the first line, so that the pipe never fills.
+      createInterface({input: child.stdout}).on('line', resolve);
+    }
+  });
+}
+
+async function stopProcess(
+  child: ChildProcess,
+  signal: NodeJS.Signals,
+): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) {
+    return;
+  }
+  const gone = new Promise(resolve => child.once('exit', resolve));
+  child.kill(signal);
+  const timer = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS);
+  await gone;
+  clearTimeout(timer);
+}
+
+/**
+ * Reads the processor time that a process has used.
+ * @param pid - The process.
+ * @returns Milliseconds of user and system time, in steps of 10.
+ */
+export function getProcessorMs(pid: number): number {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  // The name in parentheses may hold spaces, so fields count from behind it.
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  return (ticks * MS_PER_SECOND) / TICKS_PER_SECOND;
+}
+
+/**
+ * Reads the resident memory of a process.
+ * @param pid - The process.
+ * @returns Megabytes.
+ */
+export function getResidentMb(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const kb = /^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1];
+  return Number(kb) / KB_PER_MB;
+}
+
+/**
+ * Finds ports that are free at the moment.
+ * @param count - How many.
+ * @returns Loopback addresses.
+ */
+export async function findFreeAddresses(count: number): Promise<string[]> {
+  const servers = Array.from({length: count}, () => createServer());
+  const addresses: string[] = [];
+  for (const server of servers) {
+    await new Promise<void>(resolve => server.listen(0, LOOPBACK, resolve));
+    addresses.push(`${LOOPBACK}:${(server.address() as AddressInfo).port}`);
+  }
+  for (const server of servers) {
+    await new Promise(resolve => server.close(resolve));
+  }
+  return addresses;
+}
--- /dev/null
+++ b/src/bench/fast_upstream.ts
@@ -0,0 +1,48 @@
+/**
+ * An upstream that answers at once, so that added time is not hidden by its
+ * work. `/NAME/deep/N` makes it call `/OTHER/deep/N-1` through the address in
+ * `x-via-NAME` style query parameters, which gives calls of any depth.
+ * Arguments: listen address, own path name.
+ */
+import {createServer, IncomingMessage, ServerResponse} from 'node:http';
+import {Agent, request} from 'undici';
+
+const [address, name] = process.argv.slice(2);
+const [host, port] = address.split(':');
+const agent = new Agent({connections: 256});
+const BODY = Buffer.from(JSON.stringify({upstream: name, ok: true}));
+
+/** Where the next call of a chain goes: this name's part of the query. */
+function getNextUrl(url: URL): string | undefined {
+  const depth = Number(/\/deep\/(\d+)$/.exec(url.pathname)?.[1] ?? 0);
+  const [via, nextName] = (url.searchParams.get(name) ?? '').split('/');
+  return depth > 1 && via !== ''
+    ? `http://${via}/${nextName}/deep/${depth - 1}${url.search}`
+    : undefined;
+}
+
+async function callNext(nextUrl: string): Promise<number> {
+  const answer = await request(nextUrl, {dispatcher: agent});
+  await answer.body.arrayBuffer();
+  return answer.statusCode;
+}
+
+async function serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const url = new URL(req.url ?? '/', 'http://upstream');
+  const nextUrl = getNextUrl(url);
+  const status = nextUrl === undefined ? 200 : await callNext(nextUrl);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': BODY.length,
+  });
+  res.end(BODY);
+}
+
+const server = createServer((req, res) => {
+  req.resume();
+  req.once('end', () => {
+    serve(req, res).catch(() => res.writeHead(502).end());
+  });
+});
+server.keepAliveTimeout = 60_000;
+server.listen(Number(port), host, () => console.log(address));
--- /dev/null
+++ b/src/bench/open_loop.ts
@@ -0,0 +1,117 @@
+/**
+ * Open-loop load: requests start by a seeded schedule, whether or not earlier
+ * ones have ended, and each latency counts from the scheduled start. So the
+ * wait that a slow answer causes to later requests is not left out
+ * (coordinated omission).
+ */
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {
+  setImmediate as nextTurn,
+  setTimeout as sleep,
+} from 'node:timers/promises';
+import {LatencyRecorder} from './stats.js';
+
+const MS_PER_SECOND = 1_000;
+
+/** Timers are late by up to a few milliseconds; nearer starts are polled. */
+const POLL_BEFORE_MS = 4;
+
+/** One way of reaching the upstream, under test beside others. */
+export interface Arm {
+  readonly name: string;
+  /** Makes one request; resolves to whether its answer was as expected. */
+  send(): Promise<boolean>;
+}
+
+/** Latencies of one arm in one window. */
+export interface ArmResult {
+  readonly name: string;
+  readonly latencies: LatencyRecorder;
+  readonly failed: number;
+}
+
+interface Start {
+  readonly at: number;
+  readonly arm: number;
+}
+
+/**
+ * Draws the starts of a Poisson process for each arm, merged in time order.
+ * @param arms - Number of arms.
+ * @param rate - Requests a second of each arm.
+ * @param durationMs - Length of the window.
+ * @param seed - Seed of the schedule.
+ * @returns The starts.
+ */
+export function createSchedule(
+  arms: number,
+  rate: number,
+  durationMs: number,
+  seed: number,
+): Start[] {
+  const random = xoroshiro128plus(seed);
+  const starts: Start[] = [];
+  for (let arm = 0; arm < arms; arm += 1) {
+    let at = 0;
+    for (;;) {
+      const gap = -Math.log(1 - uniformFloat64(random)) / rate;
+      at += gap * MS_PER_SECOND;
+      if (at >= durationMs) {
+        break;
+      }
+      starts.push({at, arm});
+    }
+  }
+  return starts.sort((a, b) => a.at - b.at);
+}
+
+/**
+ * Runs one window in which the requests of all arms are interleaved.
+ * @param arms - The arms.
+ * @param rate - Requests a second of each arm.
+ * @param durationMs - Length of the window.
+ * @param seed - Seed of the schedule.
+ * @returns One result for each arm, in their order.
+ */
+export async function runWindow(
+  arms: readonly Arm[],
+  rate: number,
+  durationMs: number,
+  seed: number,
+): Promise<ArmResult[]> {
+  const results = arms.map(({name}) => ({
+    name,
+    latencies: new LatencyRecorder(),
+    failed: 0,
+  }));
+  const pending: Array<Promise<void>> = [];
+  const begin = performance.now();
+  for (const {at, arm} of createSchedule(arms.length, rate, durationMs, seed)) {
+    const scheduled = begin + at;
+    await waitUntil(scheduled);
+    pending.push(
+      arms[arm].send().then(
+        isExpected => {
+          results[arm].latencies.record(performance.now() - scheduled);
+          results[arm].failed += isExpected ? 0 : 1;
+        },
+        () => {
+          results[arm].failed += 1;
+        },
+      ),
+    );
+  }
+  await Promise.all(pending);
+  return results;
+}
+
+async function waitUntil(at: number): Promise<void> {
+  const early = at - performance.now() - POLL_BEFORE_MS;
+  if (early > 0) {
+    await sleep(early);
+  }
+  while (performance.now() < at) {
+    await nextTurn();
+  }
+}
