Status compares versions in force beside sequences; heard members show their age

A proxy that has folded a submission but not yet put its version in force had no lag by sequence alone. Seen when reading the proxy's status handler, which gives the folded sequence beside the active version.

--- a/src/bench/call_topology.ts
+++ b/src/bench/call_topology.ts
@@ -129,7 +129,7 @@
   const started = plans.map(async plan => {
     const settings = createSettings(plan, platform.address, seeds);
     const path = await folder.write(plan.id, settings);
-    return children.start(PROXY_SCRIPT, ['--settings', path]);
+    return children.startSilent(PROXY_SCRIPT, ['--settings', path]);
   });
   const proxies = await Promise.all(started);
   await Promise.all(plans.map(plan => waitForVersion(plan.operators, 1)));
--- a/src/bench/children.ts
+++ b/src/bench/children.ts
@@ -13,14 +13,12 @@
 const MS_PER_SECOND = 1_000;
 const KB_PER_MB = 1_024;
 
-/** One child that has printed its first line. */
+/** One child process. */
 export interface Child {
   readonly pid: number;
-  /** First line of its standard output. */
+  /** First line of its standard output, where that was awaited. */
   readonly firstLine: string;
   readonly process: ChildProcess;
-  /** Milliseconds from the start to the first line. */
-  readonly startMs: number;
 }
 
 /** Starts children and ends those that are left. */
@@ -28,22 +26,32 @@
   private readonly running = new Set<ChildProcess>();
 
   /**
-   * Starts a program of this repository.
+   * Starts a program of this repository that prints a line when it is ready.
    * @param script - Path of the built module, relative to this one.
    * @param args - Its arguments.
    * @returns The child, once it has printed a line.
    */
   async start(script: string, args: readonly string[]): Promise<Child> {
+    const child = this.startSilent(script, args);
+    return {...child, firstLine: await readFirstLine(child.process, script)};
+  }
+
+  /**
+   * Starts a program of this repository that need not print anything.
+   * @param script - Path of the built module, relative to this one.
+   * @param args - Its arguments.
+   * @returns The child, without a first line.
+   */
+  startSilent(script: string, args: readonly string[]): Child {
     const path = fileURLToPath(new URL(script, import.meta.url));
-    const startedAt = performance.now();
     const child = spawn(process.execPath, [path, ...args], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     this.running.add(child);
     child.once('exit', () => this.running.delete(child));
-    const firstLine = await readFirstLine(child, script);
-    const startMs = performance.now() - startedAt;
-    return {pid: child.pid ?? 0, firstLine, process: child, startMs};
+    // Read, so that the pipe never fills.
+    child.stdout?.resume();
+    return {pid: child.pid ?? 0, firstLine: '', process: child};
   }
 
   /**
--- a/src/bench/proxies.ts
+++ b/src/bench/proxies.ts
@@ -39,7 +39,7 @@
 /**
  * Plans proxies that are spread evenly over zones.
  * @param count - How many.
- * @param zones - Number of zones; the last one is a region of its own.
+ * @param zones - Number of zones; the later half belongs to a second region.
  * @param upstream - Address of the upstream that all of them share.
  * @returns The plans, with free addresses.
  */
@@ -58,7 +58,7 @@
     return {
       id: `vm-${index}`,
       zone: `zone-${zone}`,
-      region: zone === zones - 1 && zones > 1 ? 'region-1' : 'region-0',
+      region: zone >= Math.ceil(zones / 2) ? 'region-1' : 'region-0',
       service: 'desk',
       callers,
       peers,
--- a/src/cli/fleet_rows.ts
+++ b/src/cli/fleet_rows.ts
@@ -11,6 +11,8 @@
   digest: z.string(),
   ready: z.boolean(),
   leaving: z.boolean(),
+  /** When its newest heartbeat arrived, in Unix milliseconds. */
+  heardAt: z.number().optional(),
 });
 
 /** The part of a proxy's status that the command line reads. */
@@ -39,10 +41,15 @@
   readonly version: number;
   readonly sequence: number;
   readonly digest: string;
+  /** When it put its version in force, known of asked proxies only. */
   readonly since?: number;
+  /** Age of what was heard, in milliseconds. */
+  readonly heardAgoMs?: number;
   /** Submissions that it has yet to fold. */
   readonly lag: number;
-  /** Time since the first of these was published, in milliseconds. */
+  /** Versions that it has yet to put in force. */
+  readonly versionLag: number;
+  /** Time since the first missing submission was published, in milliseconds. */
   readonly lagMs?: number;
 }
 
@@ -68,14 +75,19 @@
     ...members.map(member => member.sequence),
   );
   const asked = statuses.map(status => createAskedRow(status));
-  const heard = fleet ? createHeardRows(statuses) : [];
+  const heard = fleet ? createHeardRows(statuses, now) : [];
+  const version = Math.max(
+    0,
+    published?.latest.version ?? 0,
+    ...[...asked, ...heard].map(row => row.version),
+  );
   const rows = [...asked, ...heard]
-    .map(row => addLag(row, head, now, published))
+    .map(row => addLag(row, head, version, now, published))
     .sort((a, b) => (a.id < b.id ? -1 : 1));
   return {head, rows};
 }
 
-type RowWithoutLag = Omit<FleetRow, 'lag' | 'lagMs'>;
+type RowWithoutLag = Omit<FleetRow, 'lag' | 'versionLag' | 'lagMs'>;
 
 function createAskedRow(status: ProxyStatus): RowWithoutLag {
   const {id, zone, ready, version, sequence, digest, adoptedAt} = status;
@@ -94,7 +106,10 @@
 }
 
 /** Takes the newest description of each proxy that was not asked itself. */
-function createHeardRows(statuses: readonly ProxyStatus[]): RowWithoutLag[] {
+function createHeardRows(
+  statuses: readonly ProxyStatus[],
+  now: number,
+): RowWithoutLag[] {
   const askedIds = new Set(statuses.map(({id}) => id));
   const rows = new Map<string, RowWithoutLag>();
   for (const member of statuses.flatMap(status => status.members)) {
@@ -102,6 +117,7 @@
     const isNewer = known === undefined || member.sequence > known.sequence;
     if (!askedIds.has(member.id) && isNewer) {
       const {id, zone, ready, leaving, version, sequence, digest} = member;
+      const {heardAt} = member;
       rows.set(id, {
         id,
         zone,
@@ -111,6 +127,7 @@
         version,
         sequence,
         digest,
+        heardAgoMs: heardAt === undefined ? undefined : now - heardAt,
       });
     }
   }
@@ -120,6 +137,7 @@
 function addLag(
   row: RowWithoutLag,
   head: number,
+  version: number,
   now: number,
   published: History | undefined,
 ): FleetRow {
@@ -130,6 +148,7 @@
   return {
     ...row,
     lag: head - row.sequence,
+    versionLag: version - row.version,
     lagMs: publishedAt === undefined ? undefined : now - publishedAt,
   };
 }
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -126,7 +126,7 @@
     return EXIT_CODES.unreachable;
   }
   const isBehind = rows.some(
-    row => !row.leaving && (row.lag > 0 || !row.ready),
+    row => !row.leaving && (row.lag > 0 || row.versionLag > 0 || !row.ready),
   );
   return isBehind || disagreeing.length > 0
     ? EXIT_CODES.negative
@@ -143,7 +143,7 @@
       renderState(row),
       row.version,
       row.sequence,
-      renderTime(row.since),
+      renderSince(row),
       renderLag(row),
     ]),
   );
@@ -156,10 +156,22 @@
   return row.ready ? 'ready' : 'not ready';
 }
 
-function renderLag({lag, lagMs}: FleetRow): string {
-  if (lag === 0) {
-    return 'none';
+function renderSince({since, heardAgoMs}: FleetRow): string {
+  return heardAgoMs === undefined
+    ? renderTime(since)
+    : `heard ${renderDuration(heardAgoMs)} ago`;
+}
+
+function renderLag({lag, versionLag, lagMs}: FleetRow): string {
+  const parts: string[] = [];
+  if (lag > 0) {
+    parts.push(`${lag} submission${lag === 1 ? '' : 's'}`);
+  }
+  if (versionLag > 0) {
+    parts.push(`${versionLag} version${versionLag === 1 ? '' : 's'}`);
+  }
+  if (lagMs !== undefined) {
+    parts.push(renderDuration(lagMs));
   }
-  const count = `${lag} submission${lag === 1 ? '' : 's'}`;
-  return lagMs === undefined ? count : `${count}, ${renderDuration(lagMs)}`;
+  return parts.join(', ') || 'none';
 }
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -96,6 +96,7 @@
       version: 1,
       sequence: 1,
       digest: 'd1',
+      heardAt: 1_700_000_097_000,
     };
     return {
       ...member,
