--- /dev/null
+++ b/src/bench/summary.ts
@@ -0,0 +1,134 @@
+/** The figures of a bench run as one flat JSON object. */
+import {PercentileSpreads} from './call_latency.js';
+import {BenchPlan} from './plan.js';
+import {BenchResults, FleetResult} from './run_bench.js';
+import {fitLine, round, Spread} from './stats.js';
+
+type Figure = number | string | null;
+
+/** Median and range, so that a reader sees the noise. */
+function describeSpread(spread: Spread | undefined): Figure[] | null {
+  return spread === undefined
+    ? null
+    : [spread.median, spread.min, spread.max].map(value => round(value));
+}
+
+/** Adds the median and the range of a figure at p50 and p99. */
+function addPercentiles(
+  figures: Record<string, unknown>,
+  name: string,
+  unit: string,
+  spreads: PercentileSpreads | undefined,
+): void {
+  for (const percentile of ['p50', 'p99'] as const) {
+    const spread = spreads?.[percentile];
+    const key = `${name}_${percentile}${unit}`;
+    figures[key] = spread === undefined ? null : round(spread.median);
+    figures[`${key}_range`] = describeSpread(spread)?.slice(1) ?? null;
+  }
+}
+
+/**
+ * Summarizes a run.
+ * @param plan - What was measured.
+ * @param results - What came out.
+ * @returns A flat object; null stands for a part that did not run.
+ */
+export function summarizeBench(
+  plan: BenchPlan,
+  results: BenchResults,
+): Record<string, unknown> {
+  const {share, peak, chains, throughput, fleet} = results;
+  const figures: Record<string, unknown> = {seed: plan.seed};
+  addPercentiles(figures, 'added', '_ms', share?.added);
+  addPercentiles(figures, 'added_over_bare', '', share?.addedOverBare);
+  addPercentiles(figures, 'added_bare', '_ms', share?.addedBare);
+  addPercentiles(figures, 'added_own', '_ms', share?.addedOwn);
+  addPercentiles(figures, 'added_own_over_bare', '', share?.addedOwnOverBare);
+  addPercentiles(figures, 'added_peak', '_ms', peak?.added);
+  addPercentiles(figures, 'added_peak_over_bare', '', peak?.addedOverBare);
+  addPercentiles(figures, 'added_chain_each', '_ms', chains?.addedEach);
+  addPercentiles(figures, 'added_chain_over_bare', '', chains?.addedOverBare);
+  figures['failed_calls'] =
+    (share?.failed ?? 0) +
+    (peak?.failed ?? 0) +
+    (chains?.failed ?? 0) +
+    (throughput?.failed ?? 0);
+  for (const [key, spread] of [
+    ['max_calls_per_second', throughput?.callsPerSecond],
+    ['max_bare_calls_per_second', throughput?.bareCallsPerSecond],
+    ['entry_us_per_call', throughput?.entryUsPerCall],
+    ['owner_us_per_call', throughput?.ownerUsPerCall],
+    ['bare_entry_us_per_call', throughput?.bareEntryUsPerCall],
+    ['bare_owner_us_per_call', throughput?.bareOwnerUsPerCall],
+  ] as const) {
+    figures[key] = spread === undefined ? null : round(spread.median, 1);
+  }
+  return {...figures, ...summarizeFleets(fleet)};
+}
+
+function summarizeFleets(
+  fleet: readonly FleetResult[],
+): Record<string, unknown> {
+  const largest = fleet.filter(({variant}) => variant === 'tree').at(-1);
+  const variants = [...new Set(fleet.map(({variant}) => variant))];
+  return {
+    convergence_p50_ms: round(largest?.convergenceMs.median ?? NaN, 0),
+    convergence_p99_ms: round(largest?.convergenceMs.p99 ?? NaN, 0),
+    control_bytes_per_node_per_second: round(
+      largest?.atRest.bytesPerSecond ?? NaN,
+      0,
+    ),
+    source_calls_per_change: round(largest?.sourceCallsPerChange ?? NaN, 2),
+    fleet: fleet.map(summarizeFleet),
+    slopes: Object.fromEntries(
+      variants.map(name => [
+        name,
+        getSlopes(fleet.filter(({variant}) => variant === name)),
+      ]),
+    ),
+  };
+}
+
+function summarizeFleet(result: FleetResult): Record<string, unknown> {
+  const {restart, atRest, inBurst} = result;
+  return {
+    variant: result.variant,
+    size: result.size,
+    convergence_p50_ms: round(result.convergenceMs.median, 0),
+    convergence_p99_ms: round(result.convergenceMs.p99, 0),
+    adoption_p50_ms: round(result.adoptionMs.p50, 0),
+    adoption_p99_ms: round(result.adoptionMs.p99, 0),
+    source_calls_per_change: round(result.sourceCallsPerChange, 2),
+    rest_bytes_per_node_per_second: round(atRest.bytesPerSecond, 0),
+    rest_core_percent: round(atRest.corePercent, 2),
+    rest_source_calls_per_second: round(atRest.sourceCalls / atRest.seconds, 2),
+    burst_bytes_per_node_per_second: round(inBurst.bytesPerSecond, 0),
+    burst_core_percent: round(inBurst.corePercent, 2),
+    burst_source_calls: inBurst.sourceCalls,
+    burst_convergence_ms: round(result.burstConvergenceMs, 0),
+    restart_ready_ms: round(restart?.readyMs ?? NaN, 0),
+    restart_source_calls: restart?.cost.sourceCalls ?? null,
+    restart_bytes_per_node: round(
+      (restart?.cost.bytesPerSecond ?? NaN) * (restart?.cost.seconds ?? NaN),
+      0,
+    ),
+    resident_mb_each: round(result.residentMbEach.median, 1),
+  };
+}
+
+/** Growth of each figure with one more proxy. */
+function getSlopes(fleet: readonly FleetResult[]): Record<string, Figure> {
+  const slope = (read: (result: FleetResult) => number) =>
+    round(fitLine(fleet.map(result => [result.size, read(result)])).slope, 4);
+  return {
+    convergence_ms: slope(result => result.convergenceMs.median),
+    rest_bytes_per_second: slope(result => result.atRest.bytesPerSecond),
+    rest_core_percent: slope(result => result.atRest.corePercent),
+    source_calls_per_change: slope(result => result.sourceCallsPerChange),
+    restart_ready_ms: slope(result => result.restart?.readyMs ?? NaN),
+    restart_source_calls: slope(
+      result => result.restart?.cost.sourceCalls ?? NaN,
+    ),
+  };
+}
