--- a/src/bench/children.ts
+++ b/src/bench/children.ts
@@ -1,12 +1,10 @@
 /** Child processes of a bench run, each ended by its own handle. */
 import {ChildProcess, spawn} from 'node:child_process';
 import {readFileSync} from 'node:fs';
-import {createServer} from 'node:net';
-import {AddressInfo} from 'node:net';
+import {AddressInfo, createServer} from 'node:net';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 
-const LOOPBACK = '127.0.0.1';
 const STOP_TIMEOUT_MS = 3_000;
 /** Kernel ticks a second in the accounting of processor time on Linux. */
 const TICKS_PER_SECOND = 100;
@@ -122,17 +120,22 @@
   return Number(kb) / KB_PER_MB;
 }
 
+let nextHostNumber = 1;
+
 /**
- * Finds ports that are free at the moment.
- * @param count - How many.
- * @returns Loopback addresses.
+ * Finds addresses that are free. Each call takes a loopback address of its
+ * own, because outgoing connections take ports of 127.0.0.1 at any time.
+ * @param count - How many, of one loopback address.
+ * @returns The addresses.
  */
 export async function findFreeAddresses(count: number): Promise<string[]> {
+  const host = `127.0.1.${nextHostNumber}`;
+  nextHostNumber += 1;
   const servers = Array.from({length: count}, () => createServer());
   const addresses: string[] = [];
   for (const server of servers) {
-    await new Promise<void>(resolve => server.listen(0, LOOPBACK, resolve));
-    addresses.push(`${LOOPBACK}:${(server.address() as AddressInfo).port}`);
+    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    addresses.push(`${host}:${(server.address() as AddressInfo).port}`);
   }
   for (const server of servers) {
     await new Promise(resolve => server.close(resolve));
