--- a/src/core/owner/key_doubt.ts
+++ b/src/core/owner/key_doubt.ts
@@ -1,6 +1,8 @@
 /** Decides whether a home can vouch that an unrecorded key never ran. */
 import {FoldState} from '../../model/fold_state.js';
 import {getRendezvousWinner} from '../hashing.js';
+import {getIncarnation} from '../spread/membership.js';
+import {Owner, OwnerView} from './owner_state.js';
 
 /** Hexadecimal digits of a UUIDv7 that hold its Unix milliseconds. */
 const UUID_V7 =
@@ -28,7 +30,8 @@
  * @param clockSkewMs - Largest difference between any two VMs' clocks.
  * @param at - Now, in Unix milliseconds.
  * @returns False where the key is younger than this process, or every key
- *     from before its start has expired.
+ *     from before its start has expired. A key from the future was made by a
+ *     clock that is wrong, so its time proves nothing.
  */
 export function mayPredateStart(
   key: string,
@@ -41,7 +44,11 @@
     return false;
   }
   const mintedAt = tryGetMintTime(key);
-  return mintedAt === undefined || mintedAt <= startedAt + clockSkewMs;
+  return (
+    mintedAt === undefined ||
+    mintedAt <= startedAt + clockSkewMs ||
+    mintedAt > at + clockSkewMs
+  );
 }
 
 /**
@@ -78,3 +85,72 @@
   }
   return homes;
 }
+
+/**
+ * Gets how long the keys of a service are remembered.
+ * @param view - Read-only views of the other parts.
+ * @param service - The service.
+ * @returns Milliseconds, or undefined for an unknown service.
+ */
+export function getKeyLifetimeMs(
+  view: OwnerView,
+  service: string,
+): number | undefined {
+  return view.log.table.services.get(service)?.keyLifetimeMs;
+}
+
+/**
+ * Tells whether an earlier process beside this upstream may have run a key.
+ * @param view - Read-only views of the other parts.
+ * @param service - The key's service, which this upstream may have left.
+ * @param key - The key.
+ * @returns True where that cannot be ruled out.
+ */
+export function mayPredate(
+  view: OwnerView,
+  service: string,
+  key: string,
+): boolean {
+  const {settings, at} = view;
+  return mayPredateStart(
+    key,
+    settings.startedAt,
+    getKeyLifetimeMs(view, service) ?? Infinity,
+    settings.limits.clockSkewMs,
+    at,
+  );
+}
+
+/**
+ * Lists the former homes of a key that have not said what they ran.
+ * @param owner - The owner's state.
+ * @param view - Read-only views of the other parts.
+ * @param service - The service.
+ * @param key - The key.
+ * @returns Identifier and peer address of each.
+ */
+export function getUnsettledHomes(
+  owner: Owner,
+  view: OwnerView,
+  service: string,
+  key: string,
+): Map<string, string> {
+  const {id, limits} = view.settings;
+  const homes = getFormerHomes(
+    view.log.active,
+    id,
+    service,
+    key,
+    view.at,
+    limits.clockSkewMs,
+  );
+  for (const [homeId, handOver] of owner.handedOverBy) {
+    const isLatest =
+      getIncarnation(view.membership, homeId) <= handOver.incarnation;
+    // Each heir was told of its own keys only.
+    if (isLatest && getRendezvousWinner(key, handOver.heirs) === id) {
+      homes.delete(homeId);
+    }
+  }
+  return homes;
+}
--- a/src/core/owner/key_protocol.ts
+++ b/src/core/owner/key_protocol.ts
@@ -1,20 +1,19 @@
-/**
- * What a home does about a key: opens it for one run, closes it for an entry
- * or a newer home, and hands all keys over on a planned stop.
- */
-import {getRendezvousWinner} from '../hashing.js';
+/** How a home opens a key for one run, and what it remembers of the run. */
 import {createRefusal, Refusal} from '../refusals.js';
-import {Attempt, KeyVerdict, PeerRequest} from '../../model/peer.js';
+import {Attempt, KeyVerdict} from '../../model/peer.js';
 import {Answer, Emit} from '../types.js';
-import {getFormerHomes, mayPredateStart} from './key_doubt.js';
-import {getRecordId, getVerdict, isSettled, KeyRecord} from './key_records.js';
+import {getUnsettledHomes, mayPredate} from './key_doubt.js';
+import {getRecordId, isSettled, KeyRecord, setRecord} from './key_records.js';
 import {getOwnService, Owner, OwnerView} from './owner_state.js';
 
 /** Time after a deadline for which an attempt with a private key is kept. */
-const PRIVATE_KEY_GRACE_MS = 30_000;
+export const PRIVATE_KEY_GRACE_MS = 30_000;
 
 const RUNNING_RETRY_AFTER_MS = 500;
 
+/** Attempts that may wait for the answer of one that runs. */
+const MAX_WAITERS = 64;
+
 /** What to do with an attempt under a key. */
 export type KeyDecision =
   | {readonly kind: 'admit'}
@@ -48,27 +47,31 @@
   const {service, key = ''} = attempt;
   const recordId = getRecordId(service, key);
   const record = owner.keys.get(recordId);
-  if (record !== undefined && record.expiresAt > view.at) {
-    return resumeKey(record, attempt);
+  // A record that is not settled counts however old it is: its run may go on.
+  const counts =
+    record !== undefined && (record.expiresAt > view.at || !isSettled(record));
+  if (counts && record.kind !== 'open') {
+    return resumeKey(owner, recordId, record, attempt);
   }
-  if (owner.keys.size >= view.settings.limits.maxKeyRecords) {
+  const isFull = owner.keys.size >= view.settings.limits.maxKeyRecords;
+  if (record === undefined && isFull) {
     const refusal = createRefusal('key_table_full', RUNNING_RETRY_AFTER_MS);
     return finish(
       attempt.privateKey ? {...refusal, outcome: 'not-run'} : refusal,
     );
   }
   const expiresAt = getExpiry(view, attempt, deadlineAt);
-  if (attempt.privateKey) {
-    setRecord(owner, recordId, queuedRecord(attempt, expiresAt));
+  if (attempt.privateKey || counts) {
+    setRecord(owner.keys, recordId, queuedRecord(attempt, expiresAt));
     return ADMIT;
   }
-  if (mayPredate(view, key)) {
-    setRecord(owner, recordId, {kind: 'in-doubt', expiresAt});
+  if (mayPredate(view, service, key)) {
+    setRecord(owner.keys, recordId, {kind: 'in-doubt', expiresAt});
     return finish(createRefusal('key_in_doubt'));
   }
   const homes = getUnsettledHomes(owner, view, service, key);
   if (homes.size === 0) {
-    setRecord(owner, recordId, queuedRecord(attempt, expiresAt));
+    setRecord(owner.keys, recordId, queuedRecord(attempt, expiresAt));
     return ADMIT;
   }
   askFormerHomes(owner, view, attempt, deadlineAt, homes, emit);
@@ -76,11 +79,20 @@
 }
 
 function queuedRecord(attempt: Attempt, expiresAt: number): KeyRecord {
-  return {kind: 'queued', attemptId: attempt.attemptId, expiresAt};
+  const {attemptId, fingerprint} = attempt;
+  return {kind: 'queued', attemptId, fingerprint, expiresAt};
 }
 
 /** Decides about a key that has a record. */
-function resumeKey(record: KeyRecord, attempt: Attempt): KeyDecision {
+function resumeKey(
+  owner: Owner,
+  recordId: string,
+  record: Exclude<KeyRecord, {kind: 'open'}>,
+  attempt: Attempt,
+): KeyDecision {
+  if ('fingerprint' in record && record.fingerprint !== attempt.fingerprint) {
+    return finish(createRefusal('key_reused'));
+  }
   switch (record.kind) {
     case 'finished':
       return finish(record.answer);
@@ -94,7 +106,11 @@
     case 'queued':
       return finish(createRefusal('key_running', RUNNING_RETRY_AFTER_MS));
     case 'running':
+      if (record.waiters.length >= MAX_WAITERS) {
+        return finish(createRefusal('key_running', RUNNING_RETRY_AFTER_MS));
+      }
       record.waiters.push(attempt.attemptId);
+      owner.waiting.set(attempt.attemptId, recordId);
       return WAIT;
   }
 }
@@ -111,38 +127,6 @@
   return Math.max(view.at + lifetimeMs, deadlineAt + PRIVATE_KEY_GRACE_MS);
 }
 
-function mayPredate(view: OwnerView, key: string): boolean {
-  const {settings, at} = view;
-  return mayPredateStart(
-    key,
-    settings.startedAt,
-    getOwnService(view)?.keyLifetimeMs ?? 0,
-    settings.limits.clockSkewMs,
-    at,
-  );
-}
-
-/** Former homes that have not told us what they ran. */
-function getUnsettledHomes(
-  owner: Owner,
-  view: OwnerView,
-  service: string,
-  key: string,
-): Map<string, string> {
-  const homes = getFormerHomes(
-    view.log.active,
-    view.settings.id,
-    service,
-    key,
-    view.at,
-    view.settings.limits.clockSkewMs,
-  );
-  for (const id of owner.handedOverBy) {
-    homes.delete(id);
-  }
-  return homes;
-}
-
 function askFormerHomes(
   owner: Owner,
   view: OwnerView,
@@ -151,16 +135,17 @@
   homes: ReadonlyMap<string, string>,
   emit: Emit,
 ): void {
-  const {service, key = '', attemptId} = attempt;
+  const {service, key = '', attemptId, fingerprint} = attempt;
   const addresses = new Set(homes.values());
   const expiresAt = getExpiry(view, attempt, deadlineAt);
-  setRecord(owner, getRecordId(service, key), {
+  setRecord(owner.keys, getRecordId(service, key), {
     kind: 'asking',
     attemptId,
+    fingerprint,
     silentHomes: addresses,
     expiresAt,
   });
-  owner.asking.set(attemptId, {attempt, deadlineAt});
+  owner.asking.set(attemptId, {attempt, deadlineAt, cancelled: false});
   const version = view.log.active.version;
   for (const address of addresses) {
     emit({kind: 'count', counter: 'key_asked', reason: 'former_home'});
@@ -185,7 +170,8 @@
  * @param address - The former home's peer address.
  * @param attemptId - The attempt that waits.
  * @param verdict - Its word, or undefined where it did not answer.
- * @returns The attempt with the decision once it is settled.
+ * @returns The attempt with the decision once it is settled; undefined too
+ *     where its entry has gone away.
  */
 export function settleFormerHome(
   owner: Owner,
@@ -210,16 +196,20 @@
       return undefined;
     }
     owner.asking.delete(attemptId);
-    setRecord(owner, recordId, queuedRecord(attempt, expiresAt));
+    if (waiting.cancelled) {
+      setRecord(owner.keys, recordId, {kind: 'open', expiresAt});
+      return undefined;
+    }
+    setRecord(owner.keys, recordId, queuedRecord(attempt, expiresAt));
     return {...waiting, decision: ADMIT};
   }
   owner.asking.delete(attemptId);
   if (verdict?.status === 'closed') {
     const closed = {kind: 'closed', cause: 'refused', expiresAt} as const;
-    setRecord(owner, recordId, closed);
+    setRecord(owner.keys, recordId, closed);
     return {...waiting, decision: finish(createRefusal('key_closed'))};
   }
-  setRecord(owner, recordId, {kind: 'in-doubt', expiresAt});
+  setRecord(owner.keys, recordId, {kind: 'in-doubt', expiresAt});
   return {...waiting, decision: finish(createRefusal('key_in_doubt'))};
 }
 
@@ -232,6 +222,7 @@
   replaceRecord(owner, attempt, ({expiresAt}) => ({
     kind: 'running',
     attemptId: attempt.attemptId,
+    fingerprint: attempt.fingerprint,
     waiters: [],
     expiresAt,
   }));
@@ -257,24 +248,48 @@
     // Nobody resends a private key, so its answer need not be kept.
     return result === 'in-doubt' || attempt.privateKey
       ? {kind: 'in-doubt', expiresAt}
-      : {kind: 'finished', answer: result, expiresAt};
+      : {
+          kind: 'finished',
+          fingerprint: attempt.fingerprint,
+          answer: result,
+          expiresAt,
+        };
   });
-  return record?.kind === 'running' ? record.waiters : [];
+  const waiters = record?.kind === 'running' ? record.waiters : [];
+  for (const attemptId of waiters) {
+    owner.waiting.delete(attemptId);
+  }
+  return waiters;
 }
 
 /**
- * Drops the record of an attempt that was cancelled before its dispatch.
- * Nobody was told anything, so the caller may send the key again.
+ * Takes back an attempt that was cancelled before its dispatch. Nobody was
+ * told anything, so the caller may send the key again.
  * @param owner - The owner's state.
  * @param attempt - The attempt, already taken from the queue.
  */
-export function forgetKey(owner: Owner, attempt: Attempt): void {
-  if (attempt.key === undefined) {
+export function reopenKey(owner: Owner, attempt: Attempt): void {
+  // Former homes that vouched for the key have closed it and would now be in
+  // doubt, so what they said is kept.
+  replaceRecord(owner, attempt, ({expiresAt}) => ({kind: 'open', expiresAt}));
+}
+
+/**
+ * Forgets an attempt that waits for others and was cancelled.
+ * @param owner - The owner's state.
+ * @param attemptId - The attempt.
+ */
+export function cancelWaiting(owner: Owner, attemptId: string): void {
+  const asking = owner.asking.get(attemptId);
+  if (asking !== undefined) {
+    asking.cancelled = true;
     return;
   }
-  const recordId = getRecordId(attempt.service, attempt.key);
-  if (owner.keys.get(recordId)?.kind === 'queued') {
-    owner.keys.delete(recordId);
+  const record = owner.keys.get(owner.waiting.get(attemptId) ?? '');
+  owner.waiting.delete(attemptId);
+  if (record?.kind === 'running') {
+    const index = record.waiters.indexOf(attemptId);
+    record.waiters.splice(index, index < 0 ? 0 : 1);
   }
 }
 
@@ -289,135 +304,13 @@
   }
   const recordId = getRecordId(attempt.service, attempt.key);
   const record = owner.keys.get(recordId);
-  if (record === undefined || isSettled(record)) {
+  const isOwn =
+    record !== undefined &&
+    'attemptId' in record &&
+    record.attemptId === attempt.attemptId;
+  if (!isOwn) {
     return undefined;
   }
   owner.keys.set(recordId, create(record));
   return record;
 }
-
-/** Stores a record at the end, so that the oldest stay first. */
-function setRecord(owner: Owner, recordId: string, record: KeyRecord): void {
-  owner.keys.delete(recordId);
-  owner.keys.set(recordId, record);
-}
-
-/** What closing a key found, and the attempt that it took from the queue. */
-export interface CloseResult {
-  readonly verdict: KeyVerdict;
-  readonly stoppedAttemptId?: string;
-}
-
-/**
- * Closes a key for an entry that gives up, or for a newer home.
- * @param owner - The owner's state.
- * @param view - Read-only views of the other parts.
- * @param request - The request.
- * @returns The verdict on which the asker may rely.
- */
-export function closeKey(
-  owner: Owner,
-  view: OwnerView,
-  request: Extract<PeerRequest, {kind: 'closeKey'}>,
-): CloseResult {
-  const {service, key, cause} = request;
-  const recordId = getRecordId(service, key);
-  const record = owner.keys.get(recordId);
-  const closedCause = cause === 'moved' ? 'moved' : 'refused';
-  const lifetimeMs =
-    view.log.table.services.get(service)?.keyLifetimeMs ??
-    view.log.active.config.services[service]?.keyLifetimeMs ??
-    0;
-  const expiresAt = view.at + Math.max(lifetimeMs, PRIVATE_KEY_GRACE_MS);
-  if (record === undefined) {
-    const doubtful =
-      !view.ready ||
-      mayPredate(view, key) ||
-      getUnsettledHomes(owner, view, service, key).size > 0;
-    setRecord(
-      owner,
-      recordId,
-      doubtful
-        ? {kind: 'in-doubt', expiresAt}
-        : {kind: 'closed', cause: closedCause, expiresAt},
-    );
-    return {verdict: {key, status: doubtful ? 'in-doubt' : 'never-ran'}};
-  }
-  if (record.kind === 'queued') {
-    setRecord(owner, recordId, {kind: 'closed', cause: closedCause, expiresAt});
-    return {
-      verdict: {key, status: 'never-ran'},
-      stoppedAttemptId: record.attemptId,
-    };
-  }
-  return {verdict: getVerdict(key, record)};
-}
-
-/**
- * Builds the messages by which a stopping proxy tells every other home of its
- * service all that it knows of keys. What they do not name never ran here.
- * @param owner - The owner's state.
- * @param view - Read-only views of the other parts.
- * @returns Requests by peer address.
- */
-export function createHandOvers(
-  owner: Owner,
-  view: OwnerView,
-): Map<string, PeerRequest> {
-  const service = getOwnService(view);
-  const requests = new Map<string, PeerRequest>();
-  if (service === undefined) {
-    return requests;
-  }
-  const fromId = view.settings.id;
-  const others = service.upstreams.filter(({id}) => id !== fromId);
-  const otherIds = others.map(({id}) => id);
-  const prefix = getRecordId(service.name, '');
-  for (const {id, peerAddress} of others) {
-    const records: KeyVerdict[] = [];
-    for (const [recordId, record] of owner.keys) {
-      const key = recordId.slice(prefix.length);
-      const isHeir =
-        recordId.startsWith(prefix) &&
-        getRendezvousWinner(key, otherIds) === id;
-      if (isHeir) {
-        records.push(getVerdict(key, record));
-      }
-    }
-    requests.set(peerAddress, {
-      kind: 'handOver',
-      service: service.name,
-      fromId,
-      records,
-    });
-  }
-  return requests;
-}
-
-/**
- * Takes over the keys of a proxy that stops as planned.
- * @param owner - The owner's state.
- * @param view - Read-only views of the other parts.
- * @param request - Its message.
- */
-export function takeHandOver(
-  owner: Owner,
-  view: OwnerView,
-  request: Extract<PeerRequest, {kind: 'handOver'}>,
-): void {
-  const lifetimeMs = getOwnService(view)?.keyLifetimeMs ?? 0;
-  const expiresAt = view.at + lifetimeMs;
-  for (const {key, status} of request.records) {
-    const recordId = getRecordId(request.service, key);
-    if (!owner.keys.has(recordId)) {
-      setRecord(
-        owner,
-        recordId,
-        status === 'closed' || status === 'never-ran'
-          ? {kind: 'closed', cause: 'refused', expiresAt}
-          : {kind: 'in-doubt', expiresAt},
-      );
-    }
-  }
-  owner.handedOverBy.add(request.fromId);
-}
--- a/src/core/owner/key_records.ts
+++ b/src/core/owner/key_records.ts
@@ -10,24 +10,30 @@
   | {
       readonly kind: 'asking';
       readonly attemptId: string;
+      readonly fingerprint: string;
       readonly silentHomes: Set<string>;
       readonly expiresAt: number;
     }
+  /** Never ran, former homes have vouched for it, and it may run. */
+  | {readonly kind: 'open'; readonly expiresAt: number}
   /** Admitted and not dispatched yet. */
   | {
       readonly kind: 'queued';
       readonly attemptId: string;
+      readonly fingerprint: string;
       readonly expiresAt: number;
     }
   | {
       readonly kind: 'running';
       readonly attemptId: string;
+      readonly fingerprint: string;
       /** Later attempts under the same key, which get the same answer. */
       readonly waiters: string[];
       readonly expiresAt: number;
     }
   | {
       readonly kind: 'finished';
+      readonly fingerprint: string;
       readonly answer: Answer;
       readonly expiresAt: number;
     }
@@ -40,30 +46,46 @@
   /** It may have run. */
   | {readonly kind: 'in-doubt'; readonly expiresAt: number};
 
-/** Records by service and key; insertion order is close to expiry order. */
+/** Records by service and key. */
 export type KeyRecords = Map<string, KeyRecord>;
 
 /** Key records looked at for expiry on each tick. */
 const EXPIRY_BATCH = 200;
 
+/**
+ * Stores a record at the end, where expiry looks last.
+ * @param records - The records.
+ * @param recordId - Names the record.
+ * @param record - The record.
+ */
+export function setRecord(
+  records: KeyRecords,
+  recordId: string,
+  record: KeyRecord,
+): void {
+  records.delete(recordId);
+  records.set(recordId, record);
+}
+
 export function getRecordId(service: string, key: string): string {
   return `${service} ${key}`;
 }
 
 /**
- * Drops records whose lifetime has passed, a bounded number each time.
+ * Drops records whose lifetime has passed. Looks at a bounded number of
+ * records each time and moves those that stay to the end, because private
+ * keys expire long before the shared ones that may stand in front of them.
  * @param records - The records.
  * @param at - Now, in Unix milliseconds.
  */
 export function expireRecords(records: KeyRecords, at: number): void {
-  let seen = 0;
-  for (const [id, record] of records) {
-    seen += 1;
-    if (seen > EXPIRY_BATCH || record.expiresAt > at) {
-      return;
-    }
-    if (isSettled(record)) {
-      records.delete(id);
+  const count = Math.min(EXPIRY_BATCH, records.size);
+  const oldest = records.entries();
+  for (let seen = 0; seen < count; seen += 1) {
+    const [id, record] = oldest.next().value as [string, KeyRecord];
+    records.delete(id);
+    if (record.expiresAt > at || !isSettled(record)) {
+      records.set(id, record);
     }
   }
 }
@@ -75,6 +97,7 @@
  */
 export function isSettled(record: KeyRecord): boolean {
   switch (record.kind) {
+    case 'open':
     case 'finished':
     case 'closed':
     case 'in-doubt':
@@ -103,6 +126,8 @@
         key,
         status: record.cause === 'refused' ? 'closed' : 'in-doubt',
       };
+    case 'open':
+      return {key, status: 'never-ran'};
     case 'asking':
     case 'queued':
     case 'in-doubt':
--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -19,16 +19,15 @@
   isSuspect,
   noteCrash,
 } from './crash_suspects.js';
+import {closeKey, createHandOvers, takeHandOver} from './key_closing.js';
 import {
-  closeKey,
-  createHandOvers,
-  forgetKey,
+  cancelWaiting,
   KeyDecision,
   markKeyEnded,
   markKeyRunning,
   openKey,
+  reopenKey,
   settleFormerHome,
-  takeHandOver,
 } from './key_protocol.js';
 import {expireRecords} from './key_records.js';
 import {
@@ -336,11 +335,12 @@
 ): void {
   const queued = removeQueued(owner.admission, attemptId);
   if (queued !== undefined) {
-    forgetKey(owner, queued.attempt);
+    reopenKey(owner, queued.attempt);
     emit({kind: 'count', counter: 'attempt_refused', reason: 'call_cancelled'});
     startQueued(owner, view, emit);
     return;
   }
+  cancelWaiting(owner, attemptId);
   const running = owner.admission.running.get(attemptId);
   // A keyed request runs on, so that a resend finds its answer.
   if (running?.attempt.idempotent === true) {
@@ -389,7 +389,11 @@
   emit({kind: 'count', counter: 'key_closed', reason: verdict.status});
   if (stoppedAttemptId !== undefined) {
     removeQueued(owner.admission, stoppedAttemptId);
-    const refusal = createRefusal('key_closed');
+    // Another home that takes over may run the key, so only an entry that
+    // gave up makes it certain that it will not run.
+    const refusal = createRefusal(
+      request.cause === 'moved' ? 'key_in_doubt' : 'key_closed',
+    );
     finishAttempt(owner, view, stoppedAttemptId, refusal, emit);
   }
   return {kind: 'closeKey', verdict};
--- a/src/core/owner/owner_state.ts
+++ b/src/core/owner/owner_state.ts
@@ -17,9 +17,11 @@
   readonly admission: Admission;
   readonly keys: KeyRecords;
   /** Attempts that wait for former homes to answer, by attempt. */
-  readonly asking: Map<string, {attempt: Attempt; deadlineAt: number}>;
+  readonly asking: Map<string, AskingAttempt>;
+  /** The key record of each attempt that waits for one that runs. */
+  readonly waiting: Map<string, string>;
   /** Proxies that stopped as planned and told us all that they ran. */
-  readonly handedOverBy: Set<string>;
+  readonly handedOverBy: Map<string, TakenHandOver>;
   /** A planned stop of this VM has begun. */
   draining: boolean;
   /** The upstream itself says that it drains. */
@@ -31,6 +33,21 @@
   drained: boolean;
 }
 
+export interface AskingAttempt {
+  readonly attempt: Attempt;
+  readonly deadlineAt: number;
+  /** Its entry went away. */
+  cancelled: boolean;
+}
+
+/** What a stopped home told; it covers the keys of which we are the heir. */
+export interface TakenHandOver {
+  /** Start of the process that stopped, in Unix milliseconds. */
+  readonly incarnation: number;
+  /** Upstreams among which its keys were shared out. */
+  readonly heirs: readonly string[];
+}
+
 /** What the owner reads from the other parts. */
 export interface OwnerView {
   readonly settings: CoreSettings;
@@ -46,7 +63,8 @@
     admission: createAdmission(),
     keys: new Map(),
     asking: new Map(),
-    handedOverBy: new Set(),
+    waiting: new Map(),
+    handedOverBy: new Map(),
     draining: false,
     upstreamDraining: false,
     crashed: false,
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -69,6 +69,10 @@
     409,
     'The idempotency key was closed without running; send the request again under a new key.',
   ),
+  key_reused: notRun(
+    422,
+    'The idempotency key was used for another request; send this one under a new key.',
+  ),
   quarantined: notRun(
     403,
     'The request crashed upstreams that ran it; correct the request, or wait until the quarantine ends.',
--- a/src/core/spread/membership.ts
+++ b/src/core/spread/membership.ts
@@ -131,6 +131,16 @@
   );
 }
 
+/**
+ * Gets the newest start of a proxy's process that has been heard of.
+ * @param membership - The view.
+ * @param id - The proxy.
+ * @returns Unix milliseconds, or 0 where nothing has been heard.
+ */
+export function getIncarnation(membership: Membership, id: string): number {
+  return membership.members.get(id)?.info.incarnation ?? 0;
+}
+
 /**
  * Picks the members heard of most recently, leaving ones first.
  * @param membership - The view.
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -119,6 +119,10 @@
     kind: z.literal('handOver'),
     service: NameSchema,
     fromId: NameSchema,
+    /** Start time of the stopping process, in Unix milliseconds. */
+    incarnation: z.number(),
+    /** The upstreams among which its keys are shared out. */
+    heirs: z.array(NameSchema).max(10_000).readonly(),
     records: z.array(KeyVerdictSchema).max(MAX_KEYS_PER_MESSAGE).readonly(),
   }),
 ]);
--- /dev/null
+++ b/test/owner/owner_fixture.ts
@@ -0,0 +1,227 @@
+/** Drives the owner role of one core, and reads its effects in short. */
+import {getRendezvousWinner} from '../../src/core/hashing.js';
+import {REFUSALS} from '../../src/core/refusals.js';
+import {Answer, Effect, FailureKind} from '../../src/core/types.js';
+import {Patch, Service} from '../../src/model/config.js';
+import {Attempt, KeyVerdict, PeerRequest} from '../../src/model/peer.js';
+import {
+  CoreFixture,
+  createServicePatch,
+  createSubmission,
+  getPeerAddress,
+  START_MS,
+} from '../support/core_fixture.js';
+
+/** Long enough after the start that no key predates it. */
+export const LONG_AFTER_START_MS = 120_000;
+
+export const OK: Answer = {
+  kind: 'answer',
+  status: 200,
+  headers: {},
+  body: new Uint8Array([1]),
+};
+
+/** The proxy beside `desk-1`. */
+export class OwnerFixture extends CoreFixture {
+  private sequence = 1;
+
+  constructor(upstreamIds: readonly string[], service: Partial<Service> = {}) {
+    super('desk-1');
+    this.adopt(createServicePatch(upstreamIds, service));
+    this.at = START_MS + LONG_AFTER_START_MS;
+  }
+
+  /** Puts a patch in force; all witnesses acknowledge it. */
+  publish(patch: Patch): void {
+    this.sequence += 1;
+    const submission = {
+      ...createSubmission(this.sequence, this.state.log.active.version, patch),
+      publishedAt: this.at,
+    };
+    this.reduce({
+      kind: 'sourceAnswered',
+      head: this.sequence,
+      submissions: [submission],
+    });
+    for (let n = 1; n < 10; n += 1) {
+      this.reduce({
+        kind: 'peerReplied',
+        address: getPeerAddress(`desk-${n}`),
+        request: {
+          kind: 'announce',
+          id: this.state.settings.id,
+          sequence: this.sequence,
+        },
+        reply: {kind: 'ok'},
+      });
+    }
+  }
+
+  /** An attempt reaches this owner. */
+  attempt(attemptId: string, changes: Partial<Attempt> = {}): string[] {
+    const attempt: Attempt = {
+      attemptId,
+      service: 'desk',
+      upstreamId: this.state.settings.id,
+      version: this.state.log.active.version,
+      idempotent: changes.key === undefined,
+      privateKey: false,
+      timeoutMs: 1_000,
+      fingerprint: 'f',
+      suspect: false,
+      priority: 'interactive',
+      ...changes,
+    };
+    return describeEffects(this.reduce({kind: 'attemptArrived', attempt}));
+  }
+
+  answer(attemptId: string, answer: Answer = OK): string[] {
+    return describeEffects(
+      this.reduce({kind: 'upstreamAnswered', attemptId, answer}),
+    );
+  }
+
+  fail(attemptId: string, failure: FailureKind): string[] {
+    return describeEffects(
+      this.reduce({kind: 'upstreamFailed', attemptId, failure}),
+    );
+  }
+
+  cancel(attemptId: string): string[] {
+    return describeEffects(this.reduce({kind: 'attemptCancelled', attemptId}));
+  }
+
+  tick(): string[] {
+    return describeEffects(this.reduce({kind: 'tick'}));
+  }
+
+  /** A peer asks this owner to close a key. */
+  close(
+    key: string,
+    attemptId: string,
+    cause: 'give-up' | 'moved' = 'give-up',
+    version = this.state.log.active.version,
+  ): string[] {
+    const request: PeerRequest = {
+      kind: 'closeKey',
+      service: 'desk',
+      key,
+      attemptId,
+      cause,
+      version,
+    };
+    return describeEffects(
+      this.reduce({kind: 'peerAsked', requestId: 'r', request}),
+    );
+  }
+
+  /** A former home answers this owner, or stays silent. */
+  settle(
+    formerHome: string,
+    key: string,
+    attemptId: string,
+    status?: KeyVerdict['status'],
+  ): string[] {
+    const address = getPeerAddress(formerHome);
+    const request: PeerRequest = {
+      kind: 'closeKey',
+      service: 'desk',
+      key,
+      attemptId,
+      cause: 'moved',
+      version: this.state.log.active.version,
+    };
+    const effects =
+      status === undefined
+        ? this.reduce({kind: 'peerFailed', address, request})
+        : this.reduce({
+            kind: 'peerReplied',
+            address,
+            request,
+            reply: {kind: 'closeKey', verdict: {key, status}},
+          });
+    return describeEffects(effects);
+  }
+}
+
+/**
+ * Shortens effects to one line each; gossip and source calls are left out.
+ * @param effects - The effects.
+ * @returns The lines.
+ */
+export function describeEffects(effects: readonly Effect[]): string[] {
+  return effects.flatMap(effect => {
+    switch (effect.kind) {
+      case 'dispatch':
+        return `dispatch ${effect.attemptId}`;
+      case 'abortDispatch':
+        return `abort ${effect.attemptId}`;
+      case 'finishAttempt':
+        return `${effect.attemptId}: ${describeResult(effect.result)}`;
+      case 'answerCall':
+        return `${effect.callId}: ${describeResult(effect.result)}`;
+      case 'sendAttempt':
+        return `send ${effect.attempt.attemptId} to ${effect.attempt.upstreamId}`;
+      case 'askPeer':
+        return effect.request.kind === 'closeKey' ||
+          effect.request.kind === 'handOver'
+          ? `ask ${effect.address} ${effect.request.kind}`
+          : [];
+      case 'replyPeer':
+        return effect.reply.kind === 'closeKey'
+          ? `verdict ${effect.reply.verdict.status}`
+          : [];
+      default:
+        return [];
+    }
+  });
+}
+
+function describeResult(
+  result: Extract<Effect, {kind: 'answerCall'}>['result'],
+): string {
+  return result.kind === 'answer'
+    ? `answer ${result.status}`
+    : `${result.reason} (${result.outcome}, ${REFUSALS[result.reason].status})`;
+}
+
+/**
+ * Finds a key by its homes under several sets of upstreams.
+ * @param homes - Each set with the home that the key must have there.
+ * @returns The key.
+ */
+export function findKey(
+  homes: ReadonlyArray<readonly [readonly string[], string]>,
+): string {
+  for (let n = 0; ; n += 1) {
+    const key = `key-${n}`;
+    if (homes.every(([ids, id]) => getRendezvousWinner(key, ids) === id)) {
+      return key;
+    }
+  }
+}
+
+/** Makes a UUIDv7 with the given time and a fixed rest. */
+export function createKeyMintedAt(at: number): string {
+  const hex = at.toString(16).padStart(12, '0');
+  return `${hex.slice(0, 8)}-${hex.slice(8)}-7000-8000-000000000000`;
+}
+
+/**
+ * Creates a patch that removes upstreams.
+ * @param ids - The upstreams.
+ * @returns The patch.
+ */
+export function createRemoval(...ids: readonly string[]): Patch {
+  return {upstreams: Object.fromEntries(ids.map(id => [id, null]))};
+}
+
+/**
+ * Creates a patch that adds upstreams to the service.
+ * @param ids - The upstreams.
+ * @returns The patch.
+ */
+export function createAddition(...ids: readonly string[]): Patch {
+  return {upstreams: createServicePatch(ids).upstreams};
+}
