Admission and crashes: refusal that outlasts its cause, and other holes

Cause, each by a test that failed first: - a service time learned while everything was slow refused all work, also at idle, so nothing ran and nothing was learned: overload outlasted its cause. A free slot now takes whatever has time left; - the estimate learned from refused connections, aborted runs, shed answers and cold starts. These no longer count, and one sample counts at most four times the average; - queued work was dispatched with too little time to finish; - a crashed or new upstream got all slots until its first answer; - one crash counted as two where a health probe came in between; - an answer that sheds load cleared a suspect; - old news of a cleared crash could end a quarantine, or count again; - news of a crash waited for gossip; it goes to the service at once. Also: less urgent work is no wait, an interactive request takes the place of a batch one, a blocked suspect does not hold others, two crashes shared with another request are no proof unless it ran as the only suspect at one, and a closed key is remembered from the time its caller was told.

Health probes no longer end a crash, and their word that an upstream drains cannot empty more than half of a service.

--- a/src/core/core_settings.ts
+++ b/src/core/core_settings.ts
@@ -1,5 +1,6 @@
 /** The settings that decisions depend on, as plain data. */
 import {Settings} from '../model/settings.js';
+import {DEFAULT_POLICY, Policy} from './policy.js';
 
 export interface CoreSettings {
   /** Name of the upstream beside this proxy. */
@@ -12,6 +13,7 @@
   readonly seeds: readonly string[];
   readonly dissemination: Settings['dissemination'];
   readonly limits: Settings['limits'];
+  readonly policy: Policy;
 }
 
 /**
@@ -19,12 +21,14 @@
  * @param settings - The checked settings.
  * @param peerAddress - Where peers reach this proxy.
  * @param startedAt - Start of the process, in Unix milliseconds.
+ * @param policy - Choices under load and faults.
  * @returns The core's settings.
  */
 export function createCoreSettings(
   settings: Settings,
   peerAddress: string,
   startedAt: number,
+  policy: Policy = DEFAULT_POLICY,
 ): CoreSettings {
   const {upstreamId: id, zone, region, seeds, dissemination, limits} = settings;
   return {
@@ -36,5 +40,6 @@
     seeds,
     dissemination,
     limits,
+    policy,
   };
 }
--- a/src/core/owner/admission.ts
+++ b/src/core/owner/admission.ts
@@ -3,30 +3,45 @@
  * still finish before its deadline, and refuses the rest at once.
  */
 import {createRefusal, Refusal} from '../refusals.js';
+import {Policy} from '../policy.js';
 import {Attempt} from '../../model/peer.js';
 
 /** Weight of one sample in the moving average of service times. */
 const SERVICE_TIME_WEIGHT = 0.1;
 
+/**
+ * Most by which one sample may exceed the average. A cold start takes many
+ * times longer and says nothing of the next requests.
+ */
+const MAX_SAMPLE_FACTOR = 4;
+
 /** Service time assumed before the first answer, in milliseconds. */
 const INITIAL_SERVICE_TIME_MS = 5;
 
 const MIN_RETRY_AFTER_MS = 10;
 
+/** Time left with which a request is still worth a try, in milliseconds. */
+const MIN_REMAINING_MS = 1;
+
 export interface AdmittedAttempt {
   readonly attempt: Attempt;
   readonly deadlineAt: number;
+  /** When it came, in Unix milliseconds. */
+  readonly arrivedAt: number;
   startedAt?: number;
+  /** Counts the dispatches of this process, from 1. */
+  dispatchNumber?: number;
   /** Suspected of crashing an upstream, so it runs alone among suspects. */
   readonly suspect: boolean;
 }
 
 export interface Admission {
   readonly running: Map<string, AdmittedAttempt>;
-  /** In the order in which they will run. */
+  /** In the order of arrival. */
   readonly queue: AdmittedAttempt[];
   serviceTimeMs: number;
-  /** When the upstream was first seen up after being down. */
+  dispatchCount: number;
+  /** When the upstream first answered after its start or a crash. */
   upSince?: number;
 }
 
@@ -36,16 +51,31 @@
   readonly slowStartMs: number;
 }
 
+/** What became of an attempt that asked to be queued. */
+export interface EnqueueResult {
+  /** It was refused. */
+  readonly refusal?: Refusal;
+  /** A less urgent one that lost its place to it. */
+  readonly displaced?: AdmittedAttempt;
+}
+
+/**
+ * What the end of a run says of service times. `answered`: it took as long as
+ * it took. `cut`: it would have taken longer. `nothing`: it did not run on.
+ */
+export type ServiceTimeEvidence = 'answered' | 'cut' | 'nothing';
+
 export function createAdmission(): Admission {
   return {
     running: new Map(),
     queue: [],
     serviceTimeMs: INITIAL_SERVICE_TIME_MS,
+    dispatchCount: 0,
   };
 }
 
 /**
- * Gets the slots that may be used now; a cold upstream starts with a few.
+ * Gets the slots that may be used now; a cold upstream starts with one.
  * @param admission - This part's state.
  * @param limits - The service's limits.
  * @param at - Now, in Unix milliseconds.
@@ -57,8 +87,11 @@
   at: number,
 ): number {
   const {slots, slowStartMs} = limits;
-  const warmMs = at - (admission.upSince ?? 0);
-  if (slowStartMs === 0 || warmMs >= slowStartMs) {
+  if (slowStartMs === 0) {
+    return slots;
+  }
+  const warmMs = at - (admission.upSince ?? at);
+  if (warmMs >= slowStartMs) {
     return slots;
   }
   return Math.max(1, Math.floor((slots * warmMs) / slowStartMs));
@@ -68,80 +101,142 @@
  * Queues an attempt, or refuses it where it could not finish in time.
  * @param admission - This part's state.
  * @param limits - The service's limits.
+ * @param policy - Order of the queue.
  * @param admitted - The attempt.
  * @param at - Now, in Unix milliseconds.
- * @returns The refusal, or undefined where the attempt was queued.
+ * @returns What became of it; empty where it was queued.
  */
 export function tryEnqueue(
   admission: Admission,
   limits: AdmissionLimits,
+  policy: Policy,
   admitted: AdmittedAttempt,
   at: number,
-): Refusal | undefined {
+): EnqueueResult {
+  const {queue, running, serviceTimeMs} = admission;
   const slots = getUsableSlots(admission, limits, at);
-  const waitMs = estimateWaitMs(admission, slots);
-  const free = admission.running.size < slots && admission.queue.length === 0;
-  if (!free && admission.queue.length >= limits.queue) {
-    return createRefusal('queue_full', getRetryAfterMs(waitMs));
+  const waiting = queue.filter(other => !isBlocked(admission, other)).length;
+  if (running.size + waiting < slots) {
+    // Only running tells whether the estimate is right, so a free slot takes
+    // whatever has time left.
+    queue.push(admitted);
+    return {};
+  }
+  const waitMs = estimateWaitMs(admission, policy, admitted, slots, at);
+  const late = at + waitMs + serviceTimeMs > admitted.deadlineAt;
+  if (policy.refusesLate && late) {
+    const retryAfterMs = getRetryAfterMs(waitMs);
+    return {refusal: createRefusal('deadline_too_short', retryAfterMs)};
+  }
+  if (queue.length < limits.queue) {
+    queue.push(admitted);
+    return {};
   }
-  if (at + waitMs + admission.serviceTimeMs > admitted.deadlineAt) {
-    return createRefusal('deadline_too_short', getRetryAfterMs(waitMs));
+  const displaced = findDisplaced(admission, policy, admitted, at);
+  if (displaced === undefined) {
+    return {refusal: createRefusal('queue_full', getRetryAfterMs(waitMs))};
+  }
+  queue.splice(queue.indexOf(displaced), 1, admitted);
+  return {displaced};
+}
+
+/** The last of the queue, where it is of a lower priority. */
+function findDisplaced(
+  admission: Admission,
+  policy: Policy,
+  admitted: AdmittedAttempt,
+  at: number,
+): AdmittedAttempt | undefined {
+  const {queue, serviceTimeMs} = admission;
+  const {queueOrder} = policy;
+  let last: AdmittedAttempt | undefined;
+  for (const other of queue) {
+    if (
+      last === undefined ||
+      !queueOrder.isBefore(other, last, at, serviceTimeMs)
+    ) {
+      last = other;
+    }
   }
-  insertByUrgency(admission.queue, admitted);
-  return undefined;
+  const yields =
+    last?.attempt.priority === 'batch' &&
+    admitted.attempt.priority === 'interactive' &&
+    queueOrder.isBefore(admitted, last, at, serviceTimeMs);
+  return yields ? last : undefined;
 }
 
-function estimateWaitMs(admission: Admission, slots: number): number {
-  const ahead = admission.queue.length + admission.running.size - slots + 1;
-  return Math.max(0, (ahead * admission.serviceTimeMs) / slots);
+/** Estimates the wait behind what runs and what will run earlier. */
+function estimateWaitMs(
+  admission: Admission,
+  policy: Policy,
+  admitted: AdmittedAttempt,
+  slots: number,
+  at: number,
+): number {
+  const {queue, running, serviceTimeMs} = admission;
+  const {queueOrder} = policy;
+  const earlier = queue.filter(
+    other => !queueOrder.isBefore(admitted, other, at, serviceTimeMs),
+  );
+  const ahead = earlier.length + running.size - slots + 1;
+  return Math.max(0, (ahead * serviceTimeMs) / slots);
 }
 
 function getRetryAfterMs(waitMs: number): number {
   return Math.ceil(Math.max(MIN_RETRY_AFTER_MS, waitMs));
 }
 
-/** Interactive before batch, then by deadline. */
-function insertByUrgency(
-  queue: AdmittedAttempt[],
-  admitted: AdmittedAttempt,
-): void {
-  let index = queue.length;
-  while (index > 0 && isMoreUrgent(admitted, queue[index - 1])) {
-    index -= 1;
+/** A suspect waits while another one runs. */
+function isBlocked(admission: Admission, admitted: AdmittedAttempt): boolean {
+  if (!admitted.suspect) {
+    return false;
   }
-  queue.splice(index, 0, admitted);
-}
-
-function isMoreUrgent(a: AdmittedAttempt, b: AdmittedAttempt): boolean {
-  if (a.attempt.priority !== b.attempt.priority) {
-    return a.attempt.priority === 'interactive';
+  for (const {suspect} of admission.running.values()) {
+    if (suspect) {
+      return true;
+    }
   }
-  return a.deadlineAt < b.deadlineAt;
+  return false;
 }
 
 /**
  * Takes the next attempt that may run now.
  * @param admission - This part's state.
  * @param limits - The service's limits.
+ * @param policy - Order of the queue.
  * @param at - Now, in Unix milliseconds.
  * @returns The attempt, already counted as running, or undefined.
  */
 export function tryStartNext(
   admission: Admission,
   limits: AdmissionLimits,
+  policy: Policy,
   at: number,
 ): AdmittedAttempt | undefined {
-  if (admission.running.size >= getUsableSlots(admission, limits, at)) {
+  const {queue, running, serviceTimeMs} = admission;
+  if (
+    queue.length === 0 ||
+    running.size >= getUsableSlots(admission, limits, at)
+  ) {
     return undefined;
   }
-  const suspectRuns = [...admission.running.values()].some(a => a.suspect);
-  const index = admission.queue.findIndex(a => !(a.suspect && suspectRuns));
-  if (index < 0) {
+  let next: AdmittedAttempt | undefined;
+  for (const other of queue) {
+    const isFirst =
+      next === undefined ||
+      policy.queueOrder.isBefore(other, next, at, serviceTimeMs);
+    if (isFirst && !isBlocked(admission, other)) {
+      next = other;
+    }
+  }
+  if (next === undefined) {
     return undefined;
   }
-  const [next] = admission.queue.splice(index, 1);
+  queue.splice(queue.indexOf(next), 1);
+  admission.dispatchCount += 1;
   next.startedAt = at;
-  admission.running.set(next.attempt.attemptId, next);
+  next.dispatchNumber = admission.dispatchCount;
+  running.set(next.attempt.attemptId, next);
   return next;
 }
 
@@ -149,12 +244,14 @@
  * Frees the slot of an attempt and learns from its service time.
  * @param admission - This part's state.
  * @param attemptId - The attempt.
+ * @param evidence - What its end says of service times.
  * @param at - Now, in Unix milliseconds.
  * @returns The attempt, or undefined where it was not running.
  */
 export function endRunning(
   admission: Admission,
   attemptId: string,
+  evidence: ServiceTimeEvidence,
   at: number,
 ): AdmittedAttempt | undefined {
   const ended = admission.running.get(attemptId);
@@ -162,12 +259,24 @@
     return undefined;
   }
   admission.running.delete(attemptId);
-  const sample = at - (ended.startedAt ?? at);
-  admission.serviceTimeMs +=
-    SERVICE_TIME_WEIGHT * (sample - admission.serviceTimeMs);
+  learnServiceTime(admission, at - (ended.startedAt ?? at), evidence);
   return ended;
 }
 
+function learnServiceTime(
+  admission: Admission,
+  tookMs: number,
+  evidence: ServiceTimeEvidence,
+): void {
+  const {serviceTimeMs} = admission;
+  const says =
+    evidence === 'answered' || (evidence === 'cut' && tookMs > serviceTimeMs);
+  if (says) {
+    const sample = Math.min(tookMs, serviceTimeMs * MAX_SAMPLE_FACTOR);
+    admission.serviceTimeMs += SERVICE_TIME_WEIGHT * (sample - serviceTimeMs);
+  }
+}
+
 /**
  * Takes an attempt out of the queue.
  * @param admission - This part's state.
@@ -185,18 +294,45 @@
 }
 
 /**
- * Takes out the queued attempts whose deadline has passed.
+ * Takes out the queued attempts that have waited and can no longer finish in
+ * time. While nothing runs the estimate may be wrong, so the one with most
+ * time left stays where it has any.
  * @param admission - This part's state.
+ * @param policy - Whether late requests are refused.
  * @param at - Now, in Unix milliseconds.
  * @returns The attempts, which must be refused.
  */
 export function removeExpired(
   admission: Admission,
+  policy: Policy,
   at: number,
 ): AdmittedAttempt[] {
-  const expired = admission.queue.filter(({deadlineAt}) => deadlineAt - at < 1);
+  const {queue, running, serviceTimeMs} = admission;
+  const isPast = ({deadlineAt}: AdmittedAttempt) =>
+    deadlineAt - at < MIN_REMAINING_MS;
+  const isLate = ({deadlineAt, arrivedAt}: AdmittedAttempt) =>
+    policy.refusesLate && arrivedAt < at && deadlineAt - at < serviceTimeMs;
+  const expired = queue.filter(other => isPast(other) || isLate(other));
+  if (running.size === 0 && expired.length === queue.length) {
+    const kept = getLatest(expired);
+    if (kept !== undefined && !isPast(kept)) {
+      expired.splice(expired.indexOf(kept), 1);
+    }
+  }
   for (const {attempt} of expired) {
     removeQueued(admission, attempt.attemptId);
   }
   return expired;
 }
+
+function getLatest(
+  attempts: readonly AdmittedAttempt[],
+): AdmittedAttempt | undefined {
+  return attempts.reduce<AdmittedAttempt | undefined>(
+    (latest, other) =>
+      latest === undefined || other.deadlineAt > latest.deadlineAt
+        ? other
+        : latest,
+    undefined,
+  );
+}
--- a/src/core/owner/crash_suspects.ts
+++ b/src/core/owner/crash_suspects.ts
@@ -11,6 +11,9 @@
 const SUSPECTS_PER_MESSAGE = 8;
 const MAX_SUSPECTS = 1_000;
 
+/** Crashes that are remembered of one request. */
+const MAX_CRASHES = 16;
+
 export interface CrashSuspects {
   readonly byFingerprint: Map<string, SuspectInfo>;
 }
@@ -19,34 +22,48 @@
   return {byFingerprint: new Map()};
 }
 
+/** One crash that cut a request off. */
+export interface CrashEvidence {
+  /** Names the crash: the upstream, its proxy's start and a count. */
+  readonly crash: string;
+  /** The request ran as a suspect, so no other suspect ran beside it. */
+  readonly sole: boolean;
+  /** When the suspicion ends, in Unix milliseconds. */
+  readonly expiresAt: number;
+}
+
 /**
  * Notes that an upstream's connection broke while it ran a request.
  * @param suspects - This part's state.
  * @param fingerprint - The request.
- * @param crash - Names the crash: the upstream and when it started.
- * @param expiresAt - When the suspicion ends, in Unix milliseconds.
+ * @param evidence - The crash.
  * @param emit - Takes counters and log lines.
  */
 export function noteCrash(
   suspects: CrashSuspects,
   fingerprint: string,
-  crash: string,
-  expiresAt: number,
+  evidence: CrashEvidence,
   emit: Emit,
 ): void {
-  const known = suspects.byFingerprint.get(fingerprint);
-  const earlier = known?.cleared === true ? [] : (known?.crashedAt ?? []);
-  const crashedAt = earlier.includes(crash) ? earlier : [...earlier, crash];
-  const info = {fingerprint, crashedAt, cleared: false, expiresAt};
-  store(suspects, info);
+  const {crash, sole, expiresAt} = evidence;
+  const wasProved = isProved(suspects.byFingerprint.get(fingerprint));
+  mergeSuspect(suspects, {
+    fingerprint,
+    crashedAt: [crash],
+    soleAt: sole ? [crash] : [],
+    clearedAt: [],
+    cleared: false,
+    expiresAt,
+  });
   emit({kind: 'count', counter: 'crash_suspected', reason: 'running'});
-  if (crashedAt.length === CRASHES_TO_QUARANTINE) {
+  const known = suspects.byFingerprint.get(fingerprint);
+  if (!wasProved && isProved(known)) {
     emit({kind: 'count', counter: 'crash_suspected', reason: 'quarantined'});
     emit({
       kind: 'log',
       level: 'error',
       part: 'crash',
-      message: `Quarantined request ${fingerprint} after crashes at ${crashedAt.join(', ')}.`,
+      message: `Quarantined request ${fingerprint} after crashes at ${known?.crashedAt.join(', ')}.`,
     });
   }
 }
@@ -66,12 +83,13 @@
   if (known === undefined || known.cleared) {
     return;
   }
-  store(suspects, {...known, cleared: true});
+  store(suspects, {...known, clearedAt: known.crashedAt, cleared: true});
   emit({kind: 'count', counter: 'crash_suspected', reason: 'cleared'});
 }
 
 /**
- * Takes in what a peer says of a suspect.
+ * Takes in what a peer says of a suspect. The lists only grow, so the order
+ * in which news arrives does not matter.
  * @param suspects - This part's state.
  * @param info - The peer's record.
  */
@@ -81,14 +99,40 @@
     store(suspects, info);
     return;
   }
-  const crashedAt = [...new Set([...known.crashedAt, ...info.crashedAt])];
-  const grew = crashedAt.length > known.crashedAt.length;
-  const cleared = known.cleared || info.cleared;
-  if (!grew && cleared === known.cleared) {
+  const crashedAt = unite(known.crashedAt, info.crashedAt);
+  const soleAt = unite(known.soleAt, info.soleAt);
+  const clearedAt = unite(known.clearedAt, info.clearedAt);
+  const isNews =
+    crashedAt.length > known.crashedAt.length ||
+    soleAt.length > known.soleAt.length ||
+    clearedAt.length > known.clearedAt.length;
+  if (!isNews) {
     return;
   }
+  const cleared = crashedAt.every(crash => clearedAt.includes(crash));
   const expiresAt = Math.max(known.expiresAt, info.expiresAt);
-  store(suspects, {...known, crashedAt, cleared, expiresAt});
+  store(suspects, {...known, crashedAt, soleAt, clearedAt, cleared, expiresAt});
+}
+
+function unite(a: readonly string[], b: readonly string[]): string[] {
+  return [...new Set([...a, ...b])].slice(-MAX_CRASHES);
+}
+
+/**
+ * Tells whether a request is proved to crash upstreams. Two crashes alone are
+ * no proof: a bystander may have shared both with the culprit. At one of them
+ * it must have been the only suspect that ran.
+ */
+function isProved(info: SuspectInfo | undefined): boolean {
+  if (info === undefined) {
+    return false;
+  }
+  const {crashedAt, soleAt, clearedAt} = info;
+  const open = crashedAt.filter(crash => !clearedAt.includes(crash));
+  return (
+    open.length >= CRASHES_TO_QUARANTINE &&
+    open.some(crash => soleAt.includes(crash))
+  );
 }
 
 /** Keeps the newest at the end, and the number bounded. */
@@ -115,12 +159,7 @@
   at: number,
 ): boolean {
   const known = suspects.byFingerprint.get(fingerprint);
-  return (
-    known !== undefined &&
-    !known.cleared &&
-    known.expiresAt > at &&
-    known.crashedAt.length >= CRASHES_TO_QUARANTINE
-  );
+  return known !== undefined && known.expiresAt > at && isProved(known);
 }
 
 /**
--- a/src/core/owner/key_protocol.ts
+++ b/src/core/owner/key_protocol.ts
@@ -229,8 +229,10 @@
 }
 
 /**
- * Notes the end of a run under a key.
+ * Notes the end of a run under a key. It is remembered for a lifetime from
+ * now, because the caller hears of it only now.
  * @param owner - The owner's state.
+ * @param view - Read-only views of the other parts.
  * @param attempt - The attempt that ran.
  * @param result - Its answer, or `in-doubt`, or `never-ran` where the upstream
  *     was never sent it.
@@ -238,10 +240,12 @@
  */
 export function markKeyEnded(
   owner: Owner,
+  view: OwnerView,
   attempt: Attempt,
   result: Answer | 'in-doubt' | 'never-ran',
 ): readonly string[] {
-  const record = replaceRecord(owner, attempt, ({expiresAt}) => {
+  const expiresAt = getExpiry(view, attempt, view.at);
+  const record = replaceRecord(owner, attempt, () => {
     if (result === 'never-ran') {
       return {kind: 'closed', cause: 'refused', expiresAt};
     }
--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -7,7 +7,9 @@
 import {Attempt, KeyVerdict, PeerReply, PeerRequest} from '../../model/peer.js';
 import {Answer, Emit, FailureKind} from '../types.js';
 import {
+  AdmittedAttempt,
   endRunning,
+  EnqueueResult,
   removeExpired,
   removeQueued,
   tryEnqueue,
@@ -34,6 +36,7 @@
   getLoadReport,
   getOwnService,
   isOwnerLeaving,
+  mayHonourDrainHint,
   Owner,
   OwnerView,
 } from './owner_state.js';
@@ -41,6 +44,9 @@
 const LEAVING_RETRY_AFTER_MS = 100;
 const DOWN_RETRY_AFTER_MS = 500;
 
+/** HTTP status by which an upstream sheds load. */
+const SHED_STATUS = 503;
+
 function hasSharedKey(attempt: Attempt): boolean {
   return attempt.key !== undefined && !attempt.privateKey;
 }
@@ -132,11 +138,15 @@
   deadlineAt: number,
   emit: Emit,
 ): void {
-  const refusal = tryAdmit(owner, view, attempt, deadlineAt);
+  const {refusal, displaced} = tryAdmit(owner, view, attempt, deadlineAt);
   if (refusal !== undefined) {
     refuseUnrun(owner, view, attempt, refusal, emit);
     return;
   }
+  if (displaced !== undefined) {
+    const full = createRefusal('queue_full', LEAVING_RETRY_AFTER_MS);
+    refuseUnrun(owner, view, displaced.attempt, full, emit);
+  }
   startQueued(owner, view, emit);
 }
 
@@ -145,18 +155,20 @@
   view: OwnerView,
   attempt: Attempt,
   deadlineAt: number,
-): Refusal | undefined {
+): EnqueueResult {
   if (isOwnerLeaving(owner, view)) {
-    return createRefusal('upstream_leaving', LEAVING_RETRY_AFTER_MS);
+    const refusal = createRefusal('upstream_leaving', LEAVING_RETRY_AFTER_MS);
+    return {refusal};
   }
   const service = getOwnService(view);
   if (service === undefined) {
-    return createRefusal('wrong_home', LEAVING_RETRY_AFTER_MS);
+    return {refusal: createRefusal('wrong_home', LEAVING_RETRY_AFTER_MS)};
   }
   const suspect =
     attempt.suspect || isSuspect(view.suspects, attempt.fingerprint);
-  const admitted = {attempt, deadlineAt, suspect};
-  return tryEnqueue(owner.admission, service, admitted, view.at);
+  const admitted = {attempt, deadlineAt, arrivedAt: view.at, suspect};
+  const {policy} = view.settings;
+  return tryEnqueue(owner.admission, service, policy, admitted, view.at);
 }
 
 /** Refuses an attempt that did not run, and closes its key first. */
@@ -167,7 +179,7 @@
   refusal: Refusal,
   emit: Emit,
 ): void {
-  const waiters = markKeyEnded(owner, attempt, 'never-ran');
+  const waiters = markKeyEnded(owner, view, attempt, 'never-ran');
   if (attempt.key !== undefined) {
     emit({kind: 'count', counter: 'key_closed', reason: refusal.reason});
   }
@@ -184,7 +196,8 @@
   }
   refuseExpired(owner, view, emit);
   for (;;) {
-    const next = tryStartNext(owner.admission, service, view.at);
+    const {policy} = view.settings;
+    const next = tryStartNext(owner.admission, service, policy, view.at);
     if (next === undefined) {
       return;
     }
@@ -199,7 +212,8 @@
 
 /** A process that wakes late must not dispatch what has expired meanwhile. */
 function refuseExpired(owner: Owner, view: OwnerView, emit: Emit): void {
-  for (const {attempt} of removeExpired(owner.admission, view.at)) {
+  const {policy} = view.settings;
+  for (const {attempt} of removeExpired(owner.admission, policy, view.at)) {
     const refusal = createRefusal('deadline_too_short');
     refuseUnrun(owner, view, attempt, refusal, emit);
   }
@@ -234,13 +248,18 @@
   answer: Answer,
   emit: Emit,
 ): void {
-  const ended = endRunning(owner.admission, attemptId, view.at);
+  // An upstream that sheds load has not run the request.
+  const ran = answer.status !== SHED_STATUS;
+  const evidence = ran ? 'answered' : 'nothing';
+  const ended = endRunning(owner.admission, attemptId, evidence, view.at);
   if (ended === undefined) {
     return;
   }
-  noteUpstreamUp(owner, view.at);
-  clearSuspect(view.suspects, ended.attempt.fingerprint, emit);
-  const waiters = markKeyEnded(owner, ended.attempt, answer);
+  if (ran) {
+    noteUpstreamUp(owner, ended, view.at);
+    clearSuspect(view.suspects, ended.attempt.fingerprint, emit);
+  }
+  const waiters = markKeyEnded(owner, view, ended.attempt, answer);
   for (const id of [attemptId, ...waiters]) {
     finishAttempt(owner, view, id, answer, emit);
   }
@@ -262,7 +281,8 @@
   failure: FailureKind,
   emit: Emit,
 ): void {
-  const ended = endRunning(owner.admission, attemptId, view.at);
+  const evidence = failure === 'timeout' ? 'cut' : 'nothing';
+  const ended = endRunning(owner.admission, attemptId, evidence, view.at);
   if (ended === undefined) {
     return;
   }
@@ -274,9 +294,9 @@
     return;
   }
   if (failure === 'reset') {
-    noteUpstreamCrash(owner, view, attempt.fingerprint, emit);
+    noteUpstreamCrash(owner, view, ended, emit);
   }
-  const waiters = markKeyEnded(owner, attempt, 'in-doubt');
+  const waiters = markKeyEnded(owner, view, attempt, 'in-doubt');
   const refusal = createLostRefusal(failure);
   for (const id of [attemptId, ...waiters]) {
     finishAttempt(owner, view, id, refusal, emit);
@@ -297,27 +317,35 @@
   }
 }
 
-function noteUpstreamUp(owner: Owner, at: number): void {
-  owner.crashed = false;
-  owner.admission.upSince ??= at;
+function noteUpstreamUp(
+  owner: Owner,
+  ended: AdmittedAttempt,
+  at: number,
+): void {
+  // What was dispatched before the crash says nothing of the new process.
+  if ((ended.dispatchNumber ?? 0) > owner.crashedDispatch) {
+    owner.admission.upSince ??= at;
+  }
 }
 
 function noteUpstreamCrash(
   owner: Owner,
   view: OwnerView,
-  fingerprint: string,
+  ended: AdmittedAttempt,
   emit: Emit,
 ): void {
-  // All that one crash cut off belongs to that one crash.
-  if (!owner.crashed) {
-    owner.crashed = true;
+  // All that had been dispatched when one crash was noticed belongs to it.
+  if ((ended.dispatchNumber ?? 0) > owner.crashedDispatch) {
+    owner.crashedDispatch = owner.admission.dispatchCount;
     owner.crashCount += 1;
     owner.admission.upSince = undefined;
   }
   const {id, startedAt, limits} = view.settings;
   const crash = `${id}/${startedAt}/${owner.crashCount}`;
   const expiresAt = view.at + limits.quarantineMs;
-  noteCrash(view.suspects, fingerprint, crash, expiresAt, emit);
+  const {fingerprint} = ended.attempt;
+  const sole = ended.suspect;
+  noteCrash(view.suspects, fingerprint, {crash, sole, expiresAt}, emit);
 }
 
 /**
@@ -352,19 +380,14 @@
  * Takes in what the upstream's health endpoint said; only a hint.
  * @param owner - This part's state.
  * @param view - Read-only views of the other parts.
- * @param healthy - The endpoint answered well.
  * @param draining - The upstream said that it drains.
  */
 export function takeProbe(
   owner: Owner,
   view: OwnerView,
-  healthy: boolean,
   draining: boolean,
 ): void {
-  owner.upstreamDraining = draining;
-  if (healthy) {
-    noteUpstreamUp(owner, view.at);
-  }
+  owner.upstreamDraining = draining && mayHonourDrainHint(owner, view);
 }
 
 /**
--- a/src/core/owner/owner_state.ts
+++ b/src/core/owner/owner_state.ts
@@ -26,9 +26,9 @@
   draining: boolean;
   /** The upstream itself says that it drains. */
   upstreamDraining: boolean;
-  /** The upstream crashed and has not answered since. */
-  crashed: boolean;
   crashCount: number;
+  /** Dispatches up to this number belong to the last crash or an older one. */
+  crashedDispatch: number;
   handOver?: HandOver;
   drained: boolean;
 }
@@ -67,8 +67,8 @@
     handedOverBy: new Map(),
     draining: false,
     upstreamDraining: false,
-    crashed: false,
     crashCount: 0,
+    crashedDispatch: 0,
     drained: false,
   };
 }
@@ -87,6 +87,27 @@
   );
 }
 
+/**
+ * Tells whether the upstream's own word that it drains is to be believed.
+ * Health endpoints mislead, so together they may not empty more than half of
+ * a service; where more claim to drain, the first ones by name are believed.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @returns False where the word must be ignored.
+ */
+export function mayHonourDrainHint(owner: Owner, view: OwnerView): boolean {
+  const {id} = view.settings;
+  const ids = getOwnService(view)?.upstreamIds ?? [];
+  const leaving = ids.filter(
+    other => other !== id && isLeaving(view.membership, other),
+  );
+  const limit = Math.floor(ids.length / 2);
+  const before = owner.upstreamDraining
+    ? leaving.filter(other => other < id)
+    : leaving;
+  return before.length < limit;
+}
+
 /**
  * Gets the service that the upstream beside this proxy belongs to.
  * @param view - Read-only views of the other parts.
--- /dev/null
+++ b/src/core/policy.ts
@@ -0,0 +1,26 @@
+/**
+ * The choices under load and faults that were decided by measurement; see
+ * `docs/policy.md`. They are data, so that experiments can compare others.
+ */
+import {QueueOrder, UrgencyOrder} from './owner/queue_order.js';
+
+export interface Policy {
+  /** Which queued request runs next. */
+  readonly queueOrder: QueueOrder;
+  /** Refuse at once what cannot finish before its deadline. */
+  readonly refusesLate: boolean;
+  /** How an entry chooses among the upstreams of a service. */
+  readonly balancing: 'two-choices' | 'least-loaded' | 'round-robin';
+  /** Utilization by which an upstream of another zone must be lower. */
+  readonly otherZonePenalty: number;
+  /** Utilization by which an upstream of another region must be lower. */
+  readonly otherRegionPenalty: number;
+}
+
+export const DEFAULT_POLICY: Policy = {
+  queueOrder: new UrgencyOrder(),
+  refusesLate: true,
+  balancing: 'two-choices',
+  otherZonePenalty: 0.25,
+  otherRegionPenalty: 2,
+};
--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -219,20 +219,9 @@
         emit,
       );
     case 'upstreamFailed':
-      return takeUpstreamFailure(
-        owner,
-        viewOwner(state, event.at),
-        event.attemptId,
-        event.failure,
-        emit,
-      );
+      return reduceUpstreamFailed(state, event, emit);
     case 'upstreamProbed':
-      return takeProbe(
-        owner,
-        viewOwner(state, event.at),
-        event.healthy,
-        event.draining,
-      );
+      return takeProbe(owner, viewOwner(state, event.at), event.draining);
     case 'drainRequested':
       return reduceDrain(state, event.at, emit);
     default:
@@ -565,12 +554,31 @@
   }
 }
 
-/** Starts a planned stop and tells a few peers at once. */
+/** A new crash is told at once, before the request is sent elsewhere. */
+function reduceUpstreamFailed(
+  state: ProxyState,
+  event: Extract<Event, {kind: 'upstreamFailed'}>,
+  emit: Emit,
+): void {
+  const {owner} = state;
+  const {at, attemptId, failure} = event;
+  takeUpstreamFailure(owner, viewOwner(state, at), attemptId, failure, emit);
+  if (failure === 'reset') {
+    tellService(state, at, emit);
+  }
+}
+
+/** Starts a planned stop and tells the service at once. */
 function reduceDrain(state: ProxyState, at: number, emit: Emit): void {
   startDrain(state.owner);
-  const {log, settings, membership} = state;
+  tellService(state, at, emit);
+}
+
+/** Sends news to the other proxies of the own service. */
+function tellService(state: ProxyState, at: number, emit: Emit): void {
+  const {log, settings, membership, suspects} = state;
   const self = describe(state, at);
-  const request = createGossip(self, membership, []);
+  const request = createGossip(self, membership, getSuspectNews(suspects));
   const own = log.table.upstreams.get(settings.id);
   const service =
     own === undefined ? undefined : log.table.services.get(own.service);
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -65,7 +65,11 @@
   fingerprint: z.string().max(128),
   /** Crashes during which it ran, each named once. */
   crashedAt: z.array(z.string()).max(64).readonly(),
-  /** It later ran to its end, so it did not cause the crash. */
+  /** Of these, the crashes at which no other suspect ran. */
+  soleAt: z.array(z.string()).max(64).readonly(),
+  /** Of these, the crashes after which it has run to its end. */
+  clearedAt: z.array(z.string()).max(64).readonly(),
+  /** It ran to its end after each crash, so it did not cause them. */
   cleared: z.boolean(),
   expiresAt: z.number(),
 });
--- /dev/null
+++ b/test/owner/crashes.test.ts
@@ -0,0 +1,181 @@
+import {
+  CrashSuspects,
+  createCrashSuspects,
+  getSuspectNews,
+  isQuarantined,
+  mergeSuspect,
+} from '../../src/core/owner/crash_suspects.js';
+import {SuspectInfo} from '../../src/model/peer.js';
+import {expect} from '../support/chai_setup.js';
+import {getPeerAddress} from '../support/core_fixture.js';
+import {OK, OwnerFixture} from './owner_fixture.js';
+
+const ALONE = ['desk-1'];
+const TRIO = ['desk-1', 'desk-2', 'desk-3'];
+
+/** All that an owner would gossip of its suspects. */
+function getNews(owner: OwnerFixture): SuspectInfo[] {
+  return getSuspectNews(owner.state.suspects);
+}
+
+function createOwnerOf(id: string): OwnerFixture {
+  const owner = new OwnerFixture(TRIO);
+  Object.assign(owner.state.settings, {id});
+  return owner;
+}
+
+function tell(owner: OwnerFixture, news: readonly SuspectInfo[]): void {
+  for (const info of news) {
+    mergeSuspect(owner.state.suspects, info);
+  }
+}
+
+/** Runs the fingerprints together, and all are cut by one crash. */
+function crash(owner: OwnerFixture, ...fingerprints: string[]): void {
+  owner.at += 100;
+  const ids = fingerprints.map(fingerprint => `${fingerprint}-${owner.at}`);
+  ids.forEach((id, n) =>
+    owner.attempt(id, {fingerprint: fingerprints[n], timeoutMs: 5_000}),
+  );
+  const {running} = owner.state.owner.admission;
+  for (const id of ids.filter(id => running.has(id))) {
+    owner.fail(id, 'reset');
+  }
+}
+
+describe('a request that crashes upstreams', () => {
+  it('is refused everywhere after two crashes, with its own reason', () => {
+    const first = createOwnerOf('desk-1');
+    const second = createOwnerOf('desk-2');
+    crash(first, 'poison', 'bystander');
+    tell(second, getNews(first));
+    const once = second.attempt('again', {fingerprint: 'poison'});
+    second.fail('again', 'reset');
+    const third = createOwnerOf('desk-3');
+    tell(third, getNews(second));
+    expect({
+      once,
+      here: second.attempt('p2', {fingerprint: 'poison'}),
+      elsewhere: third.attempt('p3', {fingerprint: 'poison'}),
+      newKey: third.call('c1', {fingerprint: 'poison', key: 'new'}),
+      bystander: third.attempt('b', {fingerprint: 'bystander'}),
+    }).toMatchSnapshot();
+  });
+
+  it('counts one crash once, whatever the health endpoint says meanwhile', () => {
+    const owner = new OwnerFixture(ALONE);
+    owner.attempt('a', {fingerprint: 'x'});
+    owner.attempt('b', {fingerprint: 'x'});
+    owner.fail('a', 'reset');
+    owner.reduce({kind: 'upstreamProbed', healthy: true, draining: false});
+    owner.fail('b', 'reset');
+    expect(owner.state.owner.crashCount).to.equal(1);
+    expect(getNews(owner)[0].crashedAt).to.have.length(1);
+  });
+
+  it('suspects only what was running', () => {
+    const owner = new OwnerFixture(ALONE, {slots: 1});
+    owner.attempt('runs', {fingerprint: 'running'});
+    owner.attempt('waits', {fingerprint: 'queued'});
+    owner.fail('runs', 'reset');
+    expect(getNews(owner).map(info => info.fingerprint)).to.deep.equal([
+      'running',
+    ]);
+  });
+
+  it('tells the service at once', () => {
+    const owner = new OwnerFixture(TRIO);
+    owner.attempt('a', {fingerprint: 'poison'});
+    const effects = owner.reduce({
+      kind: 'upstreamFailed',
+      attemptId: 'a',
+      failure: 'reset',
+    });
+    const told = effects.flatMap(effect =>
+      effect.kind === 'askPeer' && effect.request.kind === 'gossip'
+        ? {to: effect.address, suspects: effect.request.suspects.length}
+        : [],
+    );
+    expect(told).to.deep.equal([
+      {to: getPeerAddress('desk-2'), suspects: 1},
+      {to: getPeerAddress('desk-3'), suspects: 1},
+    ]);
+  });
+
+  it('clears bystanders that finish, but not by an answer that sheds load', () => {
+    const owner = new OwnerFixture(ALONE);
+    crash(owner, 'poison', 'bystander');
+    owner.attempt('b', {fingerprint: 'bystander'});
+    owner.answer('b');
+    owner.attempt('p', {fingerprint: 'poison'});
+    owner.answer('p', {...OK, status: 503});
+    const cleared = getNews(owner).map(info => [
+      info.fingerprint,
+      info.cleared,
+    ]);
+    expect(cleared).to.deep.equal([
+      ['poison', false],
+      ['bystander', true],
+    ]);
+  });
+
+  it('spares a bystander that shared two crashes with the culprit', () => {
+    // Their callers sent both again before the news of the first crash came.
+    const owners = ['desk-1', 'desk-2', 'desk-3'].map(createOwnerOf);
+    crash(owners[0], 'poison', 'bystander');
+    crash(owners[1], 'poison', 'bystander');
+    tell(owners[2], getNews(owners[0]));
+    tell(owners[2], getNews(owners[1]));
+    const [, , third] = owners;
+    const both = [
+      third.attempt('p', {fingerprint: 'poison'}),
+      third.attempt('b', {fingerprint: 'bystander'}),
+    ];
+    expect({
+      both,
+      crashed: third.fail('p', 'reset'),
+      poison: third.attempt('p2', {fingerprint: 'poison'}),
+    }).toMatchSnapshot();
+  });
+
+  it('stays quarantined whatever order the news comes in', () => {
+    const at = 1_000;
+    const base = {fingerprint: 'x', expiresAt: 9_000};
+    const old = {...base, crashedAt: ['c0'], clearedAt: ['c0'], soleAt: []};
+    const news = [
+      {...old, cleared: true},
+      {...old, clearedAt: [], cleared: false},
+      {
+        ...base,
+        crashedAt: ['c1', 'c2'],
+        clearedAt: [],
+        soleAt: ['c2'],
+        cleared: false,
+      },
+    ];
+    const orders = [
+      [0, 1, 2],
+      [0, 2, 1],
+      [1, 0, 2],
+      [1, 2, 0],
+      [2, 0, 1],
+      [2, 1, 0],
+    ];
+    const results = orders.map(order => {
+      const suspects: CrashSuspects = createCrashSuspects();
+      order.forEach(n => mergeSuspect(suspects, news[n]));
+      return isQuarantined(suspects, 'x', at);
+    });
+    expect(results).to.deep.equal(orders.map(() => true));
+  });
+
+  it('may run again when the quarantine ends', () => {
+    const owner = new OwnerFixture(ALONE);
+    crash(owner, 'poison');
+    crash(owner, 'poison');
+    const during = owner.attempt('a', {fingerprint: 'poison'});
+    owner.at += owner.state.settings.limits.quarantineMs;
+    const after = owner.attempt('b', {fingerprint: 'poison'});
+    expect({during, after}).toMatchSnapshot();
+  });
+});
