Routing and retries: holes found by tests of the entry

Cause, each by a test that failed first: - an owner whose upstream was down answered fast with an idle load report, which made it the favourite: 50 of 200 calls went there, now 1; - an upstream that always timed out was never avoided (50 of 200, now 3), while one timeout of a caller in a hurry ejected a healthy one; - where more than half of a service was ejected, all ejections were ignored; - load was measured against configured slots, not those that a cold upstream offers, and attempts sent since the last report were not counted; - an inner layer passed the refusal of a leaving upstream up the chain, so a planned stop failed whole calls, though a retry multiplies no work there; - a retry was paid for, and the upstream's own 503 lost, where no other upstream was left.

--- a/src/core/entry/balancer.ts
+++ b/src/core/entry/balancer.ts
@@ -4,6 +4,7 @@
   ServiceTargets,
   UpstreamTarget,
 } from '../config/routing_table.js';
+import {CoreSettings} from '../core_settings.js';
 import {getRendezvousWinner} from '../hashing.js';
 import {isLeaving, Membership} from '../spread/membership.js';
 import {getLoad, getUtilization, LoadView} from './load_view.js';
@@ -11,77 +12,74 @@
 /** Largest share of a service that failures may eject. */
 const MAX_EJECTED_SHARE = 0.5;
 
-/** Load that a farther upstream must be below by to be preferred. */
-const OTHER_ZONE_PENALTY = 0.25;
-const OTHER_REGION_PENALTY = 2;
-
-export interface Place {
-  readonly zone: string;
-  readonly region: string;
+/** What the choice depends on besides the service. */
+export interface BalancerView {
+  readonly membership: Membership;
+  readonly loads: LoadView;
+  /** Where this entry runs, and the weights of distances. */
+  readonly settings: Pick<CoreSettings, 'zone' | 'region' | 'policy'>;
+  readonly at: number;
+  readonly entropy: number;
 }
 
 /**
- * Chooses the less loaded of two random upstreams, nearer ones first.
+ * Chooses the upstream of an attempt by load, nearer ones first.
  * @param service - The service.
  * @param tried - Upstreams that this call has already tried.
- * @param membership - Tells who is leaving.
- * @param view - Tells load and failures.
- * @param place - Where this entry runs.
- * @param at - Now, in Unix milliseconds.
- * @param entropy - Random 32-bit integer.
+ * @param view - What is known of the upstreams.
  * @returns The upstream, or undefined where none takes new work.
  */
 export function chooseUpstream(
   service: ServiceTargets,
   tried: ReadonlySet<string>,
-  membership: Membership,
-  view: LoadView,
-  place: Place,
-  at: number,
-  entropy: number,
+  view: BalancerView,
 ): UpstreamTarget | undefined {
-  const candidates = getCandidates(service, tried, membership, view, at);
-  if (candidates.length <= 1) {
-    return candidates[0];
+  const candidates = getCandidates(service, tried, view);
+  if (candidates.length === 0) {
+    return undefined;
   }
-  const count = candidates.length;
-  const first = entropy % count;
-  const second = (first + 1 + ((entropy >>> 16) % (count - 1))) % count;
-  const cost = (upstream: UpstreamTarget) =>
-    getUtilization(getLoad(view, upstream.id), service.slots, at) +
-    getDistancePenalty(upstream, place);
-  return cost(candidates[first]) <= cost(candidates[second])
-    ? candidates[first]
-    : candidates[second];
+  const {loads, settings, at, entropy} = view;
+  const getCost = (upstream: UpstreamTarget) =>
+    getUtilization(getLoad(loads, upstream.id), service.slots, at) +
+    getDistancePenalty(upstream, settings);
+  return settings.policy.chooser.choose(candidates, getCost, entropy);
 }
 
 function getCandidates(
   service: ServiceTargets,
   tried: ReadonlySet<string>,
-  membership: Membership,
-  view: LoadView,
-  at: number,
+  view: BalancerView,
 ): UpstreamTarget[] {
-  const untried = service.upstreams.filter(
+  const {loads, membership, at} = view;
+  const taking = service.upstreams.filter(
     ({id}) =>
       !tried.has(id) &&
       !isLeaving(membership, id) &&
-      (view.get(id)?.leavingUntil ?? 0) <= at,
-  );
-  const healthy = untried.filter(
-    ({id}) => (view.get(id)?.ejectedUntil ?? 0) <= at,
+      (loads.get(id)?.leavingUntil ?? 0) <= at,
   );
-  // Evidence that condemns most of a service is more likely to be wrong, or
-  // of no use, so it is ignored.
-  const ejectedShare = 1 - healthy.length / untried.length;
-  return ejectedShare > MAX_EJECTED_SHARE ? untried : healthy;
+  const getEnd = ({id}: UpstreamTarget) => loads.get(id)?.ejectedUntil ?? 0;
+  const ejected = taking.filter(upstream => getEnd(upstream) > at);
+  if (ejected.length === 0) {
+    return taking;
+  }
+  // Evidence that condemns most of a service is more likely to be wrong, so
+  // those whose ejection ends first are used again.
+  ejected.sort((a, b) => getEnd(b) - getEnd(a));
+  const limit = Math.floor(service.upstreams.length * MAX_EJECTED_SHARE);
+  const avoided = new Set(ejected.slice(0, limit));
+  const healthy = taking.filter(upstream => !avoided.has(upstream));
+  return healthy.length > 0 ? healthy : taking;
 }
 
-function getDistancePenalty(upstream: UpstreamTarget, place: Place): number {
-  if (upstream.region !== place.region) {
-    return OTHER_REGION_PENALTY;
+function getDistancePenalty(
+  upstream: UpstreamTarget,
+  settings: BalancerView['settings'],
+): number {
+  const {zone, region, policy} = settings;
+  if (upstream.region !== region) {
+    return policy.otherRegionPenalty;
   }
-  return upstream.zone === place.zone ? 0 : OTHER_ZONE_PENALTY;
+  return upstream.zone === zone ? 0 : policy.otherZonePenalty;
 }
 
 /**
--- a/src/core/entry/entry.ts
+++ b/src/core/entry/entry.ts
@@ -20,7 +20,15 @@
 import {Answer, CallInfo, Emit, FailureKind} from '../types.js';
 import {chooseUpstream, getHome} from './balancer.js';
 import {Call, Calls, createCalls, removeCall} from './calls.js';
-import {getLoad, LoadView, noteAnswer, noteFailure} from './load_view.js';
+import {
+  getLoad,
+  LoadView,
+  noteFailure,
+  noteReport,
+  noteSuccess,
+  noteTimeout,
+  UpstreamLoad,
+} from './load_view.js';
 import {
   depositFirstAttempt,
   RetryBudgets,
@@ -185,15 +193,8 @@
   if (call.key !== undefined && !call.privateKey) {
     return getHome(view.table, service, call.key);
   }
-  return chooseUpstream(
-    service,
-    call.triedUpstreams,
-    view.membership,
-    entry.loads,
-    view.settings,
-    view.at,
-    view.entropy,
-  );
+  const {loads} = entry;
+  return chooseUpstream(service, call.triedUpstreams, {...view, loads});
 }
 
 function createAttempt(
@@ -242,7 +243,9 @@
     return;
   }
   const upstreamId = call.currentAttempt?.upstreamId ?? '';
-  noteAnswer(getLoad(entry.loads, upstreamId), load, view.at);
+  const upstream = getLoad(entry.loads, upstreamId);
+  noteReport(upstream, load, view.at);
+  noteOutcome(upstream, result, view.at);
   if (result.kind === 'answer') {
     takeAnswer(entry, view, call, result, emit);
     return;
@@ -250,6 +253,32 @@
   takeRefusal(entry, view, call, result, emit);
 }
 
+/** Learns from a result whether the upstream is well. */
+function noteOutcome(
+  load: UpstreamLoad,
+  result: Answer | Refusal,
+  at: number,
+): void {
+  if (result.kind === 'answer') {
+    noteSuccess(load);
+    return;
+  }
+  switch (result.reason) {
+    case 'upstream_down':
+    case 'proxy_not_ready':
+    case 'attempt_lost':
+    case 'answer_truncated':
+      noteFailure(load, at);
+      return;
+    case 'attempt_timeout':
+      noteTimeout(load, at);
+      return;
+    default:
+      // The owner is well, which says nothing of the upstream behind it.
+      return;
+  }
+}
+
 function takeAnswer(
   entry: Entry,
   view: EntryView,
@@ -320,7 +349,12 @@
   if (call === undefined || current === undefined) {
     return;
   }
-  noteFailure(getLoad(entry.loads, current.upstreamId), view.at);
+  const load = getLoad(entry.loads, current.upstreamId);
+  if (failure === 'timeout') {
+    noteTimeout(load, view.at);
+  } else {
+    noteFailure(load, view.at);
+  }
   const refusal = createFailureRefusal(failure, hasSharedKey(call));
   if (failure !== 'connect') {
     call.mayHaveRun = true;
@@ -430,14 +464,17 @@
   reason: RefusalReason | 'upstream_shed' | 'closed',
   emit: Emit,
 ): boolean {
-  const untried = call.route.target.upstreams.length > call.attemptCount;
+  // Leaving upstreams are known after one refusal, so they cause no retry
+  // storm, and a planned stop must not use up the budget. As nothing ran, a
+  // retry by an inner layer multiplies no work.
+  const free = reason === 'upstream_leaving';
   const inTime = call.deadlineAt - view.at >= MIN_ATTEMPT_MS;
-  if (call.info.retriedByOuter || !untried || !inTime) {
+  if ((call.info.retriedByOuter && !free) || !inTime) {
+    return false;
+  }
+  if (chooseTarget(entry, view, call) === undefined) {
     return false;
   }
-  // Leaving upstreams are known after one refusal, so they cause no retry
-  // storm, and a planned stop must not use up the budget.
-  const free = reason === 'upstream_leaving';
   if (!free && !tryWithdrawRetry(entry.budgets, call.route.service)) {
     emit({kind: 'count', counter: 'call_retried', reason: 'no_budget'});
     return false;
--- a/src/core/entry/load_view.ts
+++ b/src/core/entry/load_view.ts
@@ -5,6 +5,12 @@
 const EJECTION_BASE_MS = 500;
 const EJECTION_MAX_MS = 10_000;
 
+/**
+ * Timeouts in a row after which an upstream is avoided. One may only mean
+ * that its caller was in a hurry.
+ */
+const TIMEOUTS_TO_EJECT = 3;
+
 /**
  * Time for which an upstream that said that it leaves is avoided. Membership
  * news arrives long before it ends.
@@ -19,7 +25,10 @@
   reportedAt: number;
   /** Attempts that this entry has under way there. */
   ownAttempts: number;
+  /** Of these, the attempts that the last report may have counted. */
+  reportedAttempts: number;
   consecutiveFailures: number;
+  consecutiveTimeouts: number;
   ejectedUntil: number;
   /** Until then the upstream's own word that it leaves counts. */
   leavingUntil: number;
@@ -39,7 +48,9 @@
     load = {
       reportedAt: 0,
       ownAttempts: 0,
+      reportedAttempts: 0,
       consecutiveFailures: 0,
+      consecutiveTimeouts: 0,
       ejectedUntil: 0,
       leavingUntil: 0,
     };
@@ -49,21 +60,30 @@
 }
 
 /**
- * Notes the load that came with an answer; any answer ends an ejection.
+ * Notes that an upstream is well, which ends an ejection.
+ * @param load - The upstream's record.
+ */
+export function noteSuccess(load: UpstreamLoad): void {
+  load.consecutiveFailures = 0;
+  load.consecutiveTimeouts = 0;
+  load.ejectedUntil = 0;
+}
+
+/**
+ * Notes the load that an owner reported with an answer or refusal.
  * @param load - The upstream's record.
- * @param report - Its load, where the answer carried one.
+ * @param report - Its load, where there was one.
  * @param at - Now, in Unix milliseconds.
  */
-export function noteAnswer(
+export function noteReport(
   load: UpstreamLoad,
   report: LoadReport | undefined,
   at: number,
 ): void {
-  load.consecutiveFailures = 0;
-  load.ejectedUntil = 0;
   if (report !== undefined) {
     load.report = report;
     load.reportedAt = at;
+    load.reportedAttempts = load.ownAttempts;
     load.leavingUntil = report.leaving ? at + LEAVING_MEMORY_MS : 0;
   }
 }
@@ -79,6 +99,18 @@
   load.ejectedUntil = at + Math.min(EJECTION_MAX_MS, EJECTION_BASE_MS * factor);
 }
 
+/**
+ * Ejects an upstream after several timeouts in a row.
+ * @param load - The upstream's record.
+ * @param at - Now, in Unix milliseconds.
+ */
+export function noteTimeout(load: UpstreamLoad, at: number): void {
+  load.consecutiveTimeouts += 1;
+  if (load.consecutiveTimeouts >= TIMEOUTS_TO_EJECT) {
+    noteFailure(load, at);
+  }
+}
+
 /**
  * Estimates how busy an upstream is.
  * @param load - Its record.
@@ -92,6 +124,13 @@
   at: number,
 ): number {
   const fresh = at - load.reportedAt < REPORT_LIFETIME_MS;
-  const {running = 0, queued = 0} = (fresh ? load.report : undefined) ?? {};
-  return (Math.max(running + queued, load.ownAttempts) + 1) / slots;
+  const report = fresh ? load.report : undefined;
+  if (report === undefined) {
+    return (load.ownAttempts + 1) / slots;
+  }
+  const {running, queued} = report;
+  const sentSince = Math.max(0, load.ownAttempts - load.reportedAttempts);
+  const requests = Math.max(running + queued + sentSince, load.ownAttempts);
+  // A cold upstream offers fewer slots than the configuration says.
+  return (requests + 1) / Math.max(1, report.slots);
 }
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -2,6 +2,7 @@
  * The choices under load and faults that were decided by measurement; see
  * `docs/policy.md`. They are data, so that experiments can compare others.
  */
+import {Chooser, TwoChoices} from './entry/chooser.js';
 import {QueueOrder, UrgencyOrder} from './owner/queue_order.js';
 
 export interface Policy {
@@ -10,7 +11,7 @@
   /** Refuse at once what cannot finish before its deadline. */
   readonly refusesLate: boolean;
   /** How an entry chooses among the upstreams of a service. */
-  readonly balancing: 'two-choices' | 'least-loaded' | 'round-robin';
+  readonly chooser: Chooser;
   /** Utilization by which an upstream of another zone must be lower. */
   readonly otherZonePenalty: number;
   /** Utilization by which an upstream of another region must be lower. */
@@ -20,7 +21,7 @@
 export const DEFAULT_POLICY: Policy = {
   queueOrder: new UrgencyOrder(),
   refusesLate: true,
-  balancing: 'two-choices',
+  chooser: new TwoChoices(),
   otherZonePenalty: 0.25,
   otherRegionPenalty: 2,
 };
--- /dev/null
+++ b/test/entry/routing.test.ts
@@ -0,0 +1,231 @@
+import {createRefusal} from '../../src/core/refusals.js';
+import {FailureKind} from '../../src/core/types.js';
+import {expect} from '../support/chai_setup.js';
+import {getPeerAddress, START_MS} from '../support/core_fixture.js';
+import {OwnerFixture} from '../owner/owner_fixture.js';
+import {
+  EntryFixture,
+  LOCAL,
+  OK,
+  OTHER_REGION,
+  OTHER_ZONE,
+} from './entry_fixture.js';
+
+const FIVE = {
+  'desk-1': LOCAL,
+  'desk-2': LOCAL,
+  'desk-3': LOCAL,
+  'desk-4': LOCAL,
+  'desk-5': LOCAL,
+};
+
+/** Each upstream fails once; returns where later calls go. */
+function failAt(
+  entry: EntryFixture,
+  ids: readonly string[],
+  failure: FailureKind,
+): void {
+  const waiting = new Set(ids);
+  for (let n = 0; waiting.size > 0 && n < 1_000; n += 1) {
+    const attempt = entry.start(`f${n}`, {retriedByOuter: true});
+    const {attemptId} = attempt;
+    if (waiting.delete(attempt.upstreamId)) {
+      entry.reduce({kind: 'attemptFailed', attemptId, failure});
+    } else {
+      entry.finish(attempt);
+    }
+  }
+}
+
+describe('routing', () => {
+  it('prefers its zone, then its region, until they are busy', () => {
+    const entry = new EntryFixture({
+      'desk-1': LOCAL,
+      'desk-2': OTHER_ZONE,
+      'desk-3': OTHER_REGION,
+    });
+    const busy = (...ids: string[]) => {
+      entry.at += 5_000;
+      // Reports of all are needed before the comparison is fair.
+      const load = (id: string) => (ids.includes(id) ? {running: 10} : {});
+      entry.countTargets(50, load);
+      return entry.countTargets(300, load);
+    };
+    const counts = {idle: busy(), zone: busy('desk-1')};
+    expect(counts.idle['desk-1']).to.be.greaterThan(190);
+    expect(counts.idle['desk-3'] ?? 0).to.equal(0);
+    expect(counts.zone['desk-2']).to.be.greaterThan(190);
+    expect(counts).toMatchSnapshot();
+  });
+
+  it('spreads a herd of its own calls over the service', () => {
+    const entry = new EntryFixture(FIVE);
+    entry.countTargets(100);
+    // Others have loaded all but one; the reports say so.
+    for (const [id, load] of entry.state.entry.loads) {
+      load.report = {
+        running: id === 'desk-1' ? 0 : 5,
+        queued: 0,
+        slots: 10,
+        leaving: false,
+      };
+    }
+    const counts: Record<string, number> = {};
+    for (let n = 0; n < 30; n += 1) {
+      const {upstreamId} = entry.start(`h${n}`);
+      counts[upstreamId] = (counts[upstreamId] ?? 0) + 1;
+    }
+    expect(Object.keys(counts)).to.have.length(5);
+    expect(counts['desk-1']).to.be.lessThan(13);
+  });
+
+  it('counts the slots that an upstream offers while it is cold', () => {
+    const entry = new EntryFixture({'desk-1': LOCAL, 'desk-2': LOCAL});
+    const load = (id: string) =>
+      id === 'desk-1' ? {running: 1, slots: 1} : {running: 4};
+    entry.countTargets(20, load);
+    expect(entry.countTargets(50, load)).to.deep.equal({'desk-2': 50});
+  });
+
+  it('ejects at most half of a service', () => {
+    const entry = new EntryFixture(FIVE);
+    const ids = ['desk-1', 'desk-2', 'desk-3', 'desk-4'];
+    failAt(entry, ids, 'connect');
+    const {loads} = entry.state.entry;
+    ids.forEach((id, n) => {
+      const load = loads.get(id);
+      if (load !== undefined) {
+        load.ejectedUntil = entry.at + 100 * (n + 1);
+      }
+    });
+    const targets = new Set<string>();
+    for (let n = 0; n < 200; n += 1) {
+      targets.add(entry.start(`e${n}`).upstreamId);
+    }
+    expect([...targets].sort()).to.deep.equal(['desk-1', 'desk-2', 'desk-5']);
+  });
+
+  for (const reason of [
+    'upstream_down',
+    'proxy_not_ready',
+    'attempt_lost',
+    'answer_truncated',
+  ] as const) {
+    it(`avoids an idle upstream that refuses with ${reason}`, () => {
+      const entry = new EntryFixture(FIVE);
+      let refused = 0;
+      for (let n = 0; n < 200; n += 1) {
+        entry.at += 1;
+        const attempt = entry.start(`c${n}`, {retriedByOuter: true});
+        const fails = attempt.upstreamId === 'desk-1';
+        refused += fails ? 1 : 0;
+        entry.finish(attempt, fails ? createRefusal(reason) : OK);
+      }
+      expect(refused).to.equal(1);
+    });
+  }
+
+  it('does not eject an upstream for one caller that is in a hurry', () => {
+    const entry = new EntryFixture(FIVE);
+    failAt(entry, ['desk-1', 'desk-2'], 'timeout');
+    const counts = entry.countTargets(200);
+    expect(Object.keys(counts)).to.have.length(5);
+  });
+
+  it('avoids an upstream that times out again and again', () => {
+    const entry = new EntryFixture(FIVE);
+    let lost = 0;
+    for (let n = 0; n < 200; n += 1) {
+      entry.at += 1;
+      const attempt = entry.start(`c${n}`, {retriedByOuter: true});
+      const slow = attempt.upstreamId === 'desk-1';
+      lost += slow ? 1 : 0;
+      entry.finish(attempt, slow ? createRefusal('attempt_timeout') : OK);
+    }
+    expect(lost).to.equal(3);
+  });
+
+  it('avoids leaving upstreams, whoever brought the news', () => {
+    const entry = new EntryFixture(FIVE);
+    entry.reduce({
+      kind: 'sourceAnswered',
+      head: 1,
+      submissions: [],
+      vmList: {
+        revision: 1,
+        vms: [{upstreamId: 'desk-1', state: 'leaving'}],
+      },
+    });
+    entry.reduce({
+      kind: 'peerAsked',
+      requestId: 'g',
+      request: createGossipFrom('desk-2', entry),
+    });
+    const counts = entry.countTargets(100);
+    expect(Object.keys(counts).sort()).to.deep.equal([
+      'desk-3',
+      'desk-4',
+      'desk-5',
+    ]);
+  });
+});
+
+function createGossipFrom(id: string, entry: EntryFixture) {
+  return {
+    kind: 'gossip',
+    from: {
+      id,
+      zone: LOCAL[0],
+      region: LOCAL[1],
+      peerAddress: getPeerAddress(id),
+      incarnation: START_MS,
+      heartbeat: 1,
+      sequence: 1,
+      version: 1,
+      digest: entry.state.log.active.digest,
+      leaving: true,
+      ready: true,
+    },
+    members: [],
+    suspects: [],
+    vmRevision: 0,
+  } as const;
+}
+
+describe('a health endpoint that misleads', () => {
+  it('cannot empty a service, and may announce a drain', () => {
+    const ids = Object.keys(FIVE);
+    const owners = ids.map(id => {
+      const owner = new OwnerFixture(ids);
+      Object.assign(owner.state.settings, {id});
+      return owner;
+    });
+    const rounds: string[] = [];
+    for (let round = 1; round <= 5; round += 1) {
+      for (const owner of owners) {
+        owner.reduce({kind: 'upstreamProbed', healthy: false, draining: true});
+      }
+      const leaving = owners.map(owner => owner.state.owner.upstreamDraining);
+      // Everyone hears from everyone.
+      for (const owner of owners) {
+        for (const [n, other] of owners.entries()) {
+          const {id} = other.state.settings;
+          const from = {
+            ...createGossipFrom(id, new EntryFixture(FIVE)).from,
+            heartbeat: round,
+            leaving: leaving[n],
+          };
+          owner.state.membership.members.set(id, {info: from, heardAt: 0});
+        }
+      }
+      rounds.push(leaving.map(Number).join(''));
+    }
+    expect(rounds.slice(2)).to.deep.equal(['11000', '11000', '11000']);
+  });
+
+  it('does not keep a proxy from running work', () => {
+    const owner = new OwnerFixture(['desk-1']);
+    owner.reduce({kind: 'upstreamProbed', healthy: false, draining: false});
+    expect(owner.attempt('a')).to.deep.equal(['dispatch a']);
+  });
+});
