--- /dev/null
+++ b/test/processes/bad_input.test.ts
@@ -0,0 +1,180 @@
+/** Malformed and hostile input at each address on which a proxy listens. */
+import {once} from 'node:events';
+import {Caller} from '../../src/standins/harness/caller.js';
+import {Fleet, FleetNode} from '../../src/standins/harness/fleet.js';
+import {describeResult} from '../../src/standins/harness/load.js';
+import {untilTrue} from '../../src/standins/harness/until.js';
+import {expect} from '../support/chai_setup.js';
+import {BILLING_PLAN, createRead, startFleet} from './fleet_support.js';
+import {openSocket, RawAnswer, sendRaw} from './raw_socket.js';
+
+const MAX_REQUEST_BYTES = 1_000;
+const MAX_CONNECTIONS = 8;
+const RECEIVE_TIMEOUT_MS = 300;
+
+/** Builds a request head with its empty line. */
+function head(...lines: string[]): string {
+  return [...lines, 'Host: a', 'Connection: close', '', ''].join('\r\n');
+}
+
+const POST = 'POST /stock/bad HTTP/1.1';
+const GET = 'GET /stock/bad HTTP/1.1';
+const SMUGGLED = 'GET /stock/smuggled HTTP/1.1\r\nHost: a\r\n\r\n';
+
+/** Input that callers and peers alike may send. */
+const MALFORMED: Readonly<Record<string, readonly string[]>> = {
+  'not HTTP': ['\x16\x03\x01\x02 hello\r\n\r\n'],
+  'unknown method': [head('BREW /stock/bad HTTP/1.1')],
+  'header too large': [head(GET, `X-Filler: ${'x'.repeat(20_000)}`)],
+  'length and chunks': [
+    head(POST, 'Content-Length: 4', 'Transfer-Encoding: chunked'),
+    `0\r\n\r\n${SMUGGLED}`,
+  ],
+  'two lengths': [
+    head(POST, 'Content-Length: 4', 'Content-Length: 5'),
+    `abcd${SMUGGLED}`,
+  ],
+  'space before the colon': [head(POST, 'Content-Length : 4'), 'abcd'],
+  'chunked is not last': [
+    head(POST, 'Transfer-Encoding: chunked, identity'),
+    `0\r\n\r\n${SMUGGLED}`,
+  ],
+  'bad chunk size': [head(POST, 'Transfer-Encoding: chunked'), 'zz\r\nabc\r\n'],
+  'folded header': [head(POST, 'X-A: 1\r\n Content-Length: 4'), 'abcd'],
+};
+
+const BAD_CALLS: Readonly<Record<string, readonly string[]>> = {
+  'declared body too large': [
+    head(POST, `Content-Length: ${MAX_REQUEST_BYTES + 1}`),
+  ],
+  'chunked body too large': [
+    head(POST, 'Transfer-Encoding: chunked'),
+    `7d0\r\n${'x'.repeat(2_000)}\r\n0\r\n\r\n`,
+  ],
+  'bad deadline': [head(GET, 'Fireflysill-Deadline-Ms: soon')],
+  'key too long': [head(POST, `Idempotency-Key: ${'k'.repeat(1_000)}`)],
+  'two keys': [head(POST, 'Idempotency-Key: a', 'Idempotency-Key: b')],
+  'absolute target': [head('GET http://elsewhere/stock/bad HTTP/1.1')],
+  'slow sender': [`${GET}\r\nHost: a\r\n`],
+  'slow body': [head(POST, 'Content-Length: 10'), 'abc'],
+};
+
+const BAD_PEER_MESSAGES: Readonly<Record<string, readonly string[]>> = {
+  'unknown path': [head('GET /nowhere HTTP/1.1')],
+  'attempt is not JSON': [head(GET, 'Fireflysill-Attempt: {')],
+  'attempt of another shape': [head(GET, 'Fireflysill-Attempt: {"key":7}')],
+};
+
+describe('bad input', () => {
+  let fleet: Fleet;
+  let node: FleetNode;
+  let caller: Caller;
+
+  before(async () => {
+    fleet = await startFleet({
+      ...BILLING_PLAN,
+      limits: {
+        ...BILLING_PLAN.limits,
+        maxRequestBytes: MAX_REQUEST_BYTES,
+        maxCallerConnections: MAX_CONNECTIONS,
+        receiveTimeoutMs: RECEIVE_TIMEOUT_MS,
+      },
+    });
+    [node] = fleet.nodes;
+  });
+
+  beforeEach(() => {
+    caller = new Caller();
+  });
+
+  after(() => fleet.stop());
+
+  /** Whatever came before, the proxy serves and nothing bad was run. */
+  afterEach(async () => {
+    const read = createRead('good');
+    const result = await caller.send(node.proxy.ports.callers, read);
+    await caller.close();
+    const journal = await fleet.readJournal();
+    const paths = new Set(journal.map(({path}) => path));
+    expect(describeResult(result)).to.equal('answered 200');
+    expect([...paths]).to.deep.equal(['/stock/good']);
+  });
+
+  async function sendAll(
+    port: number,
+    cases: Readonly<Record<string, readonly string[]>>,
+  ): Promise<Record<string, RawAnswer>> {
+    const answers: Record<string, RawAnswer> = {};
+    for (const [name, pieces] of Object.entries(cases)) {
+      answers[name] = await sendRaw(port, pieces);
+    }
+    return answers;
+  }
+
+  /** Counters that have grown beyond 0, without their values. */
+  async function listCounters(name: string): Promise<readonly string[]> {
+    const metrics = await node.proxy.getMetrics();
+    return metrics
+      .split('\n')
+      .filter(line => line.startsWith(name) && !line.endsWith(' 0'))
+      .map(line => line.slice(0, line.lastIndexOf(' ')))
+      .sort();
+  }
+
+  it('from callers gets a clear error', async () => {
+    const {callers} = node.proxy.ports;
+    expect(await sendAll(callers, MALFORMED)).toMatchSnapshot();
+    expect(await sendAll(callers, BAD_CALLS)).toMatchSnapshot();
+  });
+
+  it('from peers gets a clear error', async () => {
+    const {peers} = node.proxy.ports;
+    expect(await sendAll(peers, MALFORMED)).toMatchSnapshot();
+    expect(await sendAll(peers, BAD_PEER_MESSAGES)).toMatchSnapshot();
+  });
+
+  it('from operators gets a clear error', async () => {
+    const {operators} = node.proxy.ports;
+    const requests = {
+      'unknown path': [head('GET /nowhere HTTP/1.1')],
+      'wrong method': [head('DELETE /v1/status HTTP/1.1')],
+    };
+    expect(await sendAll(operators, MALFORMED)).toMatchSnapshot();
+    expect(await sendAll(operators, requests)).toMatchSnapshot();
+  });
+
+  it('that ends half-way runs nothing', async () => {
+    const pieces = [head(POST, 'Content-Length: 100'), 'abc'];
+    const {callers, peers} = node.proxy.ports;
+    const answers = [
+      await sendRaw(callers, pieces, true),
+      await sendRaw(peers, pieces, true),
+    ];
+    expect(answers).toMatchSnapshot();
+  });
+
+  it('by too many connections leaves room for others afterwards', async () => {
+    const {callers} = node.proxy.ports;
+    const sockets = [];
+    for (let n = 0; n < MAX_CONNECTIONS; n += 1) {
+      sockets.push(await openSocket(callers));
+    }
+    const extra = await openSocket(callers);
+    if (!extra.closed) {
+      await once(extra, 'close');
+    }
+    sockets.forEach(socket => socket.destroy());
+    await untilTrue('connections to be free again', async () => {
+      const read = createRead('good');
+      const result = await caller.send(callers, read);
+      return result.kind === 'answered';
+    });
+  });
+
+  it('is counted by its kind', async () => {
+    expect(await listCounters('fireflysill_bad_input_total')).toMatchSnapshot();
+    expect(
+      await listCounters('fireflysill_call_refused_total'),
+    ).toMatchSnapshot();
+  });
+});
--- /dev/null
+++ b/test/processes/charges.test.ts
@@ -0,0 +1,137 @@
+/** Keyed charges while proxies are killed and paused. */
+import {Caller, CallResult} from '../../src/standins/harness/caller.js';
+import {Fleet} from '../../src/standins/harness/fleet.js';
+import {
+  countResults,
+  describeResult,
+  LoadRecord,
+} from '../../src/standins/harness/load.js';
+import {until, untilTrue} from '../../src/standins/harness/until.js';
+import {expect} from '../support/chai_setup.js';
+import {
+  auditFleet,
+  BILLING_PLAN,
+  CLEAN_AUDIT,
+  createCharge,
+  createRead,
+  resendUntil,
+  startFleet,
+  startLoad,
+  untilMore,
+} from './fleet_support.js';
+
+const WORK = {'x-work-ms': '20'};
+
+/** Time that callers of the paused proxy allow, in milliseconds. */
+const DEADLINE_MS = 1_000;
+const CHARGES_DURING_PAUSE = 12;
+
+function isAnswered(result: CallResult): boolean {
+  return result.kind === 'answered';
+}
+
+describe('charges across failing proxies', () => {
+  let fleet: Fleet;
+  let caller: Caller;
+
+  beforeEach(async () => {
+    fleet = await startFleet({
+      ...BILLING_PLAN,
+      routes: {
+        ...BILLING_PLAN.routes,
+        charges: {
+          pathPrefix: '/charges',
+          service: 'billing-core',
+          timeoutMs: DEADLINE_MS,
+        },
+      },
+    });
+    caller = new Caller();
+  });
+
+  afterEach(async () => {
+    await caller.close();
+    await fleet.stop();
+  });
+
+  it('run at most once when a proxy is killed, and resends agree', async () => {
+    const [victim, ...others] = fleet.nodes;
+    const load = startLoad(fleet.nodes, n => createCharge(`kill-${n}`, WORK));
+    await untilMore(load, 150);
+    await victim.proxy.kill();
+    await untilMore(load, 150);
+    await victim.proxy.start();
+    await victim.proxy.untilReady();
+    await untilMore(load, 150);
+    const records = [...(await load.stop())];
+    const unsettled = records.filter(
+      ({result}) => result.kind !== 'answered' && result.kind !== 'unreached',
+    );
+    for (const {call} of unsettled) {
+      const result = await caller.send(others[0].proxy.ports.callers, call);
+      records.push({call, proxyId: others[0].id, result, unreached: 0});
+    }
+    expect(await auditFleet(fleet, records)).to.deep.equal(CLEAN_AUDIT);
+    expect(countResults(records)['answered 200']).to.be.greaterThan(300);
+  });
+
+  it('run once when their owner is paused while they run', async () => {
+    const [entry, other] = fleet.nodes;
+    const {call, owner, first} = await runChargeElsewhere();
+    owner.proxy.child.signal('SIGSTOP');
+    const told = await first;
+    owner.proxy.child.signal('SIGCONT');
+    const resent = await resendUntil(caller, [entry, other], call, isAnswered);
+    const journal = await fleet.readJournal();
+    const runs = journal.filter(
+      ({path, cancelled}) => path === call.path && cancelled === undefined,
+    );
+    expect(told.kind === 'refused' && told.outcome).to.equal('unknown');
+    expect(isAnswered(resent[resent.length - 1])).to.equal(true);
+    expect(runs.length).to.equal(1);
+  });
+
+  /** Starts a charge whose owner is not the proxy that took it. */
+  async function runChargeElsewhere() {
+    const [entry] = fleet.nodes;
+    for (let n = 0; ; n += 1) {
+      const call = createCharge(`pause-${n}`, {'x-work-ms': '700'});
+      const first = caller.send(entry.proxy.ports.callers, call);
+      const run = await until('the charge to run', async () => {
+        const journal = await fleet.readJournal();
+        return journal.find(({path}) => path === call.path);
+      });
+      if (run.upstreamId !== entry.id) {
+        return {call, owner: fleet.getNode(run.upstreamId), first};
+      }
+      await first;
+    }
+  }
+
+  it('told not run by others never run when their owner wakes', async () => {
+    const [paused, ...others] = fleet.nodes;
+    paused.proxy.child.signal('SIGSTOP');
+    const sent = Array.from({length: CHARGES_DURING_PAUSE}, async (_, n) => {
+      const call = createCharge(`late-${n}`, WORK);
+      const {id, proxy} = others[n % others.length];
+      const result = await caller.send(proxy.ports.callers, call);
+      return {call, proxyId: id, result, unreached: 0} satisfies LoadRecord;
+    });
+    const records = await Promise.all(sent);
+    paused.proxy.child.signal('SIGCONT');
+    await untilServing(paused.id);
+    expect(await auditFleet(fleet, records)).to.deep.equal(CLEAN_AUDIT);
+    const kinds = new Set(records.map(({result}) => describeResult(result)));
+    expect([...kinds].some(kind => kind.startsWith('cut'))).to.equal(false);
+  });
+
+  /** A paused proxy has dealt with what it held when it serves again. */
+  async function untilServing(id: string): Promise<void> {
+    const {proxy} = fleet.getNode(id);
+    await untilTrue(`${id} to serve again`, async () => {
+      const read = createRead(`awake-${id}`);
+      const result = await caller.send(proxy.ports.callers, read);
+      return isAnswered(result);
+    });
+  }
+});
