Planned stops: accept no new callers, and leave idle connections a last request

Cause: under steady load a draining proxy never met a moment without calls, because its caller listener kept accepting; and closing idle keep-alive connections cut a request sent at that moment (demo on a scratch copy: once 'Waited 30000 ms in vain for the end of proxy', once 1 of 14901 requests cut with ECONNRESET). Ruled out: waiting for the callers to go away, since a stop must end under load. Change: the caller listener stops accepting when the stop begins; open connections end with their next answer, idle ones after a grace of 1 s. Before: both tests of test/processes/listener.test.ts fail. After: both pass.

--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -1,6 +1,8 @@
 /** Creates HTTP servers that bound what one sender can take. */
+import {once} from 'node:events';
 import {createServer, RequestListener, Server} from 'node:http';
-import {AddressInfo} from 'node:net';
+import {AddressInfo, Server as NetServer} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Settings} from '../model/settings.js';
 import {formatAddress, parseAddress} from './addresses.js';
 
@@ -9,6 +11,9 @@
 const MAX_HEADER_BYTES = 16_384;
 const CONNECTION_CHECK_MS = 1_000;
 
+/** Time in which an idle connection may still bring a last request. */
+const IDLE_GRACE_MS = 1_000;
+
 /** Status line for input that Node's parser rejects, by error code. */
 const PARSER_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -19,6 +24,8 @@
   readonly server: Server;
   /** The address on which it listens, with the actual port. */
   readonly address: string;
+  /** Resolves when it accepts no more and its last connection has ended. */
+  readonly closed: Promise<unknown>;
 }
 
 /**
@@ -75,16 +82,34 @@
     server.once('error', reject);
     server.listen(port, host, resolve);
   });
-  return {server, address: formatAddress(server.address() as AddressInfo)};
+  return {
+    server,
+    address: formatAddress(server.address() as AddressInfo),
+    closed: once(server, 'close'),
+  };
+}
+
+/**
+ * Stops accepting connections and leaves the open ones alone, idle ones too:
+ * closing one at the moment when its caller sends a request would cut that
+ * request.
+ * @param listener - The listener.
+ */
+export function stopAccepting({server}: Listener): void {
+  if (server.listening) {
+    // The HTTP server's own method would close idle connections at once.
+    NetServer.prototype.close.call(server);
+  }
 }
 
 /**
- * Stops accepting, closes idle connections and waits for the others.
+ * Stops accepting, lets connections end with their next answer for a while,
+ * then closes idle ones and waits for the others.
  * @param listener - The listener.
  */
 export async function closeGracefully(listener: Listener): Promise<void> {
-  const {server} = listener;
-  const closed = new Promise<void>(resolve => server.close(() => resolve()));
-  server.closeIdleConnections();
-  await closed;
+  stopAccepting(listener);
+  await Promise.race([listener.closed, sleep(IDLE_GRACE_MS)]);
+  listener.server.closeIdleConnections();
+  await listener.closed;
 }
--- a/src/proxy/proxy_runtime.ts
+++ b/src/proxy/proxy_runtime.ts
@@ -9,7 +9,7 @@
 import {ConnectionPools} from './connections.js';
 import {ControlClient, ControlTraffic} from './control_channel.js';
 import {CoreLoop} from './core_loop.js';
-import {closeGracefully, listen, Listener} from './listener.js';
+import {closeGracefully, stopAccepting, listen, Listener} from './listener.js';
 import {PartLogs} from './log.js';
 import {ProxyLevels, ProxyMetrics} from './metrics.js';
 import {OperatorServer} from './operator_server.js';
@@ -50,6 +50,7 @@
   private readonly source: SourceClient;
   private readonly control: ControlClient;
   private listeners: Listener[] = [];
+  private callerListener?: Listener;
   private loop?: CoreLoop;
   private ownAddress = '';
   private finishDrain: () => void = () => undefined;
@@ -125,6 +126,7 @@
       countBadInput,
       (req, res) => void operator.handle(req, res),
     );
+    this.callerListener = callers;
     this.listeners = [callers, peers, operators];
     this.startTimers();
     loop.post({kind: 'started'});
@@ -165,6 +167,11 @@
     }
     this.callers.closing = true;
     this.logs.write('daemon', 'info', 'Planned stop begins.');
+    // Refused before they send anything, callers ask another proxy at once.
+    // New connections would also keep the stop from ever finding no calls.
+    if (this.callerListener !== undefined) {
+      stopAccepting(this.callerListener);
+    }
     this.post({kind: 'drainRequested'});
   }
 
