--- a/src/bench/call_latency.ts
+++ b/src/bench/call_latency.ts
@@ -72,6 +72,20 @@
   return {p50, p99};
 }
 
+/**
+ * Divides by medians, because the difference of two tails may be near zero in
+ * a single window. The range is that of the dividend.
+ */
+function divide(a: PercentileSpreads, b: PercentileSpreads): PercentileSpreads {
+  const scale = (spread: Spread, divisor: number): Spread => ({
+    median: spread.median / divisor,
+    min: spread.min / divisor,
+    max: spread.max / divisor,
+    samples: spread.samples,
+  });
+  return {p50: scale(a.p50, b.p50.median), p99: scale(a.p99, b.p99.median)};
+}
+
 function sumFailed(windows: readonly Window[]): number {
   return windows
     .flatMap(window => [...window.values()])
@@ -94,8 +108,8 @@
   const added = (arm: Arm) => (window: Window, percentile: number) =>
     getLatency(window, arm, percentile) -
     getLatency(window, direct, percentile);
-  const ratio = (arm: Arm, bare: Arm) => (window: Window, percentile: number) =>
-    added(arm)(window, percentile) / added(bare)(window, percentile);
+  const summarizeRatio = (arm: Arm, bare: Arm) =>
+    divide(summarize(windows, added(arm)), summarize(windows, added(bare)));
   return {
     plan,
     arms: Object.fromEntries(
@@ -108,8 +122,8 @@
     added: summarize(windows, added(pair)),
     addedOwn: summarize(windows, added(own)),
     addedBare: summarize(windows, added(bareTwo)),
-    addedOverBare: summarize(windows, ratio(pair, bareTwo)),
-    addedOwnOverBare: summarize(windows, ratio(own, bareOne)),
+    addedOverBare: summarizeRatio(pair, bareTwo),
+    addedOwnOverBare: summarizeRatio(own, bareOne),
   };
 }
 
@@ -148,9 +162,9 @@
       windows,
       (window, p) => added(pair)(window, p) / CHAIN_DEPTH,
     ),
-    addedOverBare: summarize(
-      windows,
-      (window, p) => added(pair)(window, p) / added(bareTwo)(window, p),
+    addedOverBare: divide(
+      summarize(windows, added(pair)),
+      summarize(windows, added(bareTwo)),
     ),
   };
 }
--- a/src/bench/convergence.ts
+++ b/src/bench/convergence.ts
@@ -19,6 +19,8 @@
   /** Changes published without waiting. */
   readonly burst: number;
   readonly restMs: number;
+  /** Single restarts; each is a process with all its proxies. */
+  readonly starts: number;
   readonly restart: boolean;
 }
 
@@ -45,6 +47,8 @@
   readonly inBurst: ControlCost;
   /** From the last publication of the burst until every proxy holds it. */
   readonly burstConvergenceMs: number;
+  /** From the start of one process until ready, in a fleet that runs. */
+  readonly startMs: Spread;
   readonly restart?: {
     /** From the start of the processes until every proxy is ready. */
     readonly readyMs: number;
@@ -142,6 +146,10 @@
   const atRest = await measureCost(fleet, () => sleep(plan.restMs));
   const burst = await measureBurst(fleet, plan.changes, plan.burst);
   const residentMb = fleet.getResidentMb();
+  const startMs: number[] = [];
+  for (let index = 0; index < plan.starts; index += 1) {
+    startMs.push(await fleet.restartOne());
+  }
   const restart = plan.restart ? await measureRestart(fleet) : undefined;
   await fleet.stop();
   const {size, zones, proxiesPerProcess} = plan.fleet;
@@ -156,6 +164,7 @@
     atRest,
     inBurst: burst.cost,
     burstConvergenceMs: burst.convergenceMs,
+    startMs: getSpread(startMs),
     restart,
     residentMbEach: getSpread(residentMb.map(mb => mb / proxiesPerProcess)),
   };
--- a/src/bench/fleet.ts
+++ b/src/bench/fleet.ts
@@ -12,6 +12,7 @@
   ProxyPlan,
   SettingsFolder,
   tryGetStatus,
+  waitForVersion,
 } from './proxies.js';
 
 const HOST_SCRIPT = './proxy_host.js';
@@ -138,6 +139,19 @@
     await this.startHosts();
   }
 
+  /**
+   * Ends one process without a drain and starts it again.
+   * @returns Milliseconds from its start until its first proxy is ready.
+   */
+  async restartOne(): Promise<number> {
+    const [host] = this.hosts;
+    await this.children.stop(host, 'SIGKILL');
+    const startedAt = performance.now();
+    this.hosts[0] = await this.startHost(this.groupSettings()[0]);
+    await waitForVersion(this.proxies[0].operators, this.version);
+    return performance.now() - startedAt;
+  }
+
   /** @returns What has been used so far; a restart begins anew. */
   async getUse(): Promise<FleetUse> {
     const stats = await Promise.all(
@@ -166,20 +180,26 @@
   }
 
   private async startHosts(): Promise<void> {
+    this.hosts = await Promise.all(
+      this.groupSettings().map(paths => this.startHost(paths)),
+    );
+  }
+
+  private groupSettings(): string[][] {
     const {proxiesPerProcess} = this.plan;
-    const ports = [
-      this.platform.address,
-      ...this.proxies.map(({peers}) => peers),
-    ].map(address => address.split(':')[1]);
     const groups: string[][] = [];
     for (let i = 0; i < this.settingsPaths.length; i += proxiesPerProcess) {
       groups.push(this.settingsPaths.slice(i, i + proxiesPerProcess));
     }
-    this.hosts = await Promise.all(
-      groups.map(paths =>
-        this.children.start(HOST_SCRIPT, [ports.join(','), ...paths]),
-      ),
-    );
+    return groups;
+  }
+
+  private startHost(paths: readonly string[]): Promise<Child> {
+    const controlPorts = [
+      this.platform.address,
+      ...this.proxies.map(({peers}) => peers),
+    ].map(address => address.split(':')[1]);
+    return this.children.start(HOST_SCRIPT, [controlPorts.join(','), ...paths]);
   }
 
   private async stopHosts(signal: NodeJS.Signals): Promise<void> {
--- a/src/bench/summary.ts
+++ b/src/bench/summary.ts
@@ -1,5 +1,6 @@
 /** The figures of a bench run as one flat JSON object. */
 import {PercentileSpreads} from './call_latency.js';
+import {CoreCost} from './core_cost.js';
 import {BenchPlan} from './plan.js';
 import {BenchResults, FleetResult} from './run_bench.js';
 import {fitLine, round, Spread} from './stats.js';
@@ -38,7 +39,7 @@
   plan: BenchPlan,
   results: BenchResults,
 ): Record<string, unknown> {
-  const {share, peak, chains, throughput, fleet} = results;
+  const {share, peak, chains, throughput, fleet, core} = results;
   const figures: Record<string, unknown> = {seed: plan.seed};
   addPercentiles(figures, 'added', '_ms', share?.added);
   addPercentiles(figures, 'added_over_bare', '', share?.addedOverBare);
@@ -64,7 +65,11 @@
   ] as const) {
     figures[key] = spread === undefined ? null : round(spread.median, 1);
   }
-  return {...figures, ...summarizeFleets(fleet)};
+  return {
+    ...figures,
+    ...summarizeFleets(fleet),
+    core: core.map(summarizeCore),
+  };
 }
 
 function summarizeFleets(
@@ -113,6 +118,7 @@
       (restart?.cost.bytesPerSecond ?? NaN) * (restart?.cost.seconds ?? NaN),
       0,
     ),
+    start_ms: round(result.startMs.median, 0),
     resident_mb_each: round(result.residentMbEach.median, 1),
   };
 }
@@ -132,3 +138,20 @@
     ),
   };
 }
+
+function summarizeCore(cost: CoreCost): Record<string, Figure> {
+  return {
+    size: cost.size,
+    idle_us_per_second: round(cost.idleUsPerSecond.median, 0),
+    change_us: round(cost.changeUs.median, 0),
+    entry_call_us: round(cost.entryCallUs.median, 1),
+    owner_call_us: round(cost.ownerCallUs.median, 1),
+    gossip_parse_us: round(cost.gossipParseUs.median, 0),
+    state_parse_us: round(cost.stateParseUs.median, 0),
+    state_bytes: cost.stateBytes,
+    gossip_bytes: cost.gossipBytes,
+    change_bytes: cost.changeBytes,
+    messages_per_change: cost.messagesPerChange,
+    heap_mb: round(cost.heapMb, 2),
+  };
+}
