A paused proxy reads what arrived before it gives an attempt up

Cause: test/processes/charges.test.ts, 'run once when their owner is paused while they run', never saw the charge answered: at SIGCONT the owner's timers run before its sockets, so it dropped the upstream's finished answer and put the key in doubt. Ruled out: longer timeouts; the order of timers and sockets decides. Change: an exchange whose time is over lets the sockets have one turn first.

--- a/src/proxy/http_exchange.ts
+++ b/src/proxy/http_exchange.ts
@@ -53,7 +53,10 @@
     this.result = new Promise(resolve => {
       this.resolve = resolve;
     });
-    this.timer = setTimeout(() => this.abort(), timeoutMs);
+    // A process that was paused finds its timers due before it has read what
+    // arrived meanwhile, so sockets get one turn first.
+    const abortAfterReading = () => setImmediate(() => this.abort());
+    this.timer = setTimeout(abortAfterReading, timeoutMs);
   }
 
   abort(): void {
