--- /dev/null
+++ b/src/experiments/candidates.ts
@@ -0,0 +1,98 @@
+/** What is compared: the policy in use, with one choice changed at a time. */
+import {DEFAULT_POLICY, Policy} from '../core/policy.js';
+import {Service} from '../model/config.js';
+import {RandomChoices, RoundRobin} from './choosers.js';
+import {Candidate} from './experiment.js';
+import {ArrivalOrder, DeadlineOrder, PenaltyOrder} from './orders.js';
+
+const UNLIMITED_QUEUE = 10_000;
+
+/** A queue that takes everything and runs it in the order of arrival. */
+const UNLIMITED: Partial<Policy> = {
+  queueOrder: new ArrivalOrder(),
+  refusesLate: false,
+};
+
+/** One decision with the candidates for it. */
+export interface Comparison {
+  readonly name: string;
+  readonly candidates: readonly Candidate[];
+}
+
+function vary(
+  name: string,
+  policy: Partial<Policy>,
+  service: Partial<Service> = {},
+): Candidate {
+  return {name, policy: {...DEFAULT_POLICY, ...policy}, service};
+}
+
+/**
+ * Lists all comparisons. Round robin keeps a count, so candidates are made
+ * anew for each run.
+ * @returns The comparisons; the first candidate is the policy in use.
+ */
+export function createComparisons(): Comparison[] {
+  const inUse = vary('in use', {});
+  const plainRetries = {...vary('plain retries', {}), hasEndlessRetries: true};
+  const naive: Candidate = {
+    ...vary(
+      'all three',
+      {...UNLIMITED, chooser: new RoundRobin()},
+      {queue: UNLIMITED_QUEUE},
+    ),
+    hasEndlessRetries: true,
+  };
+  return [
+    {
+      name: 'baselines',
+      candidates: [
+        inUse,
+        vary('round robin', {chooser: new RoundRobin()}),
+        vary('unlimited queue', UNLIMITED, {queue: UNLIMITED_QUEUE}),
+        plainRetries,
+        naive,
+      ],
+    },
+    {
+      name: 'queue order',
+      candidates: [
+        vary('arrival', {queueOrder: new ArrivalOrder()}),
+        vary('deadline', {queueOrder: new DeadlineOrder()}),
+        vary('penalty', {queueOrder: new PenaltyOrder()}),
+        vary('late ones not refused', {refusesLate: false}),
+      ],
+    },
+    {
+      name: 'queue bound',
+      candidates: [0, 8, 16, 128].map(queue =>
+        vary(`queue ${queue}`, {}, {queue}),
+      ),
+    },
+    {
+      name: 'choice of upstream',
+      candidates: [
+        vary('three choices', {chooser: new RandomChoices(3)}),
+        vary('least loaded', {chooser: new RandomChoices(Infinity)}),
+      ],
+    },
+    {
+      name: 'zone penalty',
+      candidates: [0, 0.1, 0.5, 1].map(otherZonePenalty =>
+        vary(`zone ${otherZonePenalty}`, {otherZonePenalty}),
+      ),
+    },
+    {
+      name: 'slow start',
+      candidates: [2_000, 5_000, 10_000].map(slowStartMs =>
+        vary(`slow start ${slowStartMs / 1_000} s`, {}, {slowStartMs}),
+      ),
+    },
+    {
+      name: 'retry budget',
+      candidates: [0, 5, 20, 50].map(retryBudgetPercent =>
+        vary(`budget ${retryBudgetPercent} %`, {}, {retryBudgetPercent}),
+      ),
+    },
+  ];
+}
--- /dev/null
+++ b/src/experiments/chance.ts
@@ -0,0 +1,34 @@
+/** Seeded random numbers. */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+const MAX_ENTROPY = 2 ** 32;
+
+export class Chance {
+  private readonly generator: RandomGenerator;
+
+  /** @param seed - Two with the same seed give the same numbers. */
+  constructor(seed: number) {
+    this.generator = xoroshiro128plus(seed);
+  }
+
+  /** @returns A number from 0 up to 1. */
+  getShare(): number {
+    return uniformFloat64(this.generator);
+  }
+
+  /** @returns An unsigned 32-bit integer. */
+  getEntropy(): number {
+    return Math.floor(this.getShare() * MAX_ENTROPY);
+  }
+
+  /**
+   * Draws from an exponential distribution.
+   * @param mean - Its mean.
+   * @returns A number above 0.
+   */
+  getExponential(mean: number): number {
+    return -mean * Math.log(1 - this.getShare());
+  }
+}
--- /dev/null
+++ b/src/experiments/measures.ts
@@ -0,0 +1,136 @@
+/** Figures of one run. */
+import {Outcome} from '../core/refusals.js';
+
+export interface CallRecord {
+  /** Arrival, in Unix milliseconds. */
+  readonly at: number;
+  readonly zone: string;
+  readonly isBatch: boolean;
+  readonly workMs: number;
+  attempts: number;
+  /** Attempts at upstreams of the caller's own zone. */
+  localAttempts: number;
+  result: Outcome | 'open';
+  tookMs: number;
+}
+
+/** Cost of a missed interactive and a missed batch call. */
+const INTERACTIVE_PENALTY = 10;
+const BATCH_PENALTY = 1;
+
+/** Share of the calls that must succeed for a window to count as recovered. */
+const RECOVERED_SHARE = 0.97;
+const WINDOW_MS = 500;
+
+/** When the fault began and ended, and when the run did. */
+export interface Phases {
+  readonly faultAt: number;
+  readonly normalAt: number;
+  readonly endAt: number;
+}
+
+export const MEASURES = {
+  goodput: 'answered, % of offered, during the fault',
+  interactive: 'the same for interactive calls',
+  penalty: 'penalty of missed calls, % of all possible',
+  refused: 'not-run, % of offered',
+  unknown: 'unknown outcome, % of offered',
+  refusalP50: 'time to refusal, ms, median',
+  refusalP99: 'time to refusal, ms, 99 in 100',
+  latencyP50: 'time to answer, ms, median',
+  latencyP99: 'time to answer, ms, 99 in 100',
+  retries: 'retries per 100 first tries',
+  local: 'attempts within the zone, %',
+  recoveryMs: 'time to recover once normal, ms',
+  afterwards: 'answered, % of offered, after the fault',
+} as const;
+
+export type Measures = Record<keyof typeof MEASURES, number>;
+
+/**
+ * Computes the figures of a run.
+ * @param records - All calls.
+ * @param phases - The fault.
+ * @returns The figures.
+ */
+export function measure(
+  records: readonly CallRecord[],
+  phases: Phases,
+): Measures {
+  const {faultAt, normalAt} = phases;
+  const during = records.filter(({at}) => at >= faultAt && at < normalAt);
+  const after = records.filter(({at}) => at >= normalAt);
+  const refused = during.filter(({result}) => result === 'not-run');
+  const answered = during.filter(({result}) => result === 'answered');
+  const attempts = sum(during, record => record.attempts);
+  const refusalTimes = sortTimes(refused);
+  const answerTimes = sortTimes(answered);
+  return {
+    goodput: getAnsweredShare(during),
+    interactive: getAnsweredShare(during.filter(({isBatch}) => !isBatch)),
+    penalty: getPenaltyShare(during),
+    refused: toPercent(refused.length, during.length),
+    unknown: toPercent(
+      during.filter(({result}) => result === 'unknown').length,
+      during.length,
+    ),
+    refusalP50: getQuantile(refusalTimes, 0.5),
+    refusalP99: getQuantile(refusalTimes, 0.99),
+    latencyP50: getQuantile(answerTimes, 0.5),
+    latencyP99: getQuantile(answerTimes, 0.99),
+    retries: toPercent(
+      sum(during, record => Math.max(0, record.attempts - 1)),
+      during.length,
+    ),
+    local: toPercent(
+      sum(during, record => record.localAttempts),
+      attempts,
+    ),
+    recoveryMs: getRecoveryMs(after, phases),
+    afterwards: getAnsweredShare(after),
+  };
+}
+
+/** Time after which each window until the end has recovered. */
+function getRecoveryMs(after: readonly CallRecord[], phases: Phases): number {
+  const {normalAt, endAt} = phases;
+  let recoveredAt = normalAt;
+  for (let at = normalAt; at + WINDOW_MS <= endAt; at += WINDOW_MS) {
+    const window = after.filter(
+      record => record.at >= at && record.at < at + WINDOW_MS,
+    );
+    if (getAnsweredShare(window) < 100 * RECOVERED_SHARE) {
+      recoveredAt = at + WINDOW_MS;
+    }
+  }
+  return recoveredAt - normalAt;
+}
+
+function getAnsweredShare(records: readonly CallRecord[]): number {
+  const answered = records.filter(({result}) => result === 'answered');
+  return toPercent(answered.length, records.length);
+}
+
+function getPenaltyShare(records: readonly CallRecord[]): number {
+  const getPenalty = ({isBatch}: CallRecord) =>
+    isBatch ? BATCH_PENALTY : INTERACTIVE_PENALTY;
+  const missed = records.filter(({result}) => result !== 'answered');
+  return toPercent(sum(missed, getPenalty), sum(records, getPenalty));
+}
+
+function sum<T>(items: readonly T[], get: (item: T) => number): number {
+  return items.reduce((total, item) => total + get(item), 0);
+}
+
+function toPercent(part: number, whole: number): number {
+  return whole === 0 ? 0 : (100 * part) / whole;
+}
+
+function sortTimes(records: readonly CallRecord[]): number[] {
+  return records.map(({tookMs}) => tookMs).sort((a, b) => a - b);
+}
+
+function getQuantile(sorted: readonly number[], quantile: number): number {
+  const index = Math.ceil(quantile * sorted.length) - 1;
+  return sorted[Math.max(0, index)] ?? 0;
+}
--- /dev/null
+++ b/src/experiments/tables.ts
@@ -0,0 +1,58 @@
+/** Shows figures as tables of medians and ranges. */
+import {FAULTS} from './faults.js';
+import {MEASURES, Measures} from './measures.js';
+import {ExperimentResult} from './run_experiments.js';
+
+const COLUMNS = Object.keys(MEASURES) as Array<keyof Measures>;
+
+/**
+ * Shows results as Markdown, one table for each fault. Each figure is the
+ * median over the seeds, with the range where it matters.
+ * @param results - The results.
+ * @returns The lines.
+ */
+export function createTables(results: readonly ExperimentResult[]): string[] {
+  const lines: string[] = [];
+  for (const {name, title} of FAULTS) {
+    const rows = results.filter(({fault}) => fault === name);
+    if (rows.length === 0) {
+      continue;
+    }
+    lines.push('', `### ${title}`, '', formatRow(['candidate', ...COLUMNS]));
+    lines.push(formatRow(['---', ...COLUMNS.map(() => '--:')]));
+    for (const {candidate, runs} of rows) {
+      const figures = COLUMNS.map(column =>
+        formatSpread(runs.map(run => run[column])),
+      );
+      lines.push(formatRow([candidate, ...figures]));
+    }
+  }
+  return lines;
+}
+
+function formatRow(cells: readonly string[]): string {
+  return `| ${cells.join(' | ')} |`;
+}
+
+function formatSpread(values: readonly number[]): string {
+  const sorted = [...values].sort((a, b) => a - b);
+  const median = getMedian(sorted);
+  const first = sorted[0];
+  const last = sorted[sorted.length - 1];
+  const range = `${round(first)}-${round(last)}`;
+  return first === last ? round(median) : `${round(median)} (${range})`;
+}
+
+/**
+ * Gets the median.
+ * @param sorted - Values in ascending order, at least one.
+ * @returns The middle value, or the mean of the two.
+ */
+export function getMedian(sorted: readonly number[]): number {
+  const middle = (sorted.length - 1) / 2;
+  return (sorted[Math.floor(middle)] + sorted[Math.ceil(middle)]) / 2;
+}
+
+function round(value: number): string {
+  return value.toFixed(value >= 100 ? 0 : 1);
+}
--- /dev/null
+++ b/src/experiments/virtual_clock.ts
@@ -0,0 +1,82 @@
+/** A clock that jumps from one planned event to the next. */
+
+interface PlannedEvent {
+  readonly at: number;
+  /** Keeps events of the same time in the order of their planning. */
+  readonly order: number;
+  readonly run: () => void;
+}
+
+export class VirtualClock {
+  private readonly heap: PlannedEvent[] = [];
+  private planned = 0;
+
+  /** @param now - The first time, in Unix milliseconds. */
+  constructor(public now: number) {}
+
+  /**
+   * Plans an event.
+   * @param at - When it happens, in Unix milliseconds.
+   * @param run - What happens.
+   */
+  plan(at: number, run: () => void): void {
+    const {heap} = this;
+    this.planned += 1;
+    const event = {at: Math.max(at, this.now), order: this.planned, run};
+    let index = heap.push(event) - 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!isEarlier(event, heap[parent])) {
+        break;
+      }
+      heap[index] = heap[parent];
+      index = parent;
+    }
+    heap[index] = event;
+  }
+
+  /**
+   * Runs all events up to a time.
+   * @param until - The time, in Unix milliseconds.
+   */
+  runUntil(until: number): void {
+    for (;;) {
+      const [next] = this.heap;
+      if (next === undefined || next.at > until) {
+        this.now = until;
+        return;
+      }
+      this.removeFirst();
+      this.now = next.at;
+      next.run();
+    }
+  }
+
+  private removeFirst(): void {
+    const {heap} = this;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) {
+      return;
+    }
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= heap.length) {
+        break;
+      }
+      if (child + 1 < heap.length && isEarlier(heap[child + 1], heap[child])) {
+        child += 1;
+      }
+      if (!isEarlier(heap[child], last)) {
+        break;
+      }
+      heap[index] = heap[child];
+      index = child;
+    }
+    heap[index] = last;
+  }
+}
+
+function isEarlier(a: PlannedEvent, b: PlannedEvent): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order);
+}
