Health endpoints cannot empty a service; one trial call after an ejection

Cause: the first trial of the experiments had all upstreams but one claim to drain at the same moment; each believed it, as no one had heard of the others yet, and goodput fell to 0 %. Ruled out: counting who is leaving, which flaps. Change: the claim is told to the service first (250 ms) and the first ones by name, at most half, are believed. An entry avoids an upstream that said it leaves for 2 s instead of 10 s, as a wrong guess then costs one refused attempt. Policy gains two choices for the experiments, off by default: share of the deadline for a first attempt, and choice by expected time.

--- a/src/core/entry/balancer.ts
+++ b/src/core/entry/balancer.ts
@@ -7,7 +7,13 @@
 import {CoreSettings} from '../core_settings.js';
 import {getRendezvousWinner} from '../hashing.js';
 import {isLeaving, Membership} from '../spread/membership.js';
-import {getLoad, getUtilization, LoadView} from './load_view.js';
+import {
+  getLoad,
+  getServiceTimeMs,
+  getUtilization,
+  isEjected,
+  LoadView,
+} from './load_view.js';
 
 /** Largest share of a service that failures may eject. */
 const MAX_EJECTED_SHARE = 0.5;
@@ -39,12 +45,32 @@
     return undefined;
   }
   const {loads, settings, at, entropy} = view;
-  const getCost = (upstream: UpstreamTarget) =>
-    getUtilization(getLoad(loads, upstream.id), service.slots, at) +
-    getDistancePenalty(upstream, settings);
+  const fastestMs = settings.policy.weighsServiceTime
+    ? getFastestMs(candidates, loads)
+    : 0;
+  const getCost = (upstream: UpstreamTarget) => {
+    const load = getLoad(loads, upstream.id);
+    const slowness =
+      fastestMs > 0 ? (getServiceTimeMs(load) ?? fastestMs) / fastestMs : 1;
+    return (
+      getUtilization(load, service.slots, at) * slowness +
+      getDistancePenalty(upstream, settings)
+    );
+  };
   return settings.policy.chooser.choose(candidates, getCost, entropy);
 }
 
+function getFastestMs(
+  candidates: readonly UpstreamTarget[],
+  loads: LoadView,
+): number {
+  const times = candidates.flatMap(({id}) => {
+    const load = loads.get(id);
+    return (load && getServiceTimeMs(load)) ?? [];
+  });
+  return times.length === 0 ? 0 : Math.min(...times);
+}
+
 function getCandidates(
   service: ServiceTargets,
   tried: ReadonlySet<string>,
@@ -58,7 +84,10 @@
       (loads.get(id)?.leavingUntil ?? 0) <= at,
   );
   const getEnd = ({id}: UpstreamTarget) => loads.get(id)?.ejectedUntil ?? 0;
-  const ejected = taking.filter(upstream => getEnd(upstream) > at);
+  const ejected = taking.filter(({id}) => {
+    const load = loads.get(id);
+    return load !== undefined && isEjected(load, at);
+  });
   if (ejected.length === 0) {
     return taking;
   }
--- a/src/core/entry/entry.ts
+++ b/src/core/entry/entry.ts
@@ -163,7 +163,8 @@
   }
   call.attemptCount += 1;
   call.triedUpstreams.add(upstream.id);
-  const attempt = createAttempt(view, call, upstream.id, remainingMs);
+  const timeoutMs = getAttemptMs(entry, view, call, remainingMs);
+  const attempt = createAttempt(view, call, upstream.id, timeoutMs);
   call.currentAttempt = {
     attemptId: attempt.attemptId,
     upstreamId: upstream.id,
@@ -197,15 +198,32 @@
   return chooseUpstream(service, call.triedUpstreams, {...view, loads});
 }
 
+/** Keeps time for closing a key, or for another attempt. */
+function getAttemptMs(
+  entry: Entry,
+  view: EntryView,
+  call: Call,
+  remainingMs: number,
+): number {
+  if (!call.idempotent) {
+    const reserveMs = remainingMs * CLOSE_RESERVE_SHARE;
+    return remainingMs - Math.min(CLOSE_RESERVE_MAX_MS, reserveMs);
+  }
+  const {firstAttemptShare} = view.settings.policy;
+  const hasOther =
+    firstAttemptShare < 1 &&
+    call.attemptCount === 1 &&
+    !call.info.retriedByOuter &&
+    chooseTarget(entry, view, call) !== undefined;
+  return hasOther ? remainingMs * firstAttemptShare : remainingMs;
+}
+
 function createAttempt(
   view: EntryView,
   call: Call,
   upstreamId: string,
-  remainingMs: number,
+  timeoutMs: number,
 ): Attempt {
-  const reserveMs = call.idempotent
-    ? 0
-    : Math.min(CLOSE_RESERVE_MAX_MS, remainingMs * CLOSE_RESERVE_SHARE);
   return {
     attemptId: `${call.callId}.${call.attemptCount}`,
     service: call.route.service,
@@ -214,7 +232,7 @@
     idempotent: call.idempotent,
     key: call.key,
     privateKey: call.privateKey,
-    timeoutMs: remainingMs - reserveMs,
+    timeoutMs,
     fingerprint: call.info.fingerprint,
     suspect: call.suspect,
     priority: call.route.priority,
--- a/src/core/entry/load_view.ts
+++ b/src/core/entry/load_view.ts
@@ -12,10 +12,11 @@
 const TIMEOUTS_TO_EJECT = 3;
 
 /**
- * Time for which an upstream that said that it leaves is avoided. Membership
- * news arrives long before it ends.
+ * Time for which an upstream that said that it leaves is avoided, until
+ * membership news takes over. Where it has changed its mind, or its health
+ * endpoint misled it, one attempt after that finds out at no cost.
  */
-const LEAVING_MEMORY_MS = 10_000;
+const LEAVING_MEMORY_MS = 2_000;
 
 /** Time after which a load report says nothing any more. */
 const REPORT_LIFETIME_MS = 2_000;
@@ -111,6 +112,27 @@
   }
 }
 
+/**
+ * Tells whether an upstream is avoided: for a time after a failure, and after
+ * that while a first attempt tells whether it is well again.
+ * @param load - The upstream's record.
+ * @param at - Now, in Unix milliseconds.
+ * @returns True where others are to be preferred.
+ */
+export function isEjected(load: UpstreamLoad, at: number): boolean {
+  const isTried = load.consecutiveFailures > 0 && load.ownAttempts > 0;
+  return load.ejectedUntil > at || isTried;
+}
+
+/**
+ * Gets the time that requests take at an upstream.
+ * @param load - The upstream's record.
+ * @returns Milliseconds, or undefined where no report told it.
+ */
+export function getServiceTimeMs(load: UpstreamLoad): number | undefined {
+  return load.report?.serviceTimeMs;
+}
+
 /**
  * Estimates how busy an upstream is.
  * @param load - Its record.
--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -36,7 +36,6 @@
   getLoadReport,
   getOwnService,
   isOwnerLeaving,
-  mayHonourDrainHint,
   Owner,
   OwnerView,
 } from './owner_state.js';
@@ -379,15 +378,20 @@
 /**
  * Takes in what the upstream's health endpoint said; only a hint.
  * @param owner - This part's state.
- * @param view - Read-only views of the other parts.
  * @param draining - The upstream said that it drains.
+ * @param at - Now, in Unix milliseconds.
+ * @returns True where that is news.
  */
 export function takeProbe(
   owner: Owner,
-  view: OwnerView,
   draining: boolean,
-): void {
-  owner.upstreamDraining = draining && mayHonourDrainHint(owner, view);
+  at: number,
+): boolean {
+  const isNews = draining !== (owner.drainHintSince !== undefined);
+  if (isNews) {
+    owner.drainHintSince = draining ? at : undefined;
+  }
+  return isNews;
 }
 
 /**
--- a/src/core/owner/owner_state.ts
+++ b/src/core/owner/owner_state.ts
@@ -2,12 +2,15 @@
 import {ConfigLog} from '../config/config_log.js';
 import {ServiceTargets} from '../config/routing_table.js';
 import {CoreSettings} from '../core_settings.js';
-import {isLeaving, Membership} from '../spread/membership.js';
+import {hasDrainHint, isLeaving, Membership} from '../spread/membership.js';
 import {Attempt, LoadReport} from '../../model/peer.js';
 import {Admission, createAdmission, getUsableSlots} from './admission.js';
 import {CrashSuspects} from './crash_suspects.js';
 import {KeyRecords} from './key_records.js';
 
+/** Time in which a service hears of an upstream that says it drains. */
+const DRAIN_HINT_MS = 250;
+
 export interface HandOver {
   readonly silentPeers: Set<string>;
   readonly startedAt: number;
@@ -24,8 +27,8 @@
   readonly handedOverBy: Map<string, TakenHandOver>;
   /** A planned stop of this VM has begun. */
   draining: boolean;
-  /** The upstream itself says that it drains. */
-  upstreamDraining: boolean;
+  /** Since when the upstream says that it drains, in Unix milliseconds. */
+  drainHintSince?: number;
   crashCount: number;
   /** Dispatches up to this number belong to the last crash or an older one. */
   crashedDispatch: number;
@@ -66,7 +69,6 @@
     waiting: new Map(),
     handedOverBy: new Map(),
     draining: false,
-    upstreamDraining: false,
     crashCount: 0,
     crashedDispatch: 0,
     drained: false,
@@ -82,30 +84,32 @@
 export function isOwnerLeaving(owner: Owner, view: OwnerView): boolean {
   return (
     owner.draining ||
-    owner.upstreamDraining ||
+    honoursDrainHint(owner, view) ||
     isLeaving(view.membership, view.settings.id)
   );
 }
 
 /**
- * Tells whether the upstream's own word that it drains is to be believed.
- * Health endpoints mislead, so together they may not empty more than half of
- * a service; where more claim to drain, the first ones by name are believed.
- * @param owner - This part's state.
- * @param view - Read-only views of the other parts.
- * @returns False where the word must be ignored.
+ * Tells whether the upstream's own word that it drains is believed. Health
+ * endpoints mislead, so together they may not empty more than half of a
+ * service: the first ones by name are believed. The word is told to the
+ * service first, so that all have heard who else claims to drain.
  */
-export function mayHonourDrainHint(owner: Owner, view: OwnerView): boolean {
-  const {id} = view.settings;
+function honoursDrainHint(owner: Owner, view: OwnerView): boolean {
+  const {drainHintSince} = owner;
+  const {membership, settings, at} = view;
+  if (drainHintSince === undefined || at < drainHintSince + DRAIN_HINT_MS) {
+    return false;
+  }
   const ids = getOwnService(view)?.upstreamIds ?? [];
-  const leaving = ids.filter(
-    other => other !== id && isLeaving(view.membership, other),
+  const goBefore = ids.filter(
+    id =>
+      id !== settings.id &&
+      (hasDrainHint(membership, id)
+        ? id < settings.id
+        : isLeaving(membership, id)),
   );
-  const limit = Math.floor(ids.length / 2);
-  const before = owner.upstreamDraining
-    ? leaving.filter(other => other < id)
-    : leaving;
-  return before.length < limit;
+  return goBefore.length < Math.floor(ids.length / 2);
 }
 
 /**
@@ -130,5 +134,6 @@
         ? 0
         : getUsableSlots(owner.admission, service, view.at),
     leaving: isOwnerLeaving(owner, view),
+    serviceTimeMs: owner.admission.serviceTimeMs,
   };
 }
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -12,6 +12,13 @@
   readonly refusesLate: boolean;
   /** How an entry chooses among the upstreams of a service. */
   readonly chooser: Chooser;
+  /** Choose by expected time instead of by utilization. */
+  readonly weighsServiceTime: boolean;
+  /**
+   * Share of its remaining time that the first attempt of an idempotent call
+   * gets while another upstream could be tried.
+   */
+  readonly firstAttemptShare: number;
   /** Utilization by which an upstream of another zone must be lower. */
   readonly otherZonePenalty: number;
   /** Utilization by which an upstream of another region must be lower. */
@@ -22,6 +29,8 @@
   queueOrder: new UrgencyOrder(),
   refusesLate: true,
   chooser: new TwoChoices(),
+  weighsServiceTime: false,
+  firstAttemptShare: 1,
   otherZonePenalty: 0.25,
   otherRegionPenalty: 2,
 };
--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -221,7 +221,10 @@
     case 'upstreamFailed':
       return reduceUpstreamFailed(state, event, emit);
     case 'upstreamProbed':
-      return takeProbe(owner, viewOwner(state, event.at), event.draining);
+      if (takeProbe(owner, event.draining, event.at)) {
+        tellService(state, event.at, emit);
+      }
+      return;
     case 'drainRequested':
       return reduceDrain(state, event.at, emit);
     default:
@@ -251,7 +254,8 @@
 function describe(state: ProxyState, at: number): MemberInfo {
   const {spread, log, settings, startup, owner} = state;
   const leaving = isOwnerLeaving(owner, viewOwner(state, at));
-  return describeSelf(spread, log, settings, startup.ready, leaving);
+  const self = describeSelf(spread, log, settings, startup.ready, leaving);
+  return owner.drainHintSince === undefined ? self : {...self, drainHint: true};
 }
 
 function reduceStarted(
--- a/src/core/spread/membership.ts
+++ b/src/core/spread/membership.ts
@@ -131,6 +131,19 @@
   );
 }
 
+/**
+ * Tells whether the health endpoint of an upstream says that it drains.
+ * @param membership - The view.
+ * @param upstreamId - The upstream.
+ * @returns True where its proxy told so.
+ */
+export function hasDrainHint(
+  membership: Membership,
+  upstreamId: string,
+): boolean {
+  return membership.members.get(upstreamId)?.info.drainHint === true;
+}
+
 /**
  * Gets the newest start of a proxy's process that has been heard of.
  * @param membership - The view.
--- a/src/experiments/candidates.ts
+++ b/src/experiments/candidates.ts
@@ -74,6 +74,12 @@
       candidates: [
         vary('three choices', {chooser: new RandomChoices(3)}),
         vary('least loaded', {chooser: new RandomChoices(Infinity)}),
+        vary('round robin', {chooser: new RoundRobin()}),
+        vary('by expected time', {weighsServiceTime: true}),
+        vary('expected time of three', {
+          weighsServiceTime: true,
+          chooser: new RandomChoices(3),
+        }),
       ],
     },
     {
@@ -88,6 +94,23 @@
         vary(`slow start ${slowStartMs / 1_000} s`, {}, {slowStartMs}),
       ),
     },
+    {
+      name: 'first attempt',
+      candidates: [
+        ...[0.3, 0.5, 0.7].map(firstAttemptShare =>
+          vary(`first attempt ${firstAttemptShare}`, {firstAttemptShare}),
+        ),
+        vary('0.5 and three choices', {
+          firstAttemptShare: 0.5,
+          chooser: new RandomChoices(3),
+        }),
+        vary('0.5, expected time of three', {
+          firstAttemptShare: 0.5,
+          weighsServiceTime: true,
+          chooser: new RandomChoices(3),
+        }),
+      ],
+    },
     {
       name: 'retry budget',
       candidates: [0, 5, 20, 50].map(retryBudgetPercent =>
--- a/src/experiments/faults.ts
+++ b/src/experiments/faults.ts
@@ -5,6 +5,8 @@
 /** Time in which all proxies become ready, without calls. */
 const START_MS = 3_000;
 
+const PROBE_INTERVAL_MS = 1_000;
+
 const NORMAL_DEMAND = 0.6 * CAPACITY;
 
 /** How long the parts of a run take, in milliseconds. */
@@ -40,24 +42,31 @@
   readonly name = 'misleading';
   readonly title = 'one target down, and health endpoints that mislead';
 
+  private misleads = false;
+
   begin(experiment: Experiment): void {
     experiment.upstreams[0].isDown = true;
-    this.probe(experiment, true);
+    this.misleads = true;
+    this.probe(experiment);
   }
 
   end(experiment: Experiment): void {
     experiment.upstreams[0].isDown = false;
-    this.probe(experiment, false);
+    this.misleads = false;
   }
 
-  private probe(experiment: Experiment, misleads: boolean): void {
-    experiment.owners.forEach((owner, n) =>
+  private probe(experiment: Experiment): void {
+    const {clock, owners} = experiment;
+    owners.forEach((owner, n) =>
       owner.post({
         kind: 'upstreamProbed',
         healthy: true,
-        draining: misleads && n > 0,
+        draining: this.misleads && n > 0,
       }),
     );
+    if (this.misleads) {
+      clock.plan(clock.now + PROBE_INTERVAL_MS, () => this.probe(experiment));
+    }
   }
 }
 
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -19,6 +19,8 @@
   queued: z.int().min(0),
   slots: z.int().min(0),
   leaving: z.boolean(),
+  /** Estimated time that a request runs there, in milliseconds. */
+  serviceTimeMs: z.number().min(0).optional(),
 });
 
 /** One try of a call at one owner. */
@@ -57,6 +59,8 @@
   version: SequenceSchema,
   digest: z.string(),
   leaving: z.boolean(),
+  /** Its upstream says that it drains, which may mislead. */
+  drainHint: z.boolean().optional(),
   ready: z.boolean(),
 });
 
--- a/src/proxy/operator_server.ts
+++ b/src/proxy/operator_server.ts
@@ -80,7 +80,7 @@
     version: log.active.version,
     digest: log.active.digest,
     adoptedAt: log.adoptedAt,
-    leaving: owner.draining || owner.upstreamDraining,
+    leaving: owner.draining || owner.drainHintSince !== undefined,
     source: {
       answeredAt: watch.answeredAt,
       head: watch.head,
