--- a/src/proxy/caller_server.ts
+++ b/src/proxy/caller_server.ts
@@ -1,5 +1,5 @@
 /** Takes callers' requests and gives each its one answer. */
-import {createHash, randomFillSync} from 'node:crypto';
+import {createHash, hash, randomFillSync} from 'node:crypto';
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {v7 as createUuidV7} from 'uuid';
 import {createRefusal, Refusal, weakenToUnknown} from '../core/refusals.js';
@@ -193,8 +193,9 @@
   path: string,
   body: Uint8Array,
 ): string {
-  return createHash('sha1')
-    .update(`${method} ${path}\n`)
-    .update(body)
-    .digest('base64url');
+  const head = `${method} ${path}\n`;
+  if (body.length === 0) {
+    return hash('sha1', head, 'base64url');
+  }
+  return createHash('sha1').update(head).update(body).digest('base64url');
 }
