--- a/src/core/config/config_log.ts
+++ b/src/core/config/config_log.ts
@@ -6,6 +6,7 @@
 import {CatchUp, FoldState} from '../../model/fold_state.js';
 import {Emit} from '../types.js';
 import {foldSubmission, INITIAL_FOLD_STATE} from './fold.js';
+import {checkReferences} from './validate.js';
 import {createRoutingTable, RoutingTable} from './routing_table.js';
 
 /** Submissions kept for peers that are a little behind. */
@@ -14,9 +15,18 @@
 /** Submissions kept beyond a gap until the gap is filled. */
 const MAX_WAITING = 1_024;
 
+/** Bytes of submissions in one answer to a pull, unless one is larger. */
+const MAX_CATCH_UP_BYTES = 512 * 1_024;
+
 /** Peers whose digests are compared with ours. */
 const MAX_COMPARED_PEERS = 64;
 
+/** Peers that must disagree before a proxy doubts itself and not the peer. */
+const DISAGREEING_PEERS_TO_HALT = 2;
+
+/** Characters of a digest that are sent to peers. */
+const DIGEST_PREFIX_LENGTH = 16;
+
 export interface ConfigLog {
   latest: FoldState;
   active: FoldState;
@@ -139,6 +149,10 @@
   if (isHalted(log)) {
     return false;
   }
+  if (checkReferences(state.config).isErr()) {
+    emit({kind: 'count', counter: 'update_ignored', reason: 'broken_state'});
+    return false;
+  }
   setLatest(log, state);
   log.recent.length = 0;
   for (const sequence of log.waiting.keys()) {
@@ -199,26 +213,77 @@
   }
 }
 
+/**
+ * Forgets all that was folded, so that a proxy that does not serve yet can
+ * start over from another peer. What is in force stays.
+ * @param log - The log.
+ */
+export function restartLog(log: ConfigLog): void {
+  log.latest = log.active;
+  log.recent.length = 0;
+  log.steps.length = 0;
+  log.waiting.clear();
+  log.digests.clear();
+  log.agreement.clear();
+}
+
 /**
  * Answers a peer that asks for what follows a sequence number.
  * @param log - The log.
  * @param afterSequence - The last sequence number that the peer has folded.
- * @returns Submissions where they are kept, and the folded state otherwise.
+ * @param digest - The peer's digest at that sequence, where it sent one.
+ * @returns Submissions where they are kept, and the folded state otherwise;
+ *     nothing to a peer that disagrees, because it would not take it.
  */
-export function getCatchUp(log: ConfigLog, afterSequence: number): CatchUp {
+export function getCatchUp(
+  log: ConfigLog,
+  afterSequence: number,
+  digest?: string,
+): CatchUp {
+  const own = getDigestAt(log, afterSequence);
+  if (own !== undefined && digest !== undefined && own !== digest) {
+    return {kind: 'submissions', submissions: []};
+  }
   const submissions = log.recent.filter(s => s.sequence > afterSequence);
   const missing = log.latest.sequence - afterSequence;
   return submissions.length >= missing
-    ? {kind: 'submissions', submissions}
+    ? {kind: 'submissions', submissions: limitSize(submissions)}
     : {kind: 'state', state: log.latest};
 }
 
+/** Keeps the first submissions that fit; the peer asks again for the rest. */
+function limitSize(submissions: readonly Submission[]): Submission[] {
+  let bytes = 0;
+  let count = 0;
+  for (const submission of submissions) {
+    bytes += JSON.stringify(submission).length;
+    if (count > 0 && bytes > MAX_CATCH_UP_BYTES) {
+      break;
+    }
+    count += 1;
+  }
+  return submissions.slice(0, count);
+}
+
+/**
+ * Gets the digest at a recent sequence number as it is sent to peers.
+ * @param log - The log.
+ * @param sequence - The sequence number.
+ * @returns Its first characters, or undefined where it is not kept.
+ */
+export function getDigestAt(
+  log: ConfigLog,
+  sequence: number,
+): string | undefined {
+  return log.digests.get(sequence)?.slice(0, DIGEST_PREFIX_LENGTH);
+}
+
 /**
  * Compares a peer's digest with ours at the same sequence number.
  * @param log - The log.
  * @param peerId - The peer.
  * @param sequence - Its last folded sequence number.
- * @param digest - Its digest.
+ * @param digest - First characters of its digest.
  * @param emit - Takes counters and log lines.
  */
 export function compareDigest(
@@ -228,19 +293,23 @@
   digest: string,
   emit: Emit,
 ): void {
-  const own = log.digests.get(sequence);
+  const own = getDigestAt(log, sequence);
   if (own === undefined) {
     return;
   }
-  const agrees = own === digest;
+  const agrees = own === digest.slice(0, DIGEST_PREFIX_LENGTH);
+  const agreed = log.agreement.get(peerId);
   log.agreement.delete(peerId);
   log.agreement.set(peerId, agrees);
   if (log.agreement.size > MAX_COMPARED_PEERS) {
     const [oldest] = log.agreement.keys();
     log.agreement.delete(oldest);
   }
-  if (!agrees) {
-    emit({kind: 'count', counter: 'digest_mismatch', reason: 'peer'});
+  if (agrees) {
+    return;
+  }
+  emit({kind: 'count', counter: 'digest_mismatch', reason: 'peer'});
+  if (agreed !== false) {
     emit({
       kind: 'log',
       level: 'error',
@@ -252,14 +321,31 @@
 
 /**
  * Tells whether the proxy stopped advancing because more peers disagree with
- * its digests than agree. It goes on serving the version in force.
+ * its digests than agree, and more than one, so that one bad peer halts
+ * nobody. Only peers of the newest configuration count. A halted proxy goes on
+ * serving the version in force.
  * @param log - The log.
  * @returns True while it is halted.
  */
 export function isHalted(log: ConfigLog): boolean {
-  let balance = 0;
-  for (const agrees of log.agreement.values()) {
-    balance += agrees ? 1 : -1;
+  if (log.agreement.size === 0) {
+    return false;
+  }
+  const {upstreams} = log.latest.config;
+  let agreeing = 0;
+  let disagreeing = 0;
+  for (const [peerId, agrees] of log.agreement) {
+    if (!Object.hasOwn(upstreams, peerId)) {
+      continue;
+    }
+    if (agrees) {
+      agreeing += 1;
+    } else {
+      disagreeing += 1;
+    }
   }
-  return balance < 0;
+  // In a fleet of two nobody can tell which of them is right.
+  const others = Object.keys(upstreams).length - 1;
+  const needed = Math.min(DISAGREEING_PEERS_TO_HALT, Math.max(1, others));
+  return disagreeing > agreeing && disagreeing >= needed;
 }
--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -7,8 +7,12 @@
   acceptFoldState,
   acceptSubmissions,
   ConfigLog,
+  compareDigest,
   createConfigLog,
   getCatchUp,
+  getDigestAt,
+  isHalted,
+  restartLog,
 } from './config/config_log.js';
 import {CoreSettings} from './core_settings.js';
 import {
@@ -62,20 +66,26 @@
   describeSelf,
   Dissemination,
   mergeGossip,
-  pushAround,
-  pushNews,
+  notePullEnded,
+  pullIfBehind,
 } from './spread/dissemination.js';
 import {
   createMembership,
   Membership,
   mergeMember,
+  mergeVmChanges,
   mergeVmList,
   noteContactFailed,
   noteContactWorked,
+  noteRemovals,
+  refreshMarks,
+  takeNews,
 } from './spread/membership.js';
+import {pushAround, pushNews, PushNews, pushToAllZones} from './spread/push.js';
 import {
   callSource,
   createSourceWatch,
+  findWard,
   noteSourceAnswered,
   noteSourceFailed,
   rankWatchers,
@@ -84,12 +94,17 @@
 import {
   askToJoin,
   createStartup,
+  findPeerAhead,
+  getRequiredSequence,
   hasCaughtUp,
   recordJoinFailure,
   recordJoinReply,
   Startup,
 } from './spread/startup.js';
+import {Submission} from '../model/config.js';
+import {VmChanges} from '../model/platform.js';
 import {KeyVerdict, MemberInfo, PeerReply, PeerRequest} from '../model/peer.js';
+import {getVmNews} from './spread/vm_list.js';
 import {assertNever, Effect, Emit, Event} from './types.js';
 
 /** Longest random delay before a starting proxy asks the source. */
@@ -117,7 +132,7 @@
   return {
     settings,
     log: createConfigLog(),
-    membership: createMembership(),
+    membership: createMembership(settings.id, settings.startedAt),
     startup: createStartup(),
     adoption: createAdoption(),
     watch: createSourceWatch(settings),
@@ -281,18 +296,22 @@
 function reduceTick(state: ProxyState, event: Event, emit: Emit): void {
   const {at, entropy} = event;
   const {startup, log, settings, spread, membership} = state;
+  refreshMarks(membership, at);
   if (!startup.ready) {
     askToJoin(startup, log, settings, at, emit);
+    pullAtStart(state, at, entropy, emit);
   }
   advanceConfig(state, at, emit);
   watchSource(state, at, emit);
+  tellLeaving(state, at, emit);
   if (at >= spread.nextGossipAt) {
     const {gossipIntervalMs} = settings.dissemination;
     // Between half and one and a half intervals, so that proxies drift apart.
     const share = 0.5 + entropy / MAX_ENTROPY;
     spread.nextGossipAt = at + gossipIntervalMs * share;
     const self = describe(state, at);
-    const address = chooseGossipPeer(spread, log, settings, entropy);
+    const ward = findWard(log.table, membership, settings);
+    const address = chooseGossipPeer(spread, log, settings, ward, entropy);
     if (address !== undefined) {
       const news = getSuspectNews(state.suspects);
       const request = createGossip(self, membership, news);
@@ -305,6 +324,33 @@
   tickOwner(state.owner, viewOwner(state, at), size, emit);
 }
 
+/** Pulls from a peer that answered the join and is ahead. */
+function pullAtStart(
+  state: ProxyState,
+  at: number,
+  entropy: number,
+  emit: Emit,
+): void {
+  const {startup, log, spread} = state;
+  const {sequence} = log.latest;
+  const address = findPeerAhead(startup, sequence, entropy);
+  if (address !== undefined) {
+    pullIfBehind(spread, log, address, sequence + 1, at, emit);
+  }
+}
+
+/** Tells every zone at once when this upstream starts to leave, or is back. */
+function tellLeaving(state: ProxyState, at: number, emit: Emit): void {
+  const {owner, spread, log, settings} = state;
+  const leaving = isOwnerLeaving(owner, viewOwner(state, at));
+  if (leaving === spread.toldLeaving) {
+    return;
+  }
+  spread.toldLeaving = leaving;
+  const news: PushNews = {kind: 'members', news: [describe(state, at)]};
+  pushToAllZones(log.table, settings, news, emit);
+}
+
 /** Decides whether this proxy watches the source, and calls it if so. */
 function watchSource(state: ProxyState, at: number, emit: Emit): void {
   const {log, membership, settings, startup, watch} = state;
@@ -312,12 +358,16 @@
     return;
   }
   const peerReady = [...startup.replies.values()].some(reply => reply.ready);
-  const ranked = rankWatchers(log, membership, settings.zone, at);
+  const ranked = rankWatchers(log.table, membership, settings.zone, at);
   const isWatcher = ranked
     .slice(0, settings.dissemination.watchersPerZone)
     .includes(settings.id);
   const isListed = log.table.upstreams.has(settings.id);
-  const mustWatch = startup.ready ? isWatcher || !isListed : !peerReady;
+  // A floor that no ready peer reaches can only be met by the source.
+  const peersSuffice =
+    peerReady &&
+    findPeerAhead(startup, getRequiredSequence(startup) - 1, 0) !== undefined;
+  const mustWatch = startup.ready ? isWatcher || !isListed : !peersSuffice;
   if (!mustWatch) {
     watch.nextAt = at + WATCH_ROLE_CHECK_MS;
     return;
@@ -331,34 +381,67 @@
   emit: Emit,
 ): void {
   const {log, membership, settings, startup, watch} = state;
-  noteSourceAnswered(watch, event.head, event.at);
+  const {at, entropy, head, vmList} = event;
   startup.sourceAnswered = true;
-  if (event.head < log.latest.sequence) {
+  if (head < log.latest.sequence) {
     emit({kind: 'count', counter: 'update_ignored', reason: 'stale_source'});
   }
   const folded = acceptSubmissions(log, event.submissions, emit);
-  const vmList =
-    event.vmList !== undefined && mergeVmList(membership, event.vmList)
-      ? event.vmList
-      : undefined;
-  if (folded.length > 0 || vmList !== undefined) {
-    pushNews(log, settings, folded, vmList, true, emit);
+  const vmChanges =
+    vmList === undefined ? undefined : mergeVmList(membership, vmList, at);
+  const hasNews = folded.length > 0 || vmChanges !== undefined;
+  noteSourceAnswered(watch, settings, head, hasNews, at, entropy);
+  pushFolded(state, folded, true, emit);
+  if (vmChanges !== undefined) {
+    pushVmChanges(state, vmChanges, true, emit);
+  }
+  advanceConfig(state, at, emit);
+  watchSource(state, at, emit);
+}
+
+function pushFolded(
+  state: ProxyState,
+  folded: readonly Submission[],
+  isRoot: boolean,
+  emit: Emit,
+): void {
+  if (folded.length > 0) {
+    const news: PushNews = {kind: 'submissions', news: folded};
+    pushNews(state.log.table, state.settings, news, isRoot, emit);
+  }
+}
+
+function pushVmChanges(
+  state: ProxyState,
+  changes: VmChanges,
+  isRoot: boolean,
+  emit: Emit,
+): void {
+  // Changes from nothing are the whole list, which gossip brings on demand.
+  if (changes.base > 0) {
+    const news: PushNews = {kind: 'vmChanges', news: changes};
+    pushNews(state.log.table, state.settings, news, isRoot, emit);
   }
-  advanceConfig(state, event.at, emit);
-  watchSource(state, event.at, emit);
 }
 
 /** Becomes ready, or announces and adopts, as far as the log allows. */
 function advanceConfig(state: ProxyState, at: number, emit: Emit): void {
-  const {startup, log, settings, adoption} = state;
+  const {startup, log, settings, adoption, membership} = state;
+  watchRemovals(state);
   if (startup.ready) {
-    advanceAdoption(adoption, log, settings, at, emit);
+    advanceAdoption(adoption, log, settings, membership, at, emit);
+    return;
+  }
+  if (isHalted(log)) {
+    // Nothing depends on this copy yet, and most peers hold another one.
+    emit({kind: 'count', counter: 'digest_mismatch', reason: 'start_over'});
+    restartLog(log);
     return;
   }
-  if (!hasCaughtUp(startup, log, settings)) {
+  if (!hasCaughtUp(startup, log, settings, membership, at)) {
     return;
   }
-  advanceAdoption(adoption, log, settings, at, emit);
+  advanceAdoption(adoption, log, settings, membership, at, emit);
   if (log.active.sequence === log.latest.sequence) {
     startup.ready = true;
     emit({
@@ -370,6 +453,15 @@
   }
 }
 
+/** Upstreams that the newest configuration drops leave before it is in force. */
+function watchRemovals(state: ProxyState): void {
+  const {log, membership} = state;
+  const {upstreams} = log.latest.config;
+  if (log.active.config.upstreams !== upstreams) {
+    noteRemovals(membership, log.table.upstreams.keys(), upstreams);
+  }
+}
+
 function reducePeerAsked(
   state: ProxyState,
   event: Extract<Event, {kind: 'peerAsked'}>,
@@ -391,33 +483,25 @@
   switch (request.kind) {
     case 'gossip':
       takeGossip(state, request, at, emit);
-      recordFloor(adoption, request.from.id, request.from.sequence);
+      if (request.vmRevision > membership.vmList.revision) {
+        state.spread.gossipWith = request.from.peerAddress;
+      }
       return {
         kind: 'gossip',
         from: describe(state, at),
-        members: [],
+        members: takeNews(membership),
         suspects: getSuspectNews(state.suspects),
-        vmList:
-          membership.vmList.revision > request.vmRevision
-            ? membership.vmList
-            : undefined,
+        ...getVmNews(membership.vmList, request.vmRevision),
       };
-    case 'push': {
-      const folded = acceptSubmissions(log, request.submissions, emit);
-      const vmList =
-        request.vmList !== undefined && mergeVmList(membership, request.vmList)
-          ? request.vmList
-          : undefined;
-      if (folded.length > 0 || vmList !== undefined) {
-        pushNews(log, settings, folded, vmList, false, emit);
-      }
-      advanceConfig(state, at, emit);
+    case 'push':
+      takePush(state, request, at, emit);
       return {kind: 'ok'};
-    }
     case 'pull':
       return {
         kind: 'pull',
-        catchUp: getCatchUp(log, request.afterSequence),
+        catchUp: getCatchUp(log, request.afterSequence, request.digest),
+        from: settings.id,
+        digest: getDigestAt(log, request.afterSequence),
       };
     case 'announce':
       recordFloor(adoption, request.id, request.sequence);
@@ -428,7 +512,7 @@
         ready: startup.ready,
         sequence: log.latest.sequence,
         floor: adoption.floors.get(request.id) ?? 0,
-        state: log.latest,
+        upMs: Math.max(0, at - settings.startedAt),
         members: [describe(state, at)],
       };
     case 'closeKey':
@@ -439,21 +523,51 @@
   }
 }
 
+function takePush(
+  state: ProxyState,
+  push: Extract<PeerRequest, {kind: 'push'}>,
+  at: number,
+  emit: Emit,
+): void {
+  const {log, membership, settings} = state;
+  const {submissions, vmChanges, members = []} = push;
+  pushFolded(state, acceptSubmissions(log, submissions, emit), false, emit);
+  if (vmChanges !== undefined && mergeVmChanges(membership, vmChanges, at)) {
+    pushVmChanges(state, vmChanges, false, emit);
+  }
+  const changed = members.filter(info =>
+    mergeMember(membership, info, at, emit),
+  );
+  if (changed.length > 0) {
+    const news: PushNews = {kind: 'members', news: changed};
+    pushNews(log.table, settings, news, false, emit);
+  }
+  advanceConfig(state, at, emit);
+}
+
 function takeGossip(
   state: ProxyState,
   message: Extract<PeerReply, {kind: 'gossip'}>,
   at: number,
   emit: Emit,
 ): void {
-  const {spread, log, membership, settings, suspects} = state;
-  const {from, members} = message;
-  const others = members.filter(({id}) => id !== settings.id);
-  mergeGossip(spread, log, membership, from, others, at, emit);
+  const {spread, log, membership, suspects, adoption} = state;
+  const {from, members, vmList, vmChanges = []} = message;
+  if (from.ready) {
+    // One that is starting must not hear its own guess back as our memory.
+    recordFloor(adoption, from.id, from.sequence);
+  }
+  mergeGossip(spread, log, membership, from, members, at, emit);
   for (const suspect of message.suspects) {
     mergeSuspect(suspects, suspect);
   }
-  if (message.vmList !== undefined && mergeVmList(membership, message.vmList)) {
-    pushNews(log, settings, [], message.vmList, true, emit);
+  const merged = vmChanges.filter(changes =>
+    mergeVmChanges(membership, changes, at),
+  );
+  const whole =
+    vmList === undefined ? undefined : mergeVmList(membership, vmList, at);
+  for (const changes of whole === undefined ? merged : [...merged, whole]) {
+    pushVmChanges(state, changes, true, emit);
   }
 }
 
@@ -463,58 +577,60 @@
   emit: Emit,
 ): void {
   const {address, request, reply, at} = event;
-  const {log, membership, settings, startup, adoption, spread} = state;
+  const {log, membership, startup, adoption, spread} = state;
   noteContactWorked(membership, address);
   switch (reply.kind) {
     case 'gossip':
       return takeGossip(state, reply, at, emit);
     case 'ok':
       if (request.kind === 'announce') {
-        acknowledgeAnnouncement(
-          adoption,
-          log,
-          settings,
-          address,
-          request.sequence,
-          at,
-          emit,
-        );
+        acknowledgeAnnouncement(adoption, address, request.sequence);
         advanceConfig(state, at, emit);
       } else if (request.kind === 'handOver') {
         noteHandOverSettled(state.owner, address);
       }
       return;
-    case 'pull': {
-      spread.pullingFrom = undefined;
-      const {catchUp} = reply;
-      if (catchUp.kind === 'state') {
-        acceptFoldState(log, catchUp.state, emit);
-      } else {
-        const folded = acceptSubmissions(log, catchUp.submissions, emit);
-        if (folded.length > 0) {
-          pushNews(log, settings, folded, undefined, true, emit);
-        }
-      }
+    case 'pull':
+      notePullEnded(spread, address);
+      takeCatchUp(state, request, reply, emit);
       return advanceConfig(state, at, emit);
-    }
     case 'join':
       recordJoinReply(startup, address, reply);
       for (const info of reply.members) {
         mergeMember(membership, info, at, emit);
+        compareDigest(log, info.id, info.sequence, info.digest, emit);
       }
-      if (reply.state.sequence > log.latest.sequence) {
-        acceptFoldState(log, reply.state, emit);
-      }
+      pullIfBehind(spread, log, address, reply.sequence, at, emit);
       return advanceConfig(state, at, emit);
     case 'closeKey':
       return takeKeyVerdict(state, event, reply.verdict, emit);
     case 'refused':
-      return reducePeerFailed(state, event, emit);
+      return giveUpAsking(state, event, emit);
     default:
       return assertNever(reply);
   }
 }
 
+/** A peer whose digest differs is compared first, and believed last. */
+function takeCatchUp(
+  state: ProxyState,
+  request: PeerRequest,
+  reply: Extract<PeerReply, {kind: 'pull'}>,
+  emit: Emit,
+): void {
+  const {log} = state;
+  const {catchUp, from, digest} = reply;
+  if (request.kind === 'pull' && from !== undefined && digest !== undefined) {
+    compareDigest(log, from, request.afterSequence, digest, emit);
+  }
+  if (catchUp.kind === 'state') {
+    acceptFoldState(log, catchUp.state, emit);
+    return;
+  }
+  const folded = acceptSubmissions(log, catchUp.submissions, emit);
+  pushFolded(state, folded, true, emit);
+}
+
 /** A key verdict concerns an entry that gave up or a home that took over. */
 function takeKeyVerdict(
   state: ProxyState,
@@ -537,22 +653,30 @@
 }
 
 function reducePeerFailed(
+  state: ProxyState,
+  event: Extract<Event, {kind: 'peerFailed'}>,
+  emit: Emit,
+): void {
+  noteContactFailed(state.membership, event.address, event.at);
+  giveUpAsking(state, event, emit);
+}
+
+/** What follows where a peer was not reached, or refused the message. */
+function giveUpAsking(
   state: ProxyState,
   event: Extract<Event, {kind: 'peerFailed' | 'peerReplied'}>,
   emit: Emit,
 ): void {
   const {address, request, at} = event;
-  const {log, membership, settings, startup, spread} = state;
-  noteContactFailed(membership, address, at);
+  const {log, settings, startup, spread} = state;
   switch (request.kind) {
     case 'gossip':
     case 'announce':
       return;
     case 'push':
-      return pushAround(log, settings, address, request, emit);
+      return pushAround(log.table, settings, address, request, emit);
     case 'pull':
-      spread.pullingFrom = undefined;
-      return;
+      return notePullEnded(spread, address);
     case 'join':
       recordJoinFailure(startup, address);
       return advanceConfig(state, at, emit);
@@ -565,18 +689,8 @@
   }
 }
 
-/** Starts a planned stop and tells a few peers at once. */
+/** Starts a planned stop and tells the fleet at once. */
 function reduceDrain(state: ProxyState, at: number, emit: Emit): void {
   startDrain(state.owner);
-  const {log, settings, membership} = state;
-  const self = describe(state, at);
-  const request = createGossip(self, membership, []);
-  const own = log.table.upstreams.get(settings.id);
-  const service =
-    own === undefined ? undefined : log.table.services.get(own.service);
-  for (const {id, peerAddress} of service?.upstreams ?? []) {
-    if (id !== settings.id) {
-      emit({kind: 'askPeer', address: peerAddress, request});
-    }
-  }
+  tellLeaving(state, at, emit);
 }
--- a/src/core/spread/adoption.ts
+++ b/src/core/spread/adoption.ts
@@ -6,16 +6,30 @@
 import {adoptState, ConfigLog} from '../config/config_log.js';
 import {CoreSettings} from '../core_settings.js';
 import {Emit} from '../types.js';
-import {getWitnesses, hasMajority, Witness} from './witnesses.js';
+import {Membership} from './membership.js';
+import {
+  dropLostWitnesses,
+  getWitnesses,
+  hasMajority,
+  Witness,
+} from './witnesses.js';
 
 /** Time after which an unanswered announcement is sent again. */
 const ANNOUNCE_RETRY_MS = 250;
 
+/**
+ * Time after which an announcement that lacks a majority gives way to that of
+ * a newer state. Above a round trip, so that a burst of changes cannot renew
+ * the announcement for ever.
+ */
+const RETARGET_MS = 1_000;
+
 interface PendingAdoption {
   readonly target: FoldState;
   /** A majority of each set must acknowledge. */
   readonly witnessSets: readonly (readonly Witness[])[];
   readonly acknowledgedBy: Set<string>;
+  readonly startedAt: number;
   askedAt: number;
 }
 
@@ -50,6 +64,7 @@
  * @param adoption - Progress of the announcement.
  * @param log - The submission log.
  * @param settings - This proxy's settings.
+ * @param membership - Tells which witnesses are lost.
  * @param at - Now, in Unix milliseconds.
  * @param emit - Takes effects.
  */
@@ -57,16 +72,17 @@
   adoption: Adoption,
   log: ConfigLog,
   settings: CoreSettings,
+  membership: Membership,
   at: number,
   emit: Emit,
 ): void {
   if (log.latest.sequence === log.active.sequence) {
     return;
   }
-  if (adoption.pending === undefined) {
-    adoption.pending = createPending(log, settings);
-    tryAdopt(adoption, log, settings, at, emit);
+  if (adoption.pending === undefined || isOutdated(adoption.pending, log, at)) {
+    adoption.pending = createPending(log, settings, at);
   }
+  tryAdopt(adoption, log, settings, membership, at, emit);
   const {pending} = adoption;
   if (pending === undefined || at - pending.askedAt < ANNOUNCE_RETRY_MS) {
     return;
@@ -79,9 +95,21 @@
   }
 }
 
+function isOutdated(
+  pending: PendingAdoption,
+  log: ConfigLog,
+  at: number,
+): boolean {
+  return (
+    pending.target.sequence < log.latest.sequence &&
+    at - pending.startedAt >= RETARGET_MS
+  );
+}
+
 function createPending(
   log: ConfigLog,
   settings: CoreSettings,
+  at: number,
 ): PendingAdoption {
   // Every version on the way counts: a restarted proxy may be given any of
   // them, and asks the witnesses of the one that it was given.
@@ -93,6 +121,7 @@
     target: log.latest,
     witnessSets,
     acknowledgedBy: new Set(),
+    startedAt: at,
     askedAt: -Infinity,
   };
 }
@@ -107,21 +136,13 @@
 /**
  * Counts a witness's acknowledgement.
  * @param adoption - Progress of the announcement.
- * @param log - The submission log.
- * @param settings - This proxy's settings.
  * @param address - The witness's peer address.
  * @param sequence - The sequence that was announced.
- * @param at - Now, in Unix milliseconds.
- * @param emit - Takes effects.
  */
 export function acknowledgeAnnouncement(
   adoption: Adoption,
-  log: ConfigLog,
-  settings: CoreSettings,
   address: string,
   sequence: number,
-  at: number,
-  emit: Emit,
 ): void {
   const {pending} = adoption;
   if (pending === undefined || pending.target.sequence !== sequence) {
@@ -132,25 +153,29 @@
       pending.acknowledgedBy.add(id);
     }
   }
-  tryAdopt(adoption, log, settings, at, emit);
 }
 
 function tryAdopt(
   adoption: Adoption,
   log: ConfigLog,
   settings: CoreSettings,
+  membership: Membership,
   at: number,
   emit: Emit,
 ): void {
   const {pending} = adoption;
-  if (
-    pending === undefined ||
-    !pending.witnessSets.every(set => hasMajority(set, pending.acknowledgedBy))
-  ) {
+  const newest = log.latest.config;
+  const isKnown = pending?.witnessSets.every(set =>
+    hasMajority(
+      dropLostWitnesses(set, newest, membership, at),
+      pending.acknowledgedBy,
+    ),
+  );
+  if (pending === undefined || isKnown !== true) {
     return;
   }
   adoption.pending = undefined;
   adoptState(log, pending.target, at, emit);
   // Submissions that arrived meanwhile need an announcement of their own.
-  advanceAdoption(adoption, log, settings, at, emit);
+  advanceAdoption(adoption, log, settings, membership, at, emit);
 }
--- a/src/core/spread/dissemination.ts
+++ b/src/core/spread/dissemination.ts
@@ -2,131 +2,45 @@
  * Spreads submissions and membership news between proxies: push along a tree
  * in each zone, gossip with one peer each interval, pull from whoever is ahead.
  */
-import {Submission} from '../../model/config.js';
-import {VmList} from '../../model/platform.js';
-import {compareDigest, ConfigLog} from '../config/config_log.js';
+import {compareDigest, ConfigLog, getDigestAt} from '../config/config_log.js';
 import {CoreSettings} from '../core_settings.js';
-import {rankByRendezvous} from '../hashing.js';
 import {MemberInfo, PeerRequest} from '../../model/peer.js';
 import {Emit} from '../types.js';
-import {getNews, Membership, mergeMember} from './membership.js';
+import {Membership, mergeMember, takeNews} from './membership.js';
 import {getWitnesses} from './witnesses.js';
 
+/** One gossip exchange in so many goes to a witness. */
+export const GOSSIPS_PER_WITNESS = 3;
+
+/** Time after which a pull that got no answer no longer holds others up. */
+const PULL_TIMEOUT_MS = 3_000;
+
 export interface Dissemination {
   /** Counts this proxy's own heartbeats. */
   heartbeat: number;
+  /** Counts the exchanges that this proxy began. */
+  gossips: number;
   nextGossipAt: number;
-  /** Address of the peer that a pull is waiting for. */
-  pullingFrom?: string;
+  /** Address of a peer that is known to have news for us. */
+  gossipWith?: string;
+  /** The pull that is under way. */
+  pulling?: {readonly address: string; readonly startedAt: number};
+  /** Whether the fleet has been told that this upstream leaves. */
+  toldLeaving: boolean;
 }
 
 export function createDissemination(): Dissemination {
-  return {heartbeat: 0, nextGossipAt: 0};
-}
-
-/**
- * Pushes news to this proxy's children in its zone's tree.
- * @param log - The submission log.
- * @param settings - This proxy's settings.
- * @param submissions - Submissions that were new here, in order.
- * @param vmList - The VM list where it was new here.
- * @param isRoot - This proxy got the news from outside the tree.
- * @param emit - Takes effects.
- */
-export function pushNews(
-  log: ConfigLog,
-  settings: CoreSettings,
-  submissions: readonly Submission[],
-  vmList: VmList | undefined,
-  isRoot: boolean,
-  emit: Emit,
-): void {
-  const request: PeerRequest = {kind: 'push', submissions, vmList};
-  const subject = getTreeSubject(request);
-  const order = getTreeOrder(log, settings.zone, subject);
-  const own = order.indexOf(settings.id);
-  const addresses = getChildAddresses(log, settings, order, own);
-  if (isRoot && order.length > 0 && own !== 0) {
-    addresses.add(log.table.upstreams.get(order[0])?.peerAddress ?? '');
-  }
-  addresses.delete('');
-  addresses.delete(settings.peerAddress);
-  for (const address of addresses) {
-    emit({kind: 'askPeer', address, request});
-  }
+  return {heartbeat: 0, gossips: 0, nextGossipAt: 0, toldLeaving: false};
 }
 
 /**
- * Takes over the children of a proxy that a push could not reach.
- * @param log - The submission log.
- * @param settings - This proxy's settings.
- * @param address - The unreachable proxy's peer address.
- * @param request - The push that failed.
- * @param emit - Takes effects.
- */
-export function pushAround(
-  log: ConfigLog,
-  settings: CoreSettings,
-  address: string,
-  request: Extract<PeerRequest, {kind: 'push'}>,
-  emit: Emit,
-): void {
-  const order = getTreeOrder(log, settings.zone, getTreeSubject(request));
-  const lost = order.findIndex(
-    id => log.table.upstreams.get(id)?.peerAddress === address,
-  );
-  if (lost < 0) {
-    return;
-  }
-  const children = getChildAddresses(log, settings, order, lost);
-  children.delete(settings.peerAddress);
-  for (const child of children) {
-    emit({kind: 'askPeer', address: child, request});
-  }
-}
-
-function getTreeSubject(request: Extract<PeerRequest, {kind: 'push'}>): string {
-  const last = request.submissions[request.submissions.length - 1];
-  return `push ${last?.sequence ?? 0} ${request.vmList?.revision ?? 0}`;
-}
-
-function getTreeOrder(log: ConfigLog, zone: string, subject: string): string[] {
-  const members: string[] = [];
-  for (const upstream of log.table.upstreams.values()) {
-    if (upstream.zone === zone) {
-      members.push(upstream.id);
-    }
-  }
-  return rankByRendezvous(subject, members);
-}
-
-function getChildAddresses(
-  log: ConfigLog,
-  settings: CoreSettings,
-  order: readonly string[],
-  index: number,
-): Set<string> {
-  const addresses = new Set<string>();
-  if (index < 0) {
-    return addresses;
-  }
-  const {fanOut} = settings.dissemination;
-  const first = index * fanOut + 1;
-  for (const id of order.slice(first, first + fanOut)) {
-    const target = log.table.upstreams.get(id);
-    if (target !== undefined) {
-      addresses.add(target.peerAddress);
-    }
-  }
-  return addresses;
-}
-
-/**
- * Chooses the peer of the next gossip exchange: mostly a random proxy, every
- * third time a witness, so that a restarted witness learns the floor again.
+ * Chooses the peer of the next gossip exchange: one that has news for us; in
+ * turn each witness, so that one that restarted learns the floor again, and
+ * the watcher that this proxy would replace; mostly a random proxy.
  * @param spread - This part's state.
  * @param log - The submission log.
  * @param settings - This proxy's settings.
+ * @param ward - Address of the watcher to look after, if any.
  * @param entropy - Random 32-bit integer.
  * @returns A peer address, or undefined where this proxy knows no other.
  */
@@ -134,15 +48,24 @@
   spread: Dissemination,
   log: ConfigLog,
   settings: CoreSettings,
+  ward: string | undefined,
   entropy: number,
 ): string | undefined {
-  const witnesses = getWitnesses(
-    settings.id,
-    settings.region,
-    log.latest.config,
-  );
-  if (spread.heartbeat % 3 === 0 && witnesses.length > 0) {
-    return witnesses[entropy % witnesses.length].peerAddress;
+  const turn = spread.gossips;
+  spread.gossips += 1;
+  const {gossipWith} = spread;
+  spread.gossipWith = undefined;
+  const {id, region} = settings;
+  const witnesses = getWitnesses(id, region, log.latest.config);
+  if (turn % GOSSIPS_PER_WITNESS === 0 && witnesses.length > 0) {
+    const index = Math.floor(turn / GOSSIPS_PER_WITNESS) % witnesses.length;
+    return witnesses[index].peerAddress;
+  }
+  if (gossipWith !== undefined) {
+    return gossipWith;
+  }
+  if (turn % GOSSIPS_PER_WITNESS === 1 && ward !== undefined) {
+    return ward;
   }
   const addresses = Object.values(log.latest.config.upstreams)
     .map(({peerAddress}) => peerAddress)
@@ -170,17 +93,15 @@
   leaving: boolean,
 ): MemberInfo {
   spread.heartbeat += 1;
-  const {id, zone, region, peerAddress, startedAt: incarnation} = settings;
+  const {id, peerAddress, startedAt: incarnation} = settings;
   return {
     id,
-    zone,
-    region,
     peerAddress,
     incarnation,
     heartbeat: spread.heartbeat,
     sequence: log.latest.sequence,
     version: log.active.version,
-    digest: log.latest.digest,
+    digest: getDigestAt(log, log.latest.sequence) ?? '',
     leaving,
     ready,
   };
@@ -210,7 +131,7 @@
     mergeMember(membership, info, at, emit);
   }
   compareDigest(log, from.id, from.sequence, from.digest, emit);
-  pullIfBehind(spread, log, from.peerAddress, from.sequence, emit);
+  pullIfBehind(spread, log, from.peerAddress, from.sequence, at, emit);
 }
 
 /**
@@ -219,6 +140,7 @@
  * @param log - The submission log.
  * @param address - The peer's address.
  * @param sequence - A sequence that the peer has folded.
+ * @param at - Now, in Unix milliseconds.
  * @param emit - Takes effects.
  */
 export function pullIfBehind(
@@ -226,14 +148,31 @@
   log: ConfigLog,
   address: string,
   sequence: number,
+  at: number,
   emit: Emit,
 ): void {
-  if (sequence <= log.latest.sequence || spread.pullingFrom !== undefined) {
+  const {pulling} = spread;
+  const isPulling =
+    pulling !== undefined && at - pulling.startedAt < PULL_TIMEOUT_MS;
+  if (sequence <= log.latest.sequence || isPulling) {
     return;
   }
-  spread.pullingFrom = address;
+  spread.pulling = {address, startedAt: at};
   const afterSequence = log.latest.sequence;
-  emit({kind: 'askPeer', address, request: {kind: 'pull', afterSequence}});
+  const digest = getDigestAt(log, afterSequence);
+  const request = {kind: 'pull', afterSequence, digest} as const;
+  emit({kind: 'askPeer', address, request});
+}
+
+/**
+ * Notes that a pull was answered or failed.
+ * @param spread - This part's state.
+ * @param address - The peer that was asked.
+ */
+export function notePullEnded(spread: Dissemination, address: string): void {
+  if (spread.pulling?.address === address) {
+    spread.pulling = undefined;
+  }
 }
 
 /**
@@ -251,7 +190,7 @@
   return {
     kind: 'gossip',
     from: self,
-    members: getNews(membership),
+    members: takeNews(membership),
     suspects,
     vmRevision: membership.vmList.revision,
   };
--- a/src/core/spread/membership.ts
+++ b/src/core/spread/membership.ts
@@ -3,16 +3,34 @@
  * failed contacts, heartbeats and the platform's VM list say who is reachable
  * and who is leaving.
  */
-import {VmList} from '../../model/platform.js';
+import {VmChanges, VmList} from '../../model/platform.js';
 import {MemberInfo} from '../../model/peer.js';
 import {Emit} from '../types.js';
+import {
+  createVmListCopy,
+  diffVmList,
+  tryApplyVmChanges,
+  VmListCopy,
+} from './vm_list.js';
 
 /** How long a failed contact counts against a proxy that stays silent. */
 const FAILURE_MEMORY_MS = 30_000;
 
+/**
+ * Longest time by which the platform's VM list lags. A mark on a process that
+ * is younger may concern its predecessor of the same name.
+ */
+const VM_LIST_LAG_MS = 30_000;
+
 /** Members that one gossip message describes, besides its sender. */
 const MEMBERS_PER_MESSAGE = 4;
 
+/** Messages in which a change of a member is told; log2 of the fleet and more. */
+const TELLINGS_PER_CHANGE = 14;
+
+/** Records kept of proxies, the longest unheard of are dropped first. */
+const MAX_MEMBERS = 4_096;
+
 interface MemberRecord {
   info: MemberInfo;
   /** When a newer heartbeat last arrived, in Unix milliseconds. */
@@ -20,20 +38,43 @@
 }
 
 export interface Membership {
+  readonly selfId: string;
+  /** Start of this process, in Unix milliseconds. */
+  readonly startedAt: number;
   readonly members: Map<string, MemberRecord>;
+  /** Members that changed, with the messages left in which to tell it. */
+  readonly untold: Map<string, number>;
   /** Time of the last failed contact by peer address. */
   readonly failedAt: Map<string, number>;
-  vmList: VmList;
-  /** Upstreams that the VM list shows as leaving. */
+  readonly vmList: VmListCopy;
+  /** Upstreams that the VM list shows as leaving, and has had time to. */
   leavingVms: ReadonlySet<string>;
+  /** When a mark that is too fresh to count will count; Infinity if none. */
+  marksChangeAt: number;
+  /** Upstreams that the newest configuration folded no longer names. */
+  removed: ReadonlySet<string>;
 }
 
-export function createMembership(): Membership {
+/**
+ * Creates an empty view.
+ * @param selfId - The upstream beside this proxy.
+ * @param startedAt - Start of this process, in Unix milliseconds.
+ * @returns The view.
+ */
+export function createMembership(
+  selfId: string,
+  startedAt: number,
+): Membership {
   return {
+    selfId,
+    startedAt,
     members: new Map(),
+    untold: new Map(),
     failedAt: new Map(),
-    vmList: {revision: 0, vms: []},
+    vmList: createVmListCopy(),
     leavingVms: new Set(),
+    marksChangeAt: Infinity,
+    removed: new Set(),
   };
 }
 
@@ -43,23 +84,39 @@
  * @param info - The description.
  * @param at - Now, in Unix milliseconds.
  * @param emit - Takes counters.
+ * @returns True where the proxy started to leave, or is back.
  */
 export function mergeMember(
   membership: Membership,
   info: MemberInfo,
   at: number,
   emit: Emit,
-): void {
-  const known = membership.members.get(info.id);
-  if (known !== undefined && !isNewer(info, known.info)) {
-    return;
+): boolean {
+  const {members, untold} = membership;
+  const known = members.get(info.id)?.info;
+  if (
+    info.id === membership.selfId ||
+    (known !== undefined && !isNewer(info, known))
+  ) {
+    return false;
   }
-  if (known?.info.leaving !== info.leaving) {
+  members.delete(info.id);
+  members.set(info.id, {info, heardAt: at});
+  if (members.size > MAX_MEMBERS) {
+    const [oldest] = members.keys();
+    members.delete(oldest);
+  }
+  const restarted = known !== undefined && known.incarnation < info.incarnation;
+  const changed = (known?.leaving ?? false) !== info.leaving;
+  if (changed) {
     const reason = info.leaving ? 'leaving' : 'live';
     emit({kind: 'count', counter: 'member_changed', reason});
   }
-  membership.members.delete(info.id);
-  membership.members.set(info.id, {info, heardAt: at});
+  if (changed || restarted) {
+    untold.set(info.id, TELLINGS_PER_CHANGE);
+    refreshLeavingVms(membership, at);
+  }
+  return changed;
 }
 
 function isNewer(a: MemberInfo, b: MemberInfo): boolean {
@@ -73,19 +130,98 @@
  * Takes in the platform's VM list where its revision is newer.
  * @param membership - The view.
  * @param vmList - The list.
- * @returns True where it was newer.
+ * @param at - Now, in Unix milliseconds.
+ * @returns What it changed, or undefined where it was not newer.
  */
-export function mergeVmList(membership: Membership, vmList: VmList): boolean {
+export function mergeVmList(
+  membership: Membership,
+  vmList: VmList,
+  at: number,
+): VmChanges | undefined {
   if (vmList.revision <= membership.vmList.revision) {
+    return undefined;
+  }
+  const changes = diffVmList(membership.vmList, vmList);
+  return mergeVmChanges(membership, changes, at) ? changes : undefined;
+}
+
+/**
+ * Takes in changes of the VM list where they start from our revision.
+ * @param membership - The view.
+ * @param changes - The changes.
+ * @param at - Now, in Unix milliseconds.
+ * @returns True where they were applied.
+ */
+export function mergeVmChanges(
+  membership: Membership,
+  changes: VmChanges,
+  at: number,
+): boolean {
+  if (!tryApplyVmChanges(membership.vmList, changes)) {
     return false;
   }
-  membership.vmList = vmList;
-  membership.leavingVms = new Set(
-    vmList.vms.filter(vm => vm.state === 'leaving').map(vm => vm.upstreamId),
-  );
+  refreshLeavingVms(membership, at);
   return true;
 }
 
+/** Lets marks of the VM list count once their process is old enough. */
+export function refreshMarks(membership: Membership, at: number): void {
+  if (at >= membership.marksChangeAt) {
+    refreshLeavingVms(membership, at);
+  }
+}
+
+function refreshLeavingVms(membership: Membership, at: number): void {
+  const leaving = new Set<string>();
+  membership.marksChangeAt = Infinity;
+  for (const [id, state] of membership.vmList.states) {
+    if (state !== 'leaving') {
+      continue;
+    }
+    const countsAt = getIncarnation(membership, id) + VM_LIST_LAG_MS;
+    if (countsAt <= at) {
+      leaving.add(id);
+    } else {
+      membership.marksChangeAt = Math.min(membership.marksChangeAt, countsAt);
+    }
+  }
+  membership.leavingVms = leaving;
+}
+
+function getIncarnation(membership: Membership, id: string): number {
+  return id === membership.selfId
+    ? membership.startedAt
+    : (membership.members.get(id)?.info.incarnation ?? 0);
+}
+
+/**
+ * Notes which upstreams the newest configuration removed.
+ * @param membership - The view.
+ * @param before - Upstreams that were in force or had been removed.
+ * @param newest - Upstreams of the newest configuration folded.
+ */
+export function noteRemovals(
+  membership: Membership,
+  before: Iterable<string>,
+  newest: Readonly<Record<string, unknown>>,
+): void {
+  const gone = [...membership.removed, ...before].filter(
+    id => !Object.hasOwn(newest, id),
+  );
+  membership.removed = new Set(gone);
+}
+
+/**
+ * Tells whether the platform has replaced or lost a VM, by its list.
+ * @param membership - The view.
+ * @param upstreamId - The upstream.
+ * @returns True where a list is known and does not name it.
+ */
+export function isGone(membership: Membership, upstreamId: string): boolean {
+  const {states} = membership.vmList;
+  return states.size > 0 && !states.has(upstreamId);
+}
+
 export function noteContactFailed(
   membership: Membership,
   address: string,
@@ -118,8 +254,8 @@
 }
 
 /**
- * Tells whether an upstream is leaving by any news: its own proxy's heartbeat
- * or the platform's list.
+ * Tells whether an upstream is leaving by any news: its own proxy's heartbeat,
+ * the platform's list, or its removal from the configuration.
  * @param membership - The view.
  * @param upstreamId - The upstream.
  * @returns True where it is known to leave.
@@ -127,20 +263,35 @@
 export function isLeaving(membership: Membership, upstreamId: string): boolean {
   return (
     membership.leavingVms.has(upstreamId) ||
+    membership.removed.has(upstreamId) ||
     membership.members.get(upstreamId)?.info.leaving === true
   );
 }
 
 /**
- * Picks the members heard of most recently, leaving ones first.
+ * Takes a few members whose change has not been told often enough, leaving
+ * ones first, and counts the telling.
  * @param membership - The view.
- * @returns A few descriptions for a gossip message.
+ * @returns Their descriptions, for a gossip message.
  */
-export function getNews(membership: Membership): MemberInfo[] {
-  const newestFirst = [...membership.members.values()]
-    .slice(-4 * MEMBERS_PER_MESSAGE)
-    .reverse()
-    .map(({info}) => info);
-  newestFirst.sort((a, b) => Number(b.leaving) - Number(a.leaving));
-  return newestFirst.slice(0, MEMBERS_PER_MESSAGE);
+export function takeNews(membership: Membership): MemberInfo[] {
+  const {members, untold} = membership;
+  const infos: MemberInfo[] = [];
+  for (const id of untold.keys()) {
+    const info = members.get(id)?.info;
+    if (info !== undefined) {
+      infos.push(info);
+    }
+  }
+  infos.sort((a, b) => Number(b.leaving) - Number(a.leaving));
+  const news = infos.slice(0, MEMBERS_PER_MESSAGE);
+  for (const {id} of news) {
+    const left = (untold.get(id) ?? 0) - 1;
+    // Set again at the end, so that each change gets its turn.
+    untold.delete(id);
+    if (left > 0) {
+      untold.set(id, left);
+    }
+  }
+  return news;
 }
--- /dev/null
+++ b/src/core/spread/push.ts
@@ -0,0 +1,178 @@
+/**
+ * Pushes news along a tree in each zone. Each message carries one kind of
+ * news, because the tree's order is drawn from what the message carries: a
+ * proxy that already knew half of it must pass the rest on in the same order.
+ */
+import {RoutingTable} from '../config/routing_table.js';
+import {CoreSettings} from '../core_settings.js';
+import {rankByRendezvous} from '../hashing.js';
+import {PeerRequest} from '../../model/peer.js';
+import {assertNever, Emit} from '../types.js';
+
+export type Push = Extract<PeerRequest, {kind: 'push'}>;
+
+/** What one push carries. */
+export type PushNews =
+  | {readonly kind: 'submissions'; readonly news: Push['submissions']}
+  | {
+      readonly kind: 'vmChanges';
+      readonly news: NonNullable<Push['vmChanges']>;
+    }
+  | {readonly kind: 'members'; readonly news: NonNullable<Push['members']>};
+
+/** Identifiers of each zone's proxies, by the table that names them. */
+const zonesByTable = new WeakMap<RoutingTable, Map<string, string[]>>();
+
+/**
+ * Groups the proxies of a version by zone.
+ * @param table - The routing table.
+ * @returns Identifiers by zone.
+ */
+export function getZones(
+  table: RoutingTable,
+): ReadonlyMap<string, readonly string[]> {
+  let zones = zonesByTable.get(table);
+  if (zones === undefined) {
+    zones = new Map();
+    for (const {id, zone} of table.upstreams.values()) {
+      const members = zones.get(zone) ?? [];
+      members.push(id);
+      zones.set(zone, members);
+    }
+    zonesByTable.set(table, zones);
+  }
+  return zones;
+}
+
+/**
+ * Pushes news to this proxy's children in its zone's tree.
+ * @param table - Names the proxies.
+ * @param settings - This proxy's settings.
+ * @param news - What was new here.
+ * @param isRoot - This proxy got the news from outside the tree.
+ * @param emit - Takes effects.
+ */
+export function pushNews(
+  table: RoutingTable,
+  settings: CoreSettings,
+  news: PushNews,
+  isRoot: boolean,
+  emit: Emit,
+): void {
+  const request = createPush(news);
+  const order = getTreeOrder(table, settings.zone, getTreeSubject(request));
+  const own = order.indexOf(settings.id);
+  const targets = getChildren(settings, order, own);
+  if (isRoot && own !== 0) {
+    targets.push(...order.slice(0, 1));
+  }
+  sendPush(table, settings, targets, request, emit);
+}
+
+/**
+ * Pushes news that starts here to the head of every zone's tree.
+ * @param table - Names the proxies.
+ * @param settings - This proxy's settings.
+ * @param news - What was new here.
+ * @param emit - Takes effects.
+ */
+export function pushToAllZones(
+  table: RoutingTable,
+  settings: CoreSettings,
+  news: PushNews,
+  emit: Emit,
+): void {
+  const request = createPush(news);
+  const subject = getTreeSubject(request);
+  const heads = [...getZones(table).keys()].flatMap(zone => {
+    const order = getTreeOrder(table, zone, subject);
+    return order[0] === settings.id
+      ? getChildren(settings, order, 0)
+      : order.slice(0, 1);
+  });
+  sendPush(table, settings, heads, request, emit);
+}
+
+/**
+ * Takes over the children of a proxy that a push could not reach.
+ * @param table - Names the proxies.
+ * @param settings - This proxy's settings.
+ * @param address - The unreachable proxy's peer address.
+ * @param request - The push that failed.
+ * @param emit - Takes effects.
+ */
+export function pushAround(
+  table: RoutingTable,
+  settings: CoreSettings,
+  address: string,
+  request: Push,
+  emit: Emit,
+): void {
+  const lost = [...table.upstreams.values()].find(
+    ({peerAddress}) => peerAddress === address,
+  );
+  if (lost === undefined) {
+    return;
+  }
+  const order = getTreeOrder(table, lost.zone, getTreeSubject(request));
+  const children = getChildren(settings, order, order.indexOf(lost.id));
+  sendPush(table, settings, children, request, emit);
+}
+
+function createPush(news: PushNews): Push {
+  switch (news.kind) {
+    case 'submissions':
+      return {kind: 'push', submissions: news.news};
+    case 'vmChanges':
+      return {kind: 'push', submissions: [], vmChanges: news.news};
+    case 'members':
+      return {kind: 'push', submissions: [], members: news.news};
+    default:
+      return assertNever(news);
+  }
+}
+
+function getTreeSubject({submissions, vmChanges, members}: Push): string {
+  const last = submissions[submissions.length - 1];
+  const member = members?.[0];
+  return [
+    'push',
+    last?.sequence ?? 0,
+    vmChanges?.revision ?? 0,
+    member?.id ?? '',
+    member?.incarnation ?? 0,
+  ].join(' ');
+}
+
+function getTreeOrder(
+  table: RoutingTable,
+  zone: string,
+  subject: string,
+): string[] {
+  return rankByRendezvous(subject, getZones(table).get(zone) ?? []);
+}
+
+function getChildren(
+  settings: CoreSettings,
+  order: readonly string[],
+  index: number,
+): string[] {
+  const {fanOut} = settings.dissemination;
+  const first = index * fanOut + 1;
+  return index < 0 ? [] : order.slice(first, first + fanOut);
+}
+
+function sendPush(
+  table: RoutingTable,
+  settings: CoreSettings,
+  targets: readonly string[],
+  request: Push,
+  emit: Emit,
+): void {
+  for (const id of new Set(targets)) {
+    const target = table.upstreams.get(id);
+    if (target !== undefined && id !== settings.id) {
+      emit({kind: 'askPeer', address: target.peerAddress, request});
+    }
+  }
+}
--- a/src/core/spread/source_watch.ts
+++ b/src/core/spread/source_watch.ts
@@ -3,16 +3,20 @@
  * watchers, one call at a time, within a budget, with backoff on failure.
  */
 import {ConfigLog} from '../config/config_log.js';
+import {RoutingTable} from '../config/routing_table.js';
 import {CoreSettings} from '../core_settings.js';
 import {rankByRendezvous} from '../hashing.js';
 import {Emit} from '../types.js';
 import {isLeaving, isReachable, Membership} from './membership.js';
+import {getZones} from './push.js';
 
 const MS_PER_MINUTE = 60_000;
 const MAX_ENTROPY = 2 ** 32;
 
 export interface SourceWatch {
   waiting: boolean;
+  /** When the last call was made, in Unix milliseconds. */
+  calledAt: number;
   nextAt: number;
   failures: number;
   /** Calls that may still be made now; refilled by the minute's budget. */
@@ -27,6 +31,7 @@
 export function createSourceWatch(settings: CoreSettings): SourceWatch {
   return {
     waiting: false,
+    calledAt: 0,
     nextAt: 0,
     failures: 0,
     tokens: settings.dissemination.sourceCallsPerMinute,
@@ -36,31 +41,68 @@
   };
 }
 
+/** Ranks of all proxies of a zone, by the table that names them. */
+const ranksByTable = new WeakMap<RoutingTable, Map<string, string[]>>();
+
+function rankZone(table: RoutingTable, zone: string): readonly string[] {
+  let ranks = ranksByTable.get(table);
+  if (ranks === undefined) {
+    ranks = new Map();
+    ranksByTable.set(table, ranks);
+  }
+  let ranked = ranks.get(zone);
+  if (ranked === undefined) {
+    const members = getZones(table).get(zone) ?? [];
+    ranked = rankByRendezvous(`watch ${zone}`, members);
+    ranks.set(zone, ranked);
+  }
+  return ranked;
+}
+
 /**
  * Lists the proxies of a zone by their claim to watch the source.
- * @param log - The submission log, whose active version names the proxies.
+ * @param table - Names the proxies.
  * @param membership - The membership view.
  * @param zone - The availability zone.
  * @param at - Now, in Unix milliseconds.
  * @returns Identifiers of reachable proxies, best first.
  */
 export function rankWatchers(
-  log: ConfigLog,
+  table: RoutingTable,
   membership: Membership,
   zone: string,
   at: number,
 ): string[] {
-  const candidates: string[] = [];
-  for (const upstream of log.table.upstreams.values()) {
-    const eligible =
-      upstream.zone === zone &&
-      isReachable(membership, upstream.peerAddress, at) &&
-      !isLeaving(membership, upstream.id);
-    if (eligible) {
-      candidates.push(upstream.id);
-    }
+  return rankZone(table, zone).filter(id => {
+    const address = table.upstreams.get(id)?.peerAddress ?? '';
+    return isReachable(membership, address, at) && !isLeaving(membership, id);
+  });
+}
+
+/**
+ * Finds the watcher that this proxy looks after: the next in line each probe
+ * one watcher, because nobody else is sure to notice its death soon.
+ * @param table - Names the proxies.
+ * @param membership - The membership view.
+ * @param settings - This proxy's settings.
+ * @returns The watcher's peer address, or undefined for all but the next in
+ *     line.
+ */
+export function findWard(
+  table: RoutingTable,
+  membership: Membership,
+  settings: CoreSettings,
+): string | undefined {
+  const {watchersPerZone} = settings.dissemination;
+  // Unreachable ones stay in the line, or their return would go unnoticed.
+  const line = rankZone(table, settings.zone).filter(
+    id => !isLeaving(membership, id),
+  );
+  const own = line.indexOf(settings.id);
+  if (own < watchersPerZone || own >= 2 * watchersPerZone) {
+    return undefined;
   }
-  return rankByRendezvous(`watch ${zone}`, candidates);
+  return table.upstreams.get(line[own - watchersPerZone])?.peerAddress;
 }
 
 /**
@@ -89,6 +131,7 @@
     return;
   }
   watch.waiting = true;
+  watch.calledAt = at;
   emit({kind: 'count', counter: 'source_call', reason: 'watch'});
   emit({
     kind: 'watchSource',
@@ -114,16 +157,35 @@
   return true;
 }
 
+/**
+ * Takes note of an answer. One that came early and brought nothing new, such
+ * as a submission beyond a gap, would come again at once, so it delays the
+ * next call like a failure.
+ * @param watch - State of the calls.
+ * @param settings - This proxy's settings.
+ * @param head - Head of the answer.
+ * @param hasNews - It brought something new.
+ * @param at - Now, in Unix milliseconds.
+ * @param entropy - Random 32-bit integer.
+ */
 export function noteSourceAnswered(
   watch: SourceWatch,
+  settings: CoreSettings,
   head: number,
+  hasNews: boolean,
   at: number,
+  entropy: number,
 ): void {
+  const waitedMs = at - watch.calledAt;
+  watch.answeredAt = at;
+  watch.head = head;
+  if (!hasNews && waitedMs < settings.dissemination.watchWaitMs / 2) {
+    noteSourceFailed(watch, settings, at, entropy);
+    return;
+  }
   watch.waiting = false;
   watch.failures = 0;
   watch.nextAt = at;
-  watch.answeredAt = at;
-  watch.head = head;
 }
 
 /**
--- a/src/core/spread/witnesses.ts
+++ b/src/core/spread/witnesses.ts
@@ -1,14 +1,24 @@
 /** Chooses the peers that remember which sequence a proxy has put in force. */
 import {Config, Upstream} from '../../model/config.js';
 import {rankByRendezvous} from '../hashing.js';
+import {isGone, isReachable, Membership} from './membership.js';
 
-const MAX_WITNESSES = 5;
+export const MAX_WITNESSES = 5;
+
+/** Further peers that a starting proxy asks where no witness remembers it. */
+const MAX_WIDER_CIRCLE = 16;
 
 export interface Witness {
   readonly id: string;
   readonly peerAddress: string;
 }
 
+/** Choices made before, by the upstreams that they were made from. */
+const chosenByUpstreams = new WeakMap<
+  Config['upstreams'],
+  Map<string, Witness[]>
+>();
+
 /**
  * Chooses a proxy's witnesses: an odd number, its own region first, spread
  * over availability zones.
@@ -21,6 +31,25 @@
   id: string,
   region: string,
   config: Config,
+): readonly Witness[] {
+  let chosen = chosenByUpstreams.get(config.upstreams);
+  if (chosen === undefined) {
+    chosen = new Map();
+    chosenByUpstreams.set(config.upstreams, chosen);
+  }
+  const subject = `${region} ${id}`;
+  let witnesses = chosen.get(subject);
+  if (witnesses === undefined) {
+    witnesses = chooseWitnesses(id, region, config);
+    chosen.set(subject, witnesses);
+  }
+  return witnesses;
+}
+
+function chooseWitnesses(
+  id: string,
+  region: string,
+  config: Config,
 ): Witness[] {
   const others = Object.keys(config.upstreams).filter(other => other !== id);
   const ranked = rankByRendezvous(id, others);
@@ -34,10 +63,47 @@
   ];
   const count = Math.min(MAX_WITNESSES, ordered.length);
   const oddCount = count % 2 === 0 ? Math.max(0, count - 1) : count;
-  return ordered.slice(0, oddCount).map(other => ({
-    id: other,
-    peerAddress: config.upstreams[other].peerAddress,
-  }));
+  return ordered.slice(0, oddCount).map(other => toWitness(other, config));
+}
+
+function toWitness(id: string, config: Config): Witness {
+  return {id, peerAddress: config.upstreams[id].peerAddress};
+}
+
+/**
+ * Chooses the peers that a starting proxy asks besides its witnesses.
+ * @param id - The proxy.
+ * @param config - The configuration that names the other proxies.
+ * @returns At most 16 proxies; in a small fleet all others.
+ */
+export function getWiderCircle(id: string, config: Config): Witness[] {
+  const others = Object.keys(config.upstreams).filter(other => other !== id);
+  return rankByRendezvous(`circle ${id}`, others)
+    .slice(0, MAX_WIDER_CIRCLE)
+    .map(other => toWitness(other, config));
+}
+
+/**
+ * Leaves out witnesses whose memory is gone for good. One failed contact does
+ * not tell a dead witness from a partition, so a second source must say the
+ * same: the newest configuration, or the platform's VM list.
+ * @param witnesses - The witnesses under some configuration.
+ * @param newest - The newest configuration folded.
+ * @param membership - The membership view.
+ * @param at - Now, in Unix milliseconds.
+ * @returns The witnesses that count.
+ */
+export function dropLostWitnesses(
+  witnesses: readonly Witness[],
+  newest: Config,
+  membership: Membership,
+  at: number,
+): readonly Witness[] {
+  return witnesses.filter(({id, peerAddress}) => {
+    const removed = newest.upstreams[id]?.peerAddress !== peerAddress;
+    const lost = removed || isGone(membership, id);
+    return !lost || isReachable(membership, peerAddress, at);
+  });
 }
 
 /** Reorders so that each zone's best come first, then each zone's second. */
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -1,13 +1,14 @@
 /** Messages between proxies, checked on arrival. */
 import {z} from 'zod';
 import {SubmissionSchema} from './config.js';
-import {CatchUpSchema, FoldStateSchema} from './fold_state.js';
-import {VmListSchema} from './platform.js';
+import {CatchUpSchema} from './fold_state.js';
+import {VmChangesSchema, VmListSchema} from './platform.js';
 import {NameSchema, SequenceSchema} from './primitives.js';
 
 const MAX_SUBMISSIONS_PER_MESSAGE = 1_024;
 const MAX_MEMBERS_PER_MESSAGE = 64;
 const MAX_SUSPECTS_PER_MESSAGE = 64;
+const MAX_VM_CHANGES_PER_MESSAGE = 64;
 const MAX_KEYS_PER_MESSAGE = 200_000;
 
 const KeySchema = z.string().min(1).max(256);
@@ -44,8 +45,6 @@
 /** What a proxy tells its peers about one proxy of the fleet. */
 export const MemberInfoSchema = z.strictObject({
   id: NameSchema,
-  zone: NameSchema,
-  region: NameSchema,
   peerAddress: z.string(),
   /** Start time of the process, in Unix milliseconds. */
   incarnation: z.number(),
@@ -55,6 +54,7 @@
   sequence: SequenceSchema,
   /** Version in force. */
   version: SequenceSchema,
+  /** First characters of the digest at `sequence`. */
   digest: z.string(),
   leaving: z.boolean(),
   ready: z.boolean(),
@@ -85,6 +85,13 @@
   from: MemberInfoSchema,
   members: z.array(MemberInfoSchema).max(MAX_MEMBERS_PER_MESSAGE).readonly(),
   suspects: z.array(SuspectInfoSchema).max(MAX_SUSPECTS_PER_MESSAGE).readonly(),
+  /** What the receiver's VM list lacks, where the sender still knows it. */
+  vmChanges: z
+    .array(VmChangesSchema)
+    .max(MAX_VM_CHANGES_PER_MESSAGE)
+    .readonly()
+    .optional(),
+  /** The whole list, for a receiver that is too far behind. */
   vmList: VmListSchema.optional(),
 };
 
@@ -97,9 +104,19 @@
       .array(SubmissionSchema)
       .max(MAX_SUBMISSIONS_PER_MESSAGE)
       .readonly(),
-    vmList: VmListSchema.optional(),
+    vmChanges: VmChangesSchema.optional(),
+    members: z
+      .array(MemberInfoSchema)
+      .max(MAX_MEMBERS_PER_MESSAGE)
+      .readonly()
+      .optional(),
+  }),
+  z.strictObject({
+    kind: z.literal('pull'),
+    afterSequence: SequenceSchema,
+    /** The asker's digest at `afterSequence`. */
+    digest: z.string().optional(),
   }),
-  z.strictObject({kind: z.literal('pull'), afterSequence: SequenceSchema}),
   z.strictObject({
     kind: z.literal('announce'),
     id: NameSchema,
@@ -126,14 +143,21 @@
 export const PeerReplySchema = z.discriminatedUnion('kind', [
   z.strictObject(GossipFields),
   z.strictObject({kind: z.literal('ok')}),
-  z.strictObject({kind: z.literal('pull'), catchUp: CatchUpSchema}),
+  z.strictObject({
+    kind: z.literal('pull'),
+    catchUp: CatchUpSchema,
+    /** The sender, with its digest at the sequence that was asked about. */
+    from: NameSchema.optional(),
+    digest: z.string().optional(),
+  }),
   z.strictObject({
     kind: z.literal('join'),
     ready: z.boolean(),
     sequence: SequenceSchema,
     /** Highest sequence that the asking proxy has announced, 0 if none. */
     floor: SequenceSchema,
-    state: FoldStateSchema,
+    /** How long the sender has been running, in milliseconds. */
+    upMs: z.number().min(0),
     members: z.array(MemberInfoSchema).max(MAX_MEMBERS_PER_MESSAGE).readonly(),
   }),
   z.strictObject({kind: z.literal('closeKey'), verdict: KeyVerdictSchema}),
--- a/src/model/platform.ts
+++ b/src/model/platform.ts
@@ -14,6 +14,15 @@
   vms: z.array(VmSchema),
 });
 
+/** What turns one revision of the VM list into a later one. */
+export const VmChangesSchema = z.strictObject({
+  /** Revision to which the changes apply. */
+  base: SequenceSchema,
+  revision: SequenceSchema,
+  changed: z.array(VmSchema),
+  removed: z.array(NameSchema),
+});
+
 /**
  * Answer of `GET /v1/watch?after=S&vms=R&waitMs=W`: the submissions that
  * follow sequence S, and the VM list where its revision is above R. The
@@ -27,5 +36,6 @@
 });
 
 export type Vm = z.infer<typeof VmSchema>;
+export type VmChanges = z.infer<typeof VmChangesSchema>;
 export type VmList = z.infer<typeof VmListSchema>;
 export type WatchAnswer = z.infer<typeof WatchAnswerSchema>;
--- a/test/support/core_fixture.ts
+++ b/test/support/core_fixture.ts
@@ -1,5 +1,4 @@
 /** Builds a decision core with a configuration already in force. */
-import {INITIAL_FOLD_STATE} from '../../src/core/config/fold.js';
 import {createCoreSettings} from '../../src/core/core_settings.js';
 import {
   createProxyState,
@@ -145,7 +144,7 @@
           ready: false,
           sequence: 0,
           floor: 0,
-          state: INITIAL_FOLD_STATE,
+          upMs: 60_000,
           members: [],
         },
       });
--- /dev/null
+++ b/test/support/fleet_fixture.ts
@@ -0,0 +1,346 @@
+/**
+ * A few real decision cores that exchange messages through a list in memory,
+ * with a hand-driven clock, a source, and faults at the links.
+ */
+import {createCoreSettings} from '../../src/core/core_settings.js';
+import {
+  createProxyState,
+  ProxyState,
+  reduceProxy,
+} from '../../src/core/proxy_core.js';
+import {Effect, Event, EventBody} from '../../src/core/types.js';
+import {Patch, Submission} from '../../src/model/config.js';
+import {PeerReply, PeerRequest} from '../../src/model/peer.js';
+import {VmList} from '../../src/model/platform.js';
+import {Settings} from '../../src/model/settings.js';
+import {
+  createServicePatch,
+  createSettings,
+  createSubmission,
+  getPeerAddress,
+  START_MS,
+} from './core_fixture.js';
+
+const TICK_MS = 25;
+const LATENCY_MS = 1;
+const CUT_TIMEOUT_MS = 1_500;
+
+type Ask = Extract<Effect, {kind: 'askPeer'}>;
+
+export interface Node {
+  readonly id: string;
+  state: ProxyState;
+  alive: boolean;
+  /** Counts the lives of the process. */
+  life: number;
+  sentBytes: number;
+  receivedBytes: number;
+  readonly counts: Map<string, number>;
+  /** Highest sequence that any life had in force while it was ready. */
+  held: number;
+}
+
+interface Delivery {
+  readonly dueAt: number;
+  readonly run: () => void;
+}
+
+/** The platform's configuration service, as far as cores see it. */
+export class FakeSource {
+  readonly submissions: Submission[] = [];
+  vmList: VmList = {revision: 0, vms: []};
+  down = false;
+  staleAt = Infinity;
+  calls = 0;
+
+  get head(): number {
+    return Math.min(this.submissions.length, this.staleAt);
+  }
+
+  publish(patch: unknown, base: number): Submission {
+    const submission = createSubmission(
+      this.submissions.length + 1,
+      base,
+      patch,
+    );
+    this.submissions.push(submission);
+    return submission;
+  }
+
+  setVms(states: Readonly<Record<string, 'live' | 'leaving'>>): void {
+    const vms = Object.entries(states).map(([upstreamId, state]) => ({
+      upstreamId,
+      state,
+    }));
+    this.vmList = {revision: this.vmList.revision + 1, vms};
+  }
+}
+
+export class FleetFixture {
+  readonly source = new FakeSource();
+  readonly nodes = new Map<string, Node>();
+  /** Tells whether a message from one proxy to another is lost. */
+  isCut: (from: string, to: string) => boolean = () => false;
+  /** Tells whether a proxy is cut from the source. */
+  isSourceCut: (id: string) => boolean = () => false;
+  /** Called with each message before it is delivered. */
+  onAsk: (from: Node, ask: Ask) => void = () => undefined;
+  at = START_MS;
+  private entropy: number;
+  private queue: Delivery[] = [];
+  private waiting: Array<{node: Node; life: number; effect: Effect}> = [];
+
+  constructor(
+    readonly ids: readonly string[],
+    private readonly changes: (id: string) => Partial<Settings> = () => ({}),
+    seed = 1,
+  ) {
+    this.entropy = seed;
+    for (const id of ids) {
+      this.nodes.set(id, {
+        id,
+        state: this.createState(id),
+        alive: false,
+        life: 0,
+        sentBytes: 0,
+        receivedBytes: 0,
+        counts: new Map(),
+        held: 0,
+      });
+    }
+  }
+
+  private createState(id: string): ProxyState {
+    const seeds = this.ids.filter(other => other !== id).slice(0, 2);
+    const settings = createSettings(id, {
+      seeds: seeds.map(getPeerAddress),
+      ...this.changes(id),
+    });
+    const core = createCoreSettings(settings, getPeerAddress(id), this.at);
+    return createProxyState(core);
+  }
+
+  get(id: string): Node {
+    const node = this.nodes.get(id);
+    if (node === undefined) {
+      throw new Error(`No proxy ${id}; add it to the fixture.`);
+    }
+    return node;
+  }
+
+  /** Starts or restarts a proxy with empty memory. */
+  start(...ids: string[]): void {
+    for (const id of ids) {
+      const node = this.get(id);
+      node.alive = true;
+      node.life += 1;
+      node.state = this.createState(id);
+      this.reduce(node, {kind: 'started'});
+    }
+  }
+
+  kill(...ids: string[]): void {
+    for (const id of ids) {
+      this.get(id).alive = false;
+    }
+  }
+
+  /** Publishes one service with these upstreams and starts all of them. */
+  boot(patch: Patch = createServicePatch(this.ids)): void {
+    this.source.publish(patch, 0);
+    this.start(...this.ids);
+    this.run(5_000);
+  }
+
+  /** Lets time pass. */
+  run(ms: number): void {
+    const endAt = this.at + ms;
+    while (this.at < endAt) {
+      this.at += TICK_MS;
+      this.deliverDue();
+      for (const node of this.nodes.values()) {
+        if (node.alive) {
+          this.reduce(node, {kind: 'tick'});
+        }
+      }
+      this.answerWatches();
+    }
+  }
+
+  /**
+   * Lets time pass until something holds.
+   * @param done - Tells whether it does.
+   * @param limitMs - Longest time.
+   * @returns The time that passed, or undefined at the limit.
+   */
+  runUntil(done: () => boolean, limitMs = 60_000): number | undefined {
+    const startedAt = this.at;
+    while (!done()) {
+      if (this.at - startedAt >= limitMs) {
+        return undefined;
+      }
+      this.run(TICK_MS);
+    }
+    return this.at - startedAt;
+  }
+
+  isReady(...ids: string[]): boolean {
+    return ids.every(id => {
+      const {alive, state} = this.get(id);
+      return alive && state.startup.ready;
+    });
+  }
+
+  /** Versions in force, by proxy; undefined for one that does not serve. */
+  getVersions(): Record<string, number | undefined> {
+    return Object.fromEntries(
+      this.ids.map(id => [
+        id,
+        this.isReady(id) ? this.get(id).state.log.active.version : undefined,
+      ]),
+    );
+  }
+
+  reduce(node: Node, body: EventBody): Effect[] {
+    this.entropy = (Math.imul(this.entropy, 1_664_525) + 1_013_904_223) >>> 0;
+    const event: Event = {...body, at: this.at, entropy: this.entropy};
+    const [state, effects] = reduceProxy(node.state, event);
+    node.state = state;
+    this.checkNode(node);
+    for (const effect of effects) {
+      this.perform(node, effect);
+    }
+    return [...effects];
+  }
+
+  /** Checks what must hold after every event. */
+  private checkNode(node: Node): void {
+    const {log, startup} = node.state;
+    if (!startup.ready) {
+      return;
+    }
+    if (log.active.sequence < node.held) {
+      throw new Error(
+        `${node.id} went back from ${node.held} to ${log.active.sequence}`,
+      );
+    }
+    node.held = log.active.sequence;
+    for (const {service, target} of log.table.routes) {
+      if (log.table.services.get(service) !== target) {
+        throw new Error(`${node.id} routes to unknown service ${service}`);
+      }
+    }
+  }
+
+  private perform(node: Node, effect: Effect): void {
+    if (effect.kind === 'count') {
+      const name = `${effect.counter} ${effect.reason}`;
+      node.counts.set(name, (node.counts.get(name) ?? 0) + 1);
+    } else if (effect.kind === 'askPeer') {
+      this.onAsk(node, effect);
+      this.ask(node, effect);
+    } else if (effect.kind === 'watchSource') {
+      this.source.calls += 1;
+      this.waiting.push({node, life: node.life, effect});
+    }
+  }
+
+  private ask(from: Node, {address, request}: Ask): void {
+    const {life} = from;
+    const post = (body: EventBody) => {
+      if (from.alive && from.life === life) {
+        this.reduce(from, body);
+      }
+    };
+    const fail = () => post({kind: 'peerFailed', address, request});
+    const to = this.ids.find(id => getPeerAddress(id) === address);
+    from.sentBytes += sizeOf(request);
+    if (to === undefined || !this.get(to).alive) {
+      this.later(LATENCY_MS, fail);
+    } else if (this.isCut(from.id, to)) {
+      this.later(CUT_TIMEOUT_MS, fail);
+    } else {
+      this.later(LATENCY_MS, () => {
+        const reply = this.deliver(this.get(to), request);
+        if (reply === undefined || this.isCut(to, from.id)) {
+          this.later(CUT_TIMEOUT_MS, fail);
+          return;
+        }
+        this.later(LATENCY_MS, () => {
+          from.receivedBytes += sizeOf(reply);
+          post({kind: 'peerReplied', address, request, reply});
+        });
+      });
+    }
+  }
+
+  private deliver(to: Node, request: PeerRequest): PeerReply | undefined {
+    if (!to.alive) {
+      return undefined;
+    }
+    to.receivedBytes += sizeOf(request);
+    const effects = this.reduce(to, {
+      kind: 'peerAsked',
+      requestId: 'r',
+      request,
+    });
+    const answer = effects.find(effect => effect.kind === 'replyPeer');
+    if (answer?.kind !== 'replyPeer') {
+      return undefined;
+    }
+    to.sentBytes += sizeOf(answer.reply);
+    return answer.reply;
+  }
+
+  private answerWatches(): void {
+    const waiting = this.waiting;
+    this.waiting = [];
+    for (const watch of waiting) {
+      const {node, life, effect} = watch;
+      if (!node.alive || node.life !== life || effect.kind !== 'watchSource') {
+        continue;
+      }
+      const {head, vmList, submissions} = this.source;
+      if (this.source.down || this.isSourceCut(node.id)) {
+        this.reduce(node, {kind: 'sourceFailed', detail: 'down'});
+      } else if (
+        head > effect.afterSequence ||
+        vmList.revision > effect.vmRevision
+      ) {
+        this.reduce(node, {
+          kind: 'sourceAnswered',
+          head,
+          submissions: submissions.slice(effect.afterSequence, head),
+          vmList: vmList.revision > effect.vmRevision ? vmList : undefined,
+        });
+      } else {
+        this.waiting.push(watch);
+      }
+    }
+  }
+
+  private later(ms: number, run: () => void): void {
+    this.queue.push({dueAt: this.at + ms, run});
+  }
+
+  private deliverDue(): void {
+    for (;;) {
+      const due = this.queue.filter(({dueAt}) => dueAt <= this.at);
+      if (due.length === 0) {
+        return;
+      }
+      this.queue = this.queue.filter(({dueAt}) => dueAt > this.at);
+      for (const {run} of due) {
+        run();
+      }
+    }
+  }
+}
+
+/** Size of a message as it is sent, without HTTP headers. */
+export function sizeOf(message: PeerRequest | PeerReply): number {
+  return JSON.stringify(message).length + JSON_RPC_BYTES;
+}
+
+/** What the JSON-RPC envelope adds. */
+const JSON_RPC_BYTES = 50;
