A proxy that wakes late reads answers before it gives up on them

Cause: timers run before sockets are read, so a proxy that was paused past a charge's deadline aborted it although its answer had arrived, and the key stayed in doubt for good (charges.test.ts: every resend got 'unknown (key_in_doubt)' for 30 s). Ruled out: a longer deadline, which only moves the pause that does it. Change: the abort at the deadline waits for one poll of the sockets. Before: 'run once when their owner is paused while they run' fails. After: npm run mocha -- processes/charges, 3 passed.

--- a/src/proxy/attempt_sender.ts
+++ b/src/proxy/attempt_sender.ts
@@ -30,7 +30,11 @@
     const {attemptId, timeoutMs} = attempt;
     const controller = new AbortController();
     this.underWay.set(attemptId, controller);
-    const timer = setTimeout(() => controller.abort(), timeoutMs);
+    // As for upstreams, an answer that has arrived goes before the deadline.
+    const timer = setTimeout(
+      () => setImmediate(() => controller.abort()),
+      timeoutMs,
+    );
     const answer = await exchangeHttp(this.pools.get(address), {
       method: outbound.method,
       path: outbound.path,
--- a/src/proxy/upstream_client.ts
+++ b/src/proxy/upstream_client.ts
@@ -45,7 +45,12 @@
   ): Promise<void> {
     const controller = new AbortController();
     this.running.set(attemptId, controller);
-    const timer = setTimeout(() => controller.abort(), timeoutMs);
+    // A process that wakes late reads an answer that has arrived meanwhile
+    // before it gives up on it: timers run before sockets are read.
+    const timer = setTimeout(
+      () => setImmediate(() => controller.abort()),
+      timeoutMs,
+    );
     const keyHeader: HeaderRecord =
       key === undefined ? {} : {[KEY_HEADER]: key};
     const answer = await exchangeHttp(this.getPool(), {
--- a/src/standins/harness/standin_process.ts
+++ b/src/standins/harness/standin_process.ts
@@ -168,16 +168,22 @@
 
   /** Takes in journal lines that are still under way, where it runs. */
   async refreshJournal(): Promise<void> {
-    if (this.child.exit !== undefined) {
+    const {run, runs: runNumber} = this;
+    if (run.child.exit !== undefined) {
       return;
     }
-    const {sidePort} = this.ports;
     const path = '/side/journal';
-    const {entries} = await fetchChecked(sidePort, path, JournalAnswerSchema);
-    entries.forEach(entry => this.keep(entry));
+    try {
+      const {sidePort} = await run.untilReady();
+      const answer = await fetchChecked(sidePort, path, JournalAnswerSchema);
+      answer.entries.forEach(entry => this.keep(entry, runNumber));
+    } catch {
+      // It has crashed meanwhile; its last lines are read by its end.
+      await run.child.untilExit();
+    }
   }
 
-  private keep(entry: JournalEntry, runNumber = this.runs): void {
+  private keep(entry: JournalEntry, runNumber: number): void {
     this.entries.set(`${runNumber}:${entry.entry}`, entry);
   }
 
--- a/test/processes/fleet_support.ts
+++ b/test/processes/fleet_support.ts
@@ -7,7 +7,11 @@
 } from '../../src/standins/harness/caller.js';
 import {Fleet, FleetNode} from '../../src/standins/harness/fleet.js';
 import {FleetPlan} from '../../src/standins/harness/fleet_plan.js';
-import {Load, LoadRecord} from '../../src/standins/harness/load.js';
+import {
+  describeResult,
+  Load,
+  LoadRecord,
+} from '../../src/standins/harness/load.js';
 import {untilTrue} from '../../src/standins/harness/until.js';
 import {createUuidV7} from '../../src/standins/harness/uuid_v7.js';
 
@@ -129,12 +133,17 @@
   isSettled: (result: CallResult) => boolean,
 ): Promise<readonly CallResult[]> {
   const results: CallResult[] = [];
-  await untilTrue(`${call.path} to be settled`, async () => {
-    const {proxy} = nodes[results.length % nodes.length];
-    const result = await caller.send(proxy.ports.callers, call);
-    results.push(result);
-    return isSettled(result);
-  });
+  try {
+    await untilTrue(`${call.path} to be settled`, async () => {
+      const {proxy} = nodes[results.length % nodes.length];
+      const result = await caller.send(proxy.ports.callers, call);
+      results.push(result);
+      return isSettled(result);
+    });
+  } catch (error) {
+    const kinds = new Set(results.map(describeResult));
+    throw new Error(`${call.path} got ${[...kinds].join()}`, {cause: error});
+  }
   return results;
 }
 
