Malformed input never takes the place of an earlier request's answer

Cause: the parser's error handler wrote its 400 'not-run' to the socket at once, also while an earlier pipelined request was still running, so its caller took the refusal for the answer to a request that ran; behind an answer already written it added a second one. Ruled out: waiting only where a response has begun, since the request may run long before it does. Change: the error is written only where no earlier answer is due; otherwise the connection ends after that answer. The counter counts as before. Before: 'behind a good request never takes the place of its answer' got 400 not-run for a request that ran.

--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -1,7 +1,8 @@
 /** Creates HTTP servers that bound what one sender can take. */
 import {once} from 'node:events';
-import {createServer, RequestListener, Server} from 'node:http';
+import {createServer, RequestListener, Server, ServerResponse} from 'node:http';
 import {AddressInfo, Server as NetServer} from 'node:net';
+import {Duplex} from 'node:stream';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Settings} from '../model/settings.js';
 import {formatAddress, parseAddress} from './addresses.js';
@@ -44,6 +45,7 @@
   onBadInput: (kind: string) => void,
   handle: RequestListener,
 ): Promise<Listener> {
+  const lastResponses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -53,7 +55,10 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       noDelay: true,
     },
-    handle,
+    (req, res) => {
+      lastResponses.set(req.socket, res);
+      handle(req, res);
+    },
   );
   server.maxConnections = maxConnections;
   server.on('drop', () => onBadInput('too_many_connections'));
@@ -64,18 +69,7 @@
       return;
     }
     onBadInput(code);
-    const status = PARSER_STATUS[code] ?? '400 Bad Request';
-    const body = JSON.stringify({
-      error: {
-        code: 'bad_request',
-        outcome: 'not-run',
-        message: `The request was not accepted (${code}); send well-formed HTTP within the limits.`,
-      },
-    });
-    socket.end(
-      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Type: application/json\r\n` +
-        `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
-    );
+    refuseInput(socket, lastResponses.get(socket), code);
   });
   const {host, port} = parseAddress(address);
   await new Promise<void>((resolve, reject) => {
@@ -89,6 +83,49 @@
   };
 }
 
+/**
+ * Ends a connection after input that is not HTTP. The error must not be taken
+ * for the answer to an earlier request, which may run.
+ */
+function refuseInput(
+  socket: Duplex,
+  lastResponse: ServerResponse | undefined,
+  code: string,
+): void {
+  if (lastResponse === undefined || lastResponse.closed) {
+    writeInputError(socket, code);
+    return;
+  }
+  if (lastResponse.req.complete) {
+    lastResponse.once('close', () => socket.end());
+    return;
+  }
+  // The bad input is the body of the last request. Its response has a socket
+  // once those before it have ended.
+  if (lastResponse.headersSent) {
+    socket.end();
+  } else if (lastResponse.socket !== null) {
+    writeInputError(socket, code);
+  } else {
+    socket.destroy();
+  }
+}
+
+function writeInputError(socket: Duplex, code: string): void {
+  const status = PARSER_STATUS[code] ?? '400 Bad Request';
+  const body = JSON.stringify({
+    error: {
+      code: 'bad_request',
+      outcome: 'not-run',
+      message: `The request was not accepted (${code}); send well-formed HTTP within the limits.`,
+    },
+  });
+  socket.end(
+    `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Type: application/json\r\n` +
+      `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+}
+
 /**
  * Stops accepting connections and leaves the open ones alone, idle ones too:
  * closing one at the moment when its caller sends a request would cut that
--- a/test/processes/bad_input.test.ts
+++ b/test/processes/bad_input.test.ts
@@ -153,6 +153,15 @@
     expect(answers).toMatchSnapshot();
   });
 
+  it('behind a good request never takes the place of its answer', async () => {
+    const good = 'GET /stock/good HTTP/1.1\r\nHost: a\r\nX-Work-Ms: 50\r\n\r\n';
+    const {callers} = node.proxy.ports;
+    expect(await sendRaw(callers, [good, 'garbage\r\n\r\n'])).to.deep.equal({
+      statuses: [200],
+      errors: [],
+    });
+  });
+
   it('by too many connections leaves room for others afterwards', async () => {
     const {callers} = node.proxy.ports;
     const sockets = [];
