--- a/src/bench/core_driver.ts
+++ b/src/bench/core_driver.ts
@@ -161,12 +161,10 @@
    * @returns The description.
    */
   describeMember(index: number, heartbeat: number): MemberInfo {
-    const {id, zone, region, peers} = getPlan(index % this.size);
+    const {id, peers} = getPlan(index % this.size);
     const {latest, active} = this.state.log;
     return {
       id,
-      zone,
-      region,
       peerAddress: peers,
       incarnation: START_MS,
       heartbeat,
@@ -192,7 +190,7 @@
           ready: true,
           sequence: latest.sequence,
           floor: 0,
-          state: latest,
+          upMs: 0,
           members: [],
         };
       }
--- a/src/core/spread/membership.ts
+++ b/src/core/spread/membership.ts
@@ -188,7 +188,13 @@
   membership.leavingVms = leaving;
 }
 
-function getIncarnation(membership: Membership, id: string): number {
+/**
+ * Gets the newest start of a proxy's process that has been heard of.
+ * @param membership - The view.
+ * @param id - The proxy.
+ * @returns Unix milliseconds, or 0 where nothing has been heard.
+ */
+export function getIncarnation(membership: Membership, id: string): number {
   return id === membership.selfId
     ? membership.startedAt
     : (membership.members.get(id)?.info.incarnation ?? 0);
@@ -268,16 +274,6 @@
   );
 }
 
-/**
- * Gets the newest start of a proxy's process that has been heard of.
- * @param membership - The view.
- * @param id - The proxy.
- * @returns Unix milliseconds, or 0 where nothing has been heard.
- */
-export function getIncarnation(membership: Membership, id: string): number {
-  return membership.members.get(id)?.info.incarnation ?? 0;
-}
-
 /**
  * Takes a few members whose change has not been told often enough, leaving
  * ones first, and counts the telling.
