--- a/test/spread/versions.test.ts
+++ b/test/spread/versions.test.ts
@@ -2,24 +2,13 @@
 import {getWitnesses} from '../../src/core/spread/witnesses.js';
 import {createServicePatch} from '../support/core_fixture.js';
 import {FleetFixture} from '../support/fleet_fixture.js';
+import {
+  changeTimeout,
+  createIds,
+  publishChanges,
+} from '../support/fleet_patches.js';
 import {expect} from '../support/chai_setup.js';
 
-function createIds(count: number): string[] {
-  return Array.from({length: count}, (_, i) => `desk-${i + 1}`);
-}
-
-/** A change that leaves the upstreams as they are. */
-function changeTimeout(timeoutMs: number) {
-  const {routes} = createServicePatch(['desk-1']);
-  return {routes: {desk: {...routes?.desk, timeoutMs}}};
-}
-
-function publishChanges(fleet: FleetFixture, from: number, to: number): void {
-  for (let base = from; base < to; base += 1) {
-    fleet.source.publish(changeTimeout(1_000 + base), base);
-  }
-}
-
 describe('versions in a fleet', () => {
   for (const count of [1, 2, 3, 4]) {
     it(`starts ${count} proxies together and puts changes in force`, () => {
--- a/test/support/fleet_fixture.ts
+++ b/test/support/fleet_fixture.ts
@@ -40,6 +40,13 @@
   held: number;
 }
 
+interface Watch {
+  readonly node: Node;
+  readonly life: number;
+  readonly endsAt: number;
+  readonly effect: Extract<Effect, {kind: 'watchSource'}>;
+}
+
 interface Delivery {
   readonly dueAt: number;
   readonly run: () => void;
@@ -81,6 +88,8 @@
   readonly nodes = new Map<string, Node>();
   /** Tells whether a message from one proxy to another is lost. */
   isCut: (from: string, to: string) => boolean = () => false;
+  /** Tells whether one message is lost on its way. */
+  isLost: (request: PeerRequest) => boolean = () => false;
   /** Tells whether a proxy is cut from the source. */
   isSourceCut: (id: string) => boolean = () => false;
   /** Called with each message before it is delivered. */
@@ -88,7 +97,7 @@
   at = START_MS;
   private entropy: number;
   private queue: Delivery[] = [];
-  private waiting: Array<{node: Node; life: number; effect: Effect}> = [];
+  private waiting: Watch[] = [];
 
   constructor(
     readonly ids: readonly string[],
@@ -191,6 +200,30 @@
     });
   }
 
+  /** Live proxies that wait at the source. */
+  getWatchers(): string[] {
+    const live = this.waiting.filter(
+      ({node, life}) => node.alive && node.life === life,
+    );
+    return live.map(({node}) => node.id).sort();
+  }
+
+  /** Sums a counter over all proxies. */
+  count(name: string): number {
+    let sum = 0;
+    for (const {counts} of this.nodes.values()) {
+      sum += counts.get(name) ?? 0;
+    }
+    return sum;
+  }
+
+  /** Tells whether every live proxy has a version in force. */
+  isInForce(version: number): boolean {
+    return [...this.nodes.values()].every(
+      ({alive, state}) => !alive || state.log.active.version === version,
+    );
+  }
+
   /** Versions in force, by proxy; undefined for one that does not serve. */
   getVersions(): Record<string, number | undefined> {
     return Object.fromEntries(
@@ -241,7 +274,8 @@
       this.ask(node, effect);
     } else if (effect.kind === 'watchSource') {
       this.source.calls += 1;
-      this.waiting.push({node, life: node.life, effect});
+      const endsAt = this.at + effect.waitMs;
+      this.waiting.push({node, life: node.life, endsAt, effect});
     }
   }
 
@@ -257,7 +291,7 @@
     from.sentBytes += sizeOf(request);
     if (to === undefined || !this.get(to).alive) {
       this.later(LATENCY_MS, fail);
-    } else if (this.isCut(from.id, to)) {
+    } else if (this.isCut(from.id, to) || this.isLost(request)) {
       this.later(CUT_TIMEOUT_MS, fail);
     } else {
       this.later(LATENCY_MS, () => {
@@ -296,14 +330,15 @@
     const waiting = this.waiting;
     this.waiting = [];
     for (const watch of waiting) {
-      const {node, life, effect} = watch;
-      if (!node.alive || node.life !== life || effect.kind !== 'watchSource') {
+      const {node, life, endsAt, effect} = watch;
+      if (!node.alive || node.life !== life) {
         continue;
       }
       const {head, vmList, submissions} = this.source;
       if (this.source.down || this.isSourceCut(node.id)) {
         this.reduce(node, {kind: 'sourceFailed', detail: 'down'});
       } else if (
+        this.at >= endsAt ||
         head > effect.afterSequence ||
         vmList.revision > effect.vmRevision
       ) {
