--- a/src/core/owner/owner_state.ts
+++ b/src/core/owner/owner_state.ts
@@ -17,20 +17,37 @@
   readonly admission: Admission;
   readonly keys: KeyRecords;
   /** Attempts that wait for former homes to answer, by attempt. */
-  readonly asking: Map<string, {attempt: Attempt; deadlineAt: number}>;
+  readonly asking: Map<string, AskingAttempt>;
+  /** The key record of each attempt that waits for one that runs. */
+  readonly waiting: Map<string, string>;
   /** Proxies that stopped as planned and told us all that they ran. */
-  readonly handedOverBy: Set<string>;
+  readonly handedOverBy: Map<string, TakenHandOver>;
   /** A planned stop of this VM has begun. */
   draining: boolean;
   /** The upstream itself says that it drains. */
   upstreamDraining: boolean;
-  /** The upstream crashed and has not answered since. */
-  crashed: boolean;
   crashCount: number;
+  /** Dispatches up to this number belong to the last crash or an older one. */
+  crashedDispatch: number;
   handOver?: HandOver;
   drained: boolean;
 }
 
+export interface AskingAttempt {
+  readonly attempt: Attempt;
+  readonly deadlineAt: number;
+  /** Its entry went away. */
+  cancelled: boolean;
+}
+
+/** What a stopped home told; it covers the keys of which we are the heir. */
+export interface TakenHandOver {
+  /** Start of the process that stopped, in Unix milliseconds. */
+  readonly incarnation: number;
+  /** Upstreams among which its keys were shared out. */
+  readonly heirs: readonly string[];
+}
+
 /** What the owner reads from the other parts. */
 export interface OwnerView {
   readonly settings: CoreSettings;
@@ -46,11 +63,12 @@
     admission: createAdmission(),
     keys: new Map(),
     asking: new Map(),
-    handedOverBy: new Set(),
+    waiting: new Map(),
+    handedOverBy: new Map(),
     draining: false,
     upstreamDraining: false,
-    crashed: false,
     crashCount: 0,
+    crashedDispatch: 0,
     drained: false,
   };
 }
@@ -69,6 +87,27 @@
   );
 }
 
+/**
+ * Tells whether the upstream's own word that it drains is to be believed.
+ * Health endpoints mislead, so together they may not empty more than half of
+ * a service; where more claim to drain, the first ones by name are believed.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @returns False where the word must be ignored.
+ */
+export function mayHonourDrainHint(owner: Owner, view: OwnerView): boolean {
+  const {id} = view.settings;
+  const ids = getOwnService(view)?.upstreamIds ?? [];
+  const leaving = ids.filter(
+    other => other !== id && isLeaving(view.membership, other),
+  );
+  const limit = Math.floor(ids.length / 2);
+  const before = owner.upstreamDraining
+    ? leaving.filter(other => other < id)
+    : leaving;
+  return before.length < limit;
+}
+
 /**
  * Gets the service that the upstream beside this proxy belongs to.
  * @param view - Read-only views of the other parts.
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -65,7 +65,11 @@
   fingerprint: z.string().max(128),
   /** Crashes during which it ran, each named once. */
   crashedAt: z.array(z.string()).max(64).readonly(),
-  /** It later ran to its end, so it did not cause the crash. */
+  /** Of these, the crashes at which no other suspect ran. */
+  soleAt: z.array(z.string()).max(64).readonly(),
+  /** Of these, the crashes after which it has run to its end. */
+  clearedAt: z.array(z.string()).max(64).readonly(),
+  /** It ran to its end after each crash, so it did not cause them. */
   cleared: z.boolean(),
   expiresAt: z.number(),
 });
@@ -136,6 +140,10 @@
     kind: z.literal('handOver'),
     service: NameSchema,
     fromId: NameSchema,
+    /** Start time of the stopping process, in Unix milliseconds. */
+    incarnation: z.number(),
+    /** The upstreams among which its keys are shared out. */
+    heirs: z.array(NameSchema).max(10_000).readonly(),
     records: z.array(KeyVerdictSchema).max(MAX_KEYS_PER_MESSAGE).readonly(),
   }),
 ]);
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -1,6 +1,9 @@
 /** Creates HTTP servers that bound what one sender can take. */
-import {createServer, RequestListener, Server} from 'node:http';
-import {AddressInfo} from 'node:net';
+import {once} from 'node:events';
+import {createServer, RequestListener, Server, ServerResponse} from 'node:http';
+import {AddressInfo, Server as NetServer} from 'node:net';
+import {Duplex} from 'node:stream';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Settings} from '../model/settings.js';
 import {formatAddress, parseAddress} from './addresses.js';
 
@@ -9,6 +12,9 @@
 const MAX_HEADER_BYTES = 16_384;
 const CONNECTION_CHECK_MS = 1_000;
 
+/** Time in which an idle connection may still bring a last request. */
+const IDLE_GRACE_MS = 1_000;
+
 /** Status line for input that Node's parser rejects, by error code. */
 const PARSER_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -19,6 +25,8 @@
   readonly server: Server;
   /** The address on which it listens, with the actual port. */
   readonly address: string;
+  /** Resolves when it accepts no more and its last connection has ended. */
+  readonly closed: Promise<unknown>;
 }
 
 /**
@@ -37,6 +45,7 @@
   onBadInput: (kind: string) => void,
   handle: RequestListener,
 ): Promise<Listener> {
+  const lastResponses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -46,7 +55,10 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       noDelay: true,
     },
-    handle,
+    (req, res) => {
+      lastResponses.set(req.socket, res);
+      handle(req, res);
+    },
   );
   server.maxConnections = maxConnections;
   server.on('drop', () => onBadInput('too_many_connections'));
@@ -57,34 +69,84 @@
       return;
     }
     onBadInput(code);
-    const status = PARSER_STATUS[code] ?? '400 Bad Request';
-    const body = JSON.stringify({
-      error: {
-        code: 'bad_request',
-        outcome: 'not-run',
-        message: `The request was not accepted (${code}); send well-formed HTTP within the limits.`,
-      },
-    });
-    socket.end(
-      `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Type: application/json\r\n` +
-        `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
-    );
+    refuseInput(socket, lastResponses.get(socket), code);
   });
   const {host, port} = parseAddress(address);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, resolve);
   });
-  return {server, address: formatAddress(server.address() as AddressInfo)};
+  return {
+    server,
+    address: formatAddress(server.address() as AddressInfo),
+    closed: once(server, 'close'),
+  };
+}
+
+/**
+ * Ends a connection after input that is not HTTP. The error must not be taken
+ * for the answer to an earlier request, which may run.
+ */
+function refuseInput(
+  socket: Duplex,
+  lastResponse: ServerResponse | undefined,
+  code: string,
+): void {
+  if (lastResponse === undefined || lastResponse.closed) {
+    writeInputError(socket, code);
+    return;
+  }
+  if (lastResponse.req.complete) {
+    lastResponse.once('close', () => socket.end());
+    return;
+  }
+  // The bad input is the body of the last request. Its response has a socket
+  // once those before it have ended.
+  if (lastResponse.headersSent) {
+    socket.end();
+  } else if (lastResponse.socket !== null) {
+    writeInputError(socket, code);
+  } else {
+    socket.destroy();
+  }
+}
+
+function writeInputError(socket: Duplex, code: string): void {
+  const status = PARSER_STATUS[code] ?? '400 Bad Request';
+  const body = JSON.stringify({
+    error: {
+      code: 'bad_request',
+      outcome: 'not-run',
+      message: `The request was not accepted (${code}); send well-formed HTTP within the limits.`,
+    },
+  });
+  socket.end(
+    `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Type: application/json\r\n` +
+      `Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+  );
+}
+
+/**
+ * Stops accepting connections and leaves the open ones alone, idle ones too:
+ * closing one at the moment when its caller sends a request would cut that
+ * request.
+ * @param listener - The listener.
+ */
+export function stopAccepting({server}: Listener): void {
+  if (server.listening) {
+    // The HTTP server's own method would close idle connections at once.
+    NetServer.prototype.close.call(server);
+  }
 }
 
 /**
- * Stops accepting, closes idle connections and waits for the others.
+ * Stops accepting, lets connections end with their next answer for a while,
+ * then closes idle ones and waits for the others.
  * @param listener - The listener.
  */
 export async function closeGracefully(listener: Listener): Promise<void> {
-  const {server} = listener;
-  const closed = new Promise<void>(resolve => server.close(() => resolve()));
-  server.closeIdleConnections();
-  await closed;
+  stopAccepting(listener);
+  await Promise.race([listener.closed, sleep(IDLE_GRACE_MS)]);
+  listener.server.closeIdleConnections();
+  await listener.closed;
 }
--- a/src/proxy/proxy_runtime.ts
+++ b/src/proxy/proxy_runtime.ts
@@ -9,7 +9,7 @@
 import {ConnectionPools} from './connections.js';
 import {ControlClient, ControlTraffic} from './control_channel.js';
 import {CoreLoop} from './core_loop.js';
-import {closeGracefully, listen, Listener} from './listener.js';
+import {closeGracefully, stopAccepting, listen, Listener} from './listener.js';
 import {PartLogs} from './log.js';
 import {ProxyLevels, ProxyMetrics} from './metrics.js';
 import {OperatorServer} from './operator_server.js';
@@ -35,7 +35,6 @@
 }
 
 export class ProxyRuntime {
-  private readonly closing = new AbortController();
   private readonly callPools = new ConnectionPools(CALL_CONNECTIONS_PER_PEER);
   private readonly controlPools = new ConnectionPools(
     CONTROL_CONNECTIONS_PER_PEER,
@@ -50,6 +49,7 @@
   private readonly source: SourceClient;
   private readonly control: ControlClient;
   private listeners: Listener[] = [];
+  private callerListener?: Listener;
   private loop?: CoreLoop;
   private ownAddress = '';
   private finishDrain: () => void = () => undefined;
@@ -78,17 +78,8 @@
       post,
     );
     this.upstream = new UpstreamClient(settings, this.callPools, post);
-    this.source = new SourceClient(
-      settings.source,
-      this.controlPools,
-      this.closing.signal,
-      post,
-    );
-    this.control = new ControlClient(
-      this.controlPools,
-      this.traffic,
-      this.closing.signal,
-    );
+    this.source = new SourceClient(settings.source, this.controlPools, post);
+    this.control = new ControlClient(this.controlPools, this.traffic);
   }
 
   /**
@@ -125,6 +116,7 @@
       countBadInput,
       (req, res) => void operator.handle(req, res),
     );
+    this.callerListener = callers;
     this.listeners = [callers, peers, operators];
     this.startTimers();
     loop.post({kind: 'started'});
@@ -165,6 +157,11 @@
     }
     this.callers.closing = true;
     this.logs.write('daemon', 'info', 'Planned stop begins.');
+    // Refused before they send anything, callers ask another proxy at once.
+    // New connections would also keep the stop from ever finding no calls.
+    if (this.callerListener !== undefined) {
+      stopAccepting(this.callerListener);
+    }
     this.post({kind: 'drainRequested'});
   }
 
@@ -174,7 +171,7 @@
     for (const timer of this.timers) {
       clearInterval(timer);
     }
-    this.closing.abort();
+    this.source.abort();
     await Promise.all([this.callPools.destroy(), this.controlPools.destroy()]);
   }
 
