--- a/src/bench/fast_upstream.ts
+++ b/src/bench/fast_upstream.ts
@@ -1,12 +1,14 @@
 /**
  * An upstream that answers at once, so that added time is not hidden by its
- * work. `/NAME/deep/N` makes it call `/OTHER/deep/N-1` through the address in
- * `x-via-NAME` style query parameters, which gives calls of any depth.
- * Arguments: listen address, own path name.
+ * work. `/NAME/deep/N?NAME=ADDRESS/OTHER` makes it call `/OTHER/deep/N-1` at
+ * that address, which gives calls of any depth. Arguments: listen address, own
+ * name.
  */
 import {createServer, IncomingMessage, ServerResponse} from 'node:http';
 import {Agent, request} from 'undici';
 
+const DEADLINE_HEADER = 'fireflysill-deadline-ms';
+
 const [address, name] = process.argv.slice(2);
 const [host, port] = address.split(':');
 const agent = new Agent({connections: 256});
@@ -21,8 +23,15 @@
     : undefined;
 }
 
-async function callNext(nextUrl: string): Promise<number> {
-  const answer = await request(nextUrl, {dispatcher: agent});
+/** Passes the deadline on and breaks off with its own caller. */
+async function callNext(
+  nextUrl: string,
+  req: IncomingMessage,
+  signal: AbortSignal,
+): Promise<number> {
+  const deadline = req.headers[DEADLINE_HEADER];
+  const headers = deadline === undefined ? {} : {[DEADLINE_HEADER]: deadline};
+  const answer = await request(nextUrl, {dispatcher: agent, headers, signal});
   await answer.body.arrayBuffer();
   return answer.statusCode;
 }
@@ -30,7 +39,10 @@
 async function serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
   const url = new URL(req.url ?? '/', 'http://upstream');
   const nextUrl = getNextUrl(url);
-  const status = nextUrl === undefined ? 200 : await callNext(nextUrl);
+  const abort = new AbortController();
+  res.once('close', () => abort.abort());
+  const status =
+    nextUrl === undefined ? 200 : await callNext(nextUrl, req, abort.signal);
   res.writeHead(status, {
     'content-type': 'application/json',
     'content-length': BODY.length,
