--- a/src/core/entry/entry.ts
+++ b/src/core/entry/entry.ts
@@ -15,7 +15,6 @@
   RefusalReason,
   weakenToUnknown,
 } from '../refusals.js';
-import {CRASHES_TO_QUARANTINE} from '../owner/crash_suspects.js';
 import {Membership} from '../spread/membership.js';
 import {Attempt, KeyVerdict, LoadReport} from '../../model/peer.js';
 import {Answer, CallInfo, Emit, FailureKind} from '../types.js';
@@ -27,6 +26,7 @@
   noteFailure,
   noteReport,
   noteSuccess,
+  noteTimeout,
   UpstreamLoad,
 } from './load_view.js';
 import {
@@ -134,7 +134,7 @@
     triedUpstreams: new Set(),
     attemptCount: 0,
     mayHaveRun: false,
-    lostAttempts: 0,
+    suspect: false,
   };
   return {kind: 'call', call};
 }
@@ -193,15 +193,8 @@
   if (call.key !== undefined && !call.privateKey) {
     return getHome(view.table, service, call.key);
   }
-  return chooseUpstream(
-    service,
-    call.triedUpstreams,
-    view.membership,
-    entry.loads,
-    view.settings,
-    view.at,
-    view.entropy,
-  );
+  const {loads} = entry;
+  return chooseUpstream(service, call.triedUpstreams, {...view, loads});
 }
 
 function createAttempt(
@@ -223,7 +216,7 @@
     privateKey: call.privateKey,
     timeoutMs: remainingMs - reserveMs,
     fingerprint: call.info.fingerprint,
-    suspect: call.lostAttempts > 0,
+    suspect: call.suspect,
     priority: call.route.priority,
   };
 }
@@ -250,7 +243,9 @@
     return;
   }
   const upstreamId = call.currentAttempt?.upstreamId ?? '';
-  noteResult(getLoad(entry.loads, upstreamId), result, load, view.at);
+  const upstream = getLoad(entry.loads, upstreamId);
+  noteReport(upstream, load, view.at);
+  noteOutcome(upstream, result, view.at);
   if (result.kind === 'answer') {
     takeAnswer(entry, view, call, result, emit);
     return;
@@ -258,19 +253,29 @@
   takeRefusal(entry, view, call, result, emit);
 }
 
-/** An owner that answers may still have an upstream that does not. */
-function noteResult(
-  upstreamLoad: UpstreamLoad,
+/** Learns from a result whether the upstream is well. */
+function noteOutcome(
+  load: UpstreamLoad,
   result: Answer | Refusal,
-  report: LoadReport | undefined,
   at: number,
 ): void {
-  noteReport(upstreamLoad, report, at);
-  const reason = result.kind === 'refusal' ? result.reason : undefined;
-  if (reason === 'upstream_down' || reason === 'attempt_lost') {
-    noteFailure(upstreamLoad, reason === 'upstream_down', at);
-  } else {
-    noteSuccess(upstreamLoad);
+  if (result.kind === 'answer') {
+    noteSuccess(load);
+    return;
+  }
+  switch (result.reason) {
+    case 'upstream_down':
+    case 'proxy_not_ready':
+    case 'attempt_lost':
+    case 'answer_truncated':
+      noteFailure(load, at);
+      return;
+    case 'attempt_timeout':
+      noteTimeout(load, at);
+      return;
+    default:
+      // The owner is well, which says nothing of the upstream behind it.
+      return;
   }
 }
 
@@ -302,7 +307,7 @@
     call.mayHaveRun = true;
   }
   if (refusal.reason === 'attempt_lost') {
-    call.lostAttempts += 1;
+    call.suspect = true;
   }
   if (hasSharedKey(call)) {
     const behind = refusal.reason === 'wrong_home';
@@ -316,9 +321,7 @@
     return;
   }
   const safe = call.idempotent || refusal.outcome === 'not-run';
-  const final =
-    refusal.reason === 'quarantined' ||
-    call.lostAttempts >= CRASHES_TO_QUARANTINE;
+  const final = refusal.reason === 'quarantined';
   if (safe && !final && mayRetry(entry, view, call, refusal.reason, emit)) {
     sendNextAttempt(entry, view, call, refusal, emit);
     return;
@@ -346,8 +349,12 @@
   if (call === undefined || current === undefined) {
     return;
   }
-  const upstreamLoad = getLoad(entry.loads, current.upstreamId);
-  noteFailure(upstreamLoad, failure === 'connect', view.at);
+  const load = getLoad(entry.loads, current.upstreamId);
+  if (failure === 'timeout') {
+    noteTimeout(load, view.at);
+  } else {
+    noteFailure(load, view.at);
+  }
   const refusal = createFailureRefusal(failure, hasSharedKey(call));
   if (failure !== 'connect') {
     call.mayHaveRun = true;
@@ -457,14 +464,17 @@
   reason: RefusalReason | 'upstream_shed' | 'closed',
   emit: Emit,
 ): boolean {
-  const untried = call.route.target.upstreams.length > call.attemptCount;
+  // Leaving upstreams are known after one refusal, so they cause no retry
+  // storm, and a planned stop must not use up the budget. As nothing ran, a
+  // retry by an inner layer multiplies no work.
+  const free = reason === 'upstream_leaving';
   const inTime = call.deadlineAt - view.at >= MIN_ATTEMPT_MS;
-  if (call.info.retriedByOuter || !untried || !inTime) {
+  if ((call.info.retriedByOuter && !free) || !inTime) {
+    return false;
+  }
+  if (chooseTarget(entry, view, call) === undefined) {
     return false;
   }
-  // Leaving upstreams are known after one refusal, so they cause no retry
-  // storm, and a planned stop must not use up the budget.
-  const free = reason === 'upstream_leaving';
   if (!free && !tryWithdrawRetry(entry.budgets, call.route.service)) {
     emit({kind: 'count', counter: 'call_retried', reason: 'no_budget'});
     return false;
--- a/src/core/entry/load_view.ts
+++ b/src/core/entry/load_view.ts
@@ -5,6 +5,12 @@
 const EJECTION_BASE_MS = 500;
 const EJECTION_MAX_MS = 10_000;
 
+/**
+ * Timeouts in a row after which an upstream is avoided. One may only mean
+ * that its caller was in a hurry.
+ */
+const TIMEOUTS_TO_EJECT = 3;
+
 /**
  * Time for which an upstream that said that it leaves is avoided. Membership
  * news arrives long before it ends.
@@ -19,10 +25,11 @@
   reportedAt: number;
   /** Attempts that this entry has under way there. */
   ownAttempts: number;
+  /** Of these, the attempts that the last report may have counted. */
+  reportedAttempts: number;
   consecutiveFailures: number;
+  consecutiveTimeouts: number;
   ejectedUntil: number;
-  /** Until then nothing is believed to listen there. */
-  downUntil: number;
   /** Until then the upstream's own word that it leaves counts. */
   leavingUntil: number;
 }
@@ -41,9 +48,10 @@
     load = {
       reportedAt: 0,
       ownAttempts: 0,
+      reportedAttempts: 0,
       consecutiveFailures: 0,
+      consecutiveTimeouts: 0,
       ejectedUntil: 0,
-      downUntil: 0,
       leavingUntil: 0,
     };
     view.set(upstreamId, load);
@@ -52,9 +60,19 @@
 }
 
 /**
- * Notes the load that an owner reported.
+ * Notes that an upstream is well, which ends an ejection.
+ * @param load - The upstream's record.
+ */
+export function noteSuccess(load: UpstreamLoad): void {
+  load.consecutiveFailures = 0;
+  load.consecutiveTimeouts = 0;
+  load.ejectedUntil = 0;
+}
+
+/**
+ * Notes the load that an owner reported with an answer or refusal.
  * @param load - The upstream's record.
- * @param report - Its load, where the owner sent one.
+ * @param report - Its load, where there was one.
  * @param at - Now, in Unix milliseconds.
  */
 export function noteReport(
@@ -65,40 +83,31 @@
   if (report !== undefined) {
     load.report = report;
     load.reportedAt = at;
+    load.reportedAttempts = load.ownAttempts;
     load.leavingUntil = report.leaving ? at + LEAVING_MEMORY_MS : 0;
   }
 }
 
 /**
- * Notes that an upstream works, which ends an ejection.
+ * Ejects an upstream after a failure, longer with each one in a row.
  * @param load - The upstream's record.
+ * @param at - Now, in Unix milliseconds.
  */
-export function noteSuccess(load: UpstreamLoad): void {
-  load.consecutiveFailures = 0;
-  load.ejectedUntil = 0;
-  load.downUntil = 0;
+export function noteFailure(load: UpstreamLoad, at: number): void {
+  const factor = 2 ** Math.min(load.consecutiveFailures, 10);
+  load.consecutiveFailures += 1;
+  load.ejectedUntil = at + Math.min(EJECTION_MAX_MS, EJECTION_BASE_MS * factor);
 }
 
 /**
- * Ejects an upstream after a failure, longer with each one in a row.
+ * Ejects an upstream after several timeouts in a row.
  * @param load - The upstream's record.
- * @param isDown - Nothing listens there, which leaves no doubt.
  * @param at - Now, in Unix milliseconds.
  */
-export function noteFailure(
-  load: UpstreamLoad,
-  isDown: boolean,
-  at: number,
-): void {
-  // Attempts that were under way together fail together; they count as one.
-  if (at >= load.ejectedUntil) {
-    const factor = 2 ** Math.min(load.consecutiveFailures, 10);
-    const ejectedMs = Math.min(EJECTION_MAX_MS, EJECTION_BASE_MS * factor);
-    load.consecutiveFailures += 1;
-    load.ejectedUntil = at + ejectedMs;
-  }
-  if (isDown) {
-    load.downUntil = load.ejectedUntil;
+export function noteTimeout(load: UpstreamLoad, at: number): void {
+  load.consecutiveTimeouts += 1;
+  if (load.consecutiveTimeouts >= TIMEOUTS_TO_EJECT) {
+    noteFailure(load, at);
   }
 }
 
@@ -115,6 +124,13 @@
   at: number,
 ): number {
   const fresh = at - load.reportedAt < REPORT_LIFETIME_MS;
-  const {running = 0, queued = 0} = (fresh ? load.report : undefined) ?? {};
-  return (Math.max(running + queued, load.ownAttempts) + 1) / slots;
+  const report = fresh ? load.report : undefined;
+  if (report === undefined) {
+    return (load.ownAttempts + 1) / slots;
+  }
+  const {running, queued} = report;
+  const sentSince = Math.max(0, load.ownAttempts - load.reportedAttempts);
+  const requests = Math.max(running + queued + sentSince, load.ownAttempts);
+  // A cold upstream offers fewer slots than the configuration says.
+  return (requests + 1) / Math.max(1, report.slots);
 }
