Bystanders survive a poison request: no third try, upstreams that are down left out

Cause: (1) an idempotent call that had crashed two upstreams was tried at a third; (2) with two of three upstreams down, entries went back to one where nothing listened, because at most half of a service may be ejected, until the retry budget was used up; (3) each attempt that one crash cut off lengthened the ejection. Ruled out: a larger retry budget, which lets the poison do more harm. Change: a call that is lost while it runs as a suspect is not tried again; a refused connection ('upstream_down' too) leaves no doubt, so it excludes an upstream whatever the share, unless none is left; failures that come together count once.

--- a/src/core/entry/balancer.ts
+++ b/src/core/entry/balancer.ts
@@ -57,18 +57,20 @@
       !isLeaving(membership, id) &&
       (loads.get(id)?.leavingUntil ?? 0) <= at,
   );
+  const up = taking.filter(({id}) => (loads.get(id)?.downUntil ?? 0) <= at);
+  const possible = up.length > 0 ? up : taking;
   const getEnd = ({id}: UpstreamTarget) => loads.get(id)?.ejectedUntil ?? 0;
-  const ejected = taking.filter(upstream => getEnd(upstream) > at);
+  const ejected = possible.filter(upstream => getEnd(upstream) > at);
   if (ejected.length === 0) {
-    return taking;
+    return possible;
   }
   // Evidence that condemns most of a service is more likely to be wrong, so
   // those whose ejection ends first are used again.
   ejected.sort((a, b) => getEnd(b) - getEnd(a));
   const limit = Math.floor(service.upstreams.length * MAX_EJECTED_SHARE);
   const avoided = new Set(ejected.slice(0, limit));
-  const healthy = taking.filter(upstream => !avoided.has(upstream));
-  return healthy.length > 0 ? healthy : taking;
+  const healthy = possible.filter(upstream => !avoided.has(upstream));
+  return healthy.length > 0 ? healthy : possible;
 }
 
 function getDistancePenalty(
--- a/src/core/entry/entry.ts
+++ b/src/core/entry/entry.ts
@@ -23,6 +23,7 @@
 import {
   getLoad,
   LoadView,
+  noteDown,
   noteFailure,
   noteReport,
   noteSuccess,
@@ -265,6 +266,8 @@
   }
   switch (result.reason) {
     case 'upstream_down':
+      noteDown(load, at);
+      return;
     case 'proxy_not_ready':
     case 'attempt_lost':
     case 'answer_truncated':
@@ -306,6 +309,8 @@
   if (refusal.outcome === 'unknown') {
     call.mayHaveRun = true;
   }
+  // It crashed an upstream where no other suspect ran, so it is the cause.
+  const isCulprit = refusal.reason === 'attempt_lost' && call.suspect;
   if (refusal.reason === 'attempt_lost') {
     call.suspect = true;
   }
@@ -321,7 +326,7 @@
     return;
   }
   const safe = call.idempotent || refusal.outcome === 'not-run';
-  const final = refusal.reason === 'quarantined';
+  const final = refusal.reason === 'quarantined' || isCulprit;
   if (safe && !final && mayRetry(entry, view, call, refusal.reason, emit)) {
     sendNextAttempt(entry, view, call, refusal, emit);
     return;
@@ -352,6 +357,8 @@
   const load = getLoad(entry.loads, current.upstreamId);
   if (failure === 'timeout') {
     noteTimeout(load, view.at);
+  } else if (failure === 'connect') {
+    noteDown(load, view.at);
   } else {
     noteFailure(load, view.at);
   }
--- a/src/core/entry/load_view.ts
+++ b/src/core/entry/load_view.ts
@@ -30,6 +30,8 @@
   consecutiveFailures: number;
   consecutiveTimeouts: number;
   ejectedUntil: number;
+  /** Until then nothing is believed to listen there, which leaves no doubt. */
+  downUntil: number;
   /** Until then the upstream's own word that it leaves counts. */
   leavingUntil: number;
 }
@@ -52,6 +54,7 @@
       consecutiveFailures: 0,
       consecutiveTimeouts: 0,
       ejectedUntil: 0,
+      downUntil: 0,
       leavingUntil: 0,
     };
     view.set(upstreamId, load);
@@ -67,6 +70,7 @@
   load.consecutiveFailures = 0;
   load.consecutiveTimeouts = 0;
   load.ejectedUntil = 0;
+  load.downUntil = 0;
 }
 
 /**
@@ -94,11 +98,25 @@
  * @param at - Now, in Unix milliseconds.
  */
 export function noteFailure(load: UpstreamLoad, at: number): void {
+  // Attempts that were under way together fail together; they count as one.
+  if (at < load.ejectedUntil) {
+    return;
+  }
   const factor = 2 ** Math.min(load.consecutiveFailures, 10);
   load.consecutiveFailures += 1;
   load.ejectedUntil = at + Math.min(EJECTION_MAX_MS, EJECTION_BASE_MS * factor);
 }
 
+/**
+ * Ejects an upstream where a connection was refused.
+ * @param load - The upstream's record.
+ * @param at - Now, in Unix milliseconds.
+ */
+export function noteDown(load: UpstreamLoad, at: number): void {
+  noteFailure(load, at);
+  load.downUntil = load.ejectedUntil;
+}
+
 /**
  * Ejects an upstream after several timeouts in a row.
  * @param load - The upstream's record.
--- a/test/entry_failures.test.ts
+++ b/test/entry/failures.test.ts
@@ -1,7 +1,7 @@
-import {createRefusal, Refusal} from '../src/core/refusals.js';
-import {Answer, Effect} from '../src/core/types.js';
-import {CoreFixture, createServicePatch} from './support/core_fixture.js';
-import {expect} from './support/chai_setup.js';
+import {createRefusal, Refusal} from '../../src/core/refusals.js';
+import {Answer, Effect} from '../../src/core/types.js';
+import {CoreFixture, createServicePatch} from '../support/core_fixture.js';
+import {expect} from '../support/chai_setup.js';
 
 const UPSTREAMS = ['desk-1', 'desk-2', 'desk-3'];
 const LOAD = {running: 0, queued: 0, slots: 2, leaving: false};
