--- a/src/core/entry/entry.ts
+++ b/src/core/entry/entry.ts
@@ -23,6 +23,7 @@
 import {
   getLoad,
   LoadView,
+  noteDown,
   noteFailure,
   noteReport,
   noteSuccess,
@@ -283,6 +284,8 @@
   }
   switch (result.reason) {
     case 'upstream_down':
+      noteDown(load, at);
+      return;
     case 'proxy_not_ready':
     case 'attempt_lost':
     case 'answer_truncated':
@@ -324,6 +327,8 @@
   if (refusal.outcome === 'unknown') {
     call.mayHaveRun = true;
   }
+  // It crashed an upstream where no other suspect ran, so it is the cause.
+  const isCulprit = refusal.reason === 'attempt_lost' && call.suspect;
   if (refusal.reason === 'attempt_lost') {
     call.suspect = true;
   }
@@ -339,7 +344,7 @@
     return;
   }
   const safe = call.idempotent || refusal.outcome === 'not-run';
-  const final = refusal.reason === 'quarantined';
+  const final = refusal.reason === 'quarantined' || isCulprit;
   if (safe && !final && mayRetry(entry, view, call, refusal.reason, emit)) {
     sendNextAttempt(entry, view, call, refusal, emit);
     return;
@@ -370,6 +375,8 @@
   const load = getLoad(entry.loads, current.upstreamId);
   if (failure === 'timeout') {
     noteTimeout(load, view.at);
+  } else if (failure === 'connect') {
+    noteDown(load, view.at);
   } else {
     noteFailure(load, view.at);
   }
