--- a/src/bench/core_driver.ts
+++ b/src/bench/core_driver.ts
@@ -56,6 +56,9 @@
   });
 }
 
+/** Long enough for a peer to remember what it was told. */
+const JOIN_UP_MS = 60_000;
+
 export class CoreDriver {
   private state: ProxyState;
   private at = START_MS;
@@ -161,12 +164,10 @@
    * @returns The description.
    */
   describeMember(index: number, heartbeat: number): MemberInfo {
-    const {id, zone, region, peers} = getPlan(index % this.size);
+    const {id, peers} = getPlan(index % this.size);
     const {latest, active} = this.state.log;
     return {
       id,
-      zone,
-      region,
       peerAddress: peers,
       incarnation: START_MS,
       heartbeat,
@@ -192,7 +193,7 @@
           ready: true,
           sequence: latest.sequence,
           floor: 0,
-          state: latest,
+          upMs: JOIN_UP_MS,
           members: [],
         };
       }
--- a/src/core/spread/membership.ts
+++ b/src/core/spread/membership.ts
@@ -28,6 +28,9 @@
 /** Messages in which a change of a member is told; log2 of the fleet and more. */
 const TELLINGS_PER_CHANGE = 14;
 
+/** Age up to which the start of a process is news. */
+const FRESH_MS = 60_000;
+
 /** Records kept of proxies, the longest unheard of are dropped first. */
 const MAX_MEMBERS = 4_096;
 
@@ -106,7 +109,10 @@
     const [oldest] = members.keys();
     members.delete(oldest);
   }
-  const restarted = known !== undefined && known.incarnation < info.incarnation;
+  const restarted =
+    known === undefined
+      ? isFresh(info.incarnation, at) && !isFresh(membership.startedAt, at)
+      : known.incarnation < info.incarnation;
   const changed = (known?.leaving ?? false) !== info.leaving;
   if (changed) {
     const reason = info.leaving ? 'leaving' : 'live';
@@ -119,6 +125,11 @@
   return changed;
 }
 
+/** After a herd start everybody is fresh, which is no news. */
+function isFresh(startedAt: number, at: number): boolean {
+  return at - startedAt < FRESH_MS;
+}
+
 function isNewer(a: MemberInfo, b: MemberInfo): boolean {
   return (
     a.incarnation > b.incarnation ||
@@ -178,7 +189,7 @@
     if (state !== 'leaving') {
       continue;
     }
-    const countsAt = getIncarnation(membership, id) + VM_LIST_LAG_MS;
+    const countsAt = getProcessStart(membership, id) + VM_LIST_LAG_MS;
     if (countsAt <= at) {
       leaving.add(id);
     } else {
@@ -188,10 +199,10 @@
   membership.leavingVms = leaving;
 }
 
-function getIncarnation(membership: Membership, id: string): number {
+function getProcessStart(membership: Membership, id: string): number {
   return id === membership.selfId
     ? membership.startedAt
-    : (membership.members.get(id)?.info.incarnation ?? 0);
+    : getIncarnation(membership, id);
 }
 
 /**
--- a/test/owner/keys.test.ts
+++ b/test/owner/keys.test.ts
@@ -340,8 +340,6 @@
         kind: 'gossip',
         from: {
           id: 'desk-2',
-          zone: 'zilina-a',
-          region: 'centre',
           peerAddress: getPeerAddress('desk-2'),
           incarnation: START_MS + 50_000,
           heartbeat: 1,
