--- a/src/core/spread/membership.ts
+++ b/src/core/spread/membership.ts
@@ -189,7 +189,7 @@
     if (state !== 'leaving') {
       continue;
     }
-    const countsAt = getProcessStart(membership, id) + VM_LIST_LAG_MS;
+    const countsAt = getIncarnation(membership, id) + VM_LIST_LAG_MS;
     if (countsAt <= at) {
       leaving.add(id);
     } else {
@@ -199,10 +199,16 @@
   membership.leavingVms = leaving;
 }
 
-function getProcessStart(membership: Membership, id: string): number {
+/**
+ * Gets the newest start of a proxy's process that has been heard of.
+ * @param membership - The view.
+ * @param id - The proxy.
+ * @returns Unix milliseconds, or 0 where nothing has been heard.
+ */
+export function getIncarnation(membership: Membership, id: string): number {
   return id === membership.selfId
     ? membership.startedAt
-    : getIncarnation(membership, id);
+    : (membership.members.get(id)?.info.incarnation ?? 0);
 }
 
 /**
@@ -279,16 +285,6 @@
   );
 }
 
-/**
- * Gets the newest start of a proxy's process that has been heard of.
- * @param membership - The view.
- * @param id - The proxy.
- * @returns Unix milliseconds, or 0 where nothing has been heard.
- */
-export function getIncarnation(membership: Membership, id: string): number {
-  return membership.members.get(id)?.info.incarnation ?? 0;
-}
-
 /**
  * Takes a few members whose change has not been told often enough, leaving
  * ones first, and counts the telling.
