--- /dev/null
+++ b/test/config/digests.test.ts
@@ -0,0 +1,184 @@
+/** Proxies that disagree, and states that cannot be trusted. */
+import {isHalted} from '../../src/core/config/config_log.js';
+import {FoldState} from '../../src/model/fold_state.js';
+import {PeerReply} from '../../src/model/peer.js';
+import {
+  CoreFixture,
+  createServicePatch,
+  createSubmission,
+  getPeerAddress,
+} from '../support/core_fixture.js';
+import {FleetFixture} from '../support/fleet_fixture.js';
+import {
+  changeTimeout,
+  createIds,
+  publishChanges,
+} from '../support/fleet_patches.js';
+import {expect} from '../support/chai_setup.js';
+
+/** Makes a proxy disagree with the others from now on, as another build does. */
+function corrupt(fleet: FleetFixture, ...ids: string[]): void {
+  for (const id of ids) {
+    const {log} = fleet.get(id).state;
+    log.latest = {...log.latest, digest: `bad ${log.latest.digest}`};
+    log.active = log.latest;
+    log.digests.set(log.latest.sequence, log.latest.digest);
+  }
+}
+
+function getHalted(fleet: FleetFixture): string[] {
+  return fleet.ids.filter(id => isHalted(fleet.get(id).state.log));
+}
+
+function pullReply(reply: Omit<Extract<PeerReply, {kind: 'pull'}>, 'kind'>) {
+  return {
+    kind: 'peerReplied',
+    address: getPeerAddress('desk-2'),
+    request: {kind: 'pull', afterSequence: 1},
+    reply: {kind: 'pull', ...reply},
+  } as const;
+}
+
+describe('digests', () => {
+  it('halt the one bad proxy of a fleet and no other', () => {
+    const fleet = new FleetFixture(createIds(5));
+    fleet.boot();
+    fleet.run(10_000);
+    corrupt(fleet, 'desk-4');
+    const haltedSeen = new Set<string>();
+    for (let i = 0; i < 400; i += 1) {
+      fleet.run(25);
+      getHalted(fleet).forEach(id => haltedSeen.add(id));
+    }
+    publishChanges(fleet, 1, 4);
+    fleet.run(10_000);
+    expect({
+      haltedSeen: [...haltedSeen],
+      haltedNow: getHalted(fleet),
+      versions: fleet.getVersions(),
+    }).toMatchSnapshot();
+  });
+
+  it('halt a bad proxy that is behind and sees no peer at its sequence', () => {
+    const fleet = new FleetFixture(createIds(5));
+    fleet.boot();
+    fleet.run(10_000);
+    corrupt(fleet, 'desk-4');
+    publishChanges(fleet, 1, 4);
+    fleet.isCut = (from, to) => from === 'desk-4' || to === 'desk-4';
+    fleet.isSourceCut = id => id === 'desk-4';
+    fleet.run(5_000);
+    fleet.isCut = () => false;
+    fleet.run(10_000);
+    expect({
+      haltedNow: getHalted(fleet),
+      versions: fleet.getVersions(),
+    }).toMatchSnapshot();
+  });
+
+  it('let a proxy that met two bad peers first go on with the others', () => {
+    const fleet = new FleetFixture(createIds(9));
+    fleet.boot();
+    fleet.run(10_000);
+    corrupt(fleet, 'desk-4', 'desk-5');
+    const {log} = fleet.get('desk-1').state;
+    log.agreement.clear();
+    log.agreement.set('desk-4', false).set('desk-5', false);
+    const haltedFirst = getHalted(fleet);
+    publishChanges(fleet, 1, 4);
+    fleet.run(10_000);
+    expect({
+      haltedFirst,
+      haltedNow: getHalted(fleet),
+      versions: fleet.getVersions(),
+    }).toMatchSnapshot();
+  });
+
+  it('make a starting proxy drop a state that most peers contradict', () => {
+    const ids = createIds(6);
+    const fleet = new FleetFixture(ids, () => ({
+      seeds: [getPeerAddress('desk-4')],
+    }));
+    fleet.boot();
+    publishChanges(fleet, 1, 4);
+    fleet.run(10_000);
+    corrupt(fleet, 'desk-4');
+    fleet.kill('desk-1');
+    fleet.start('desk-1');
+    fleet.run(20_000);
+    const good = fleet.get('desk-2').state.log.active.digest;
+    expect(fleet.isReady('desk-1')).to.equal(true);
+    expect(fleet.get('desk-1').state.log.active.digest).to.equal(good);
+  });
+});
+
+describe('updates', () => {
+  it('that are old, repeated, crossed or beyond a gap change nothing', () => {
+    const core = new CoreFixture('desk-1');
+    core.adopt(createServicePatch(['desk-1']));
+    const {log} = core.state;
+    const submissions = [2, 3, 4, 5].map(sequence =>
+      createSubmission(sequence, sequence - 1, changeTimeout(sequence)),
+    );
+    const [second, third, fourth, fifth] = submissions;
+    const push = (...pushed: typeof submissions) => {
+      const request = {kind: 'push', submissions: pushed} as const;
+      core.reduce({kind: 'peerAsked', requestId: 'p', request});
+      return [log.latest.sequence, log.active.version];
+    };
+    const steps = {
+      beyondGap: push(fourth),
+      repeatedBeyondGap: push(fourth, fourth),
+      crossed: push(third, second),
+      repeated: push(second, third, fourth),
+      next: push(fifth),
+      stale: core.reduce({kind: 'sourceAnswered', head: 2, submissions: []}),
+      after: [log.latest.sequence, log.active.version],
+    };
+    expect(steps).toMatchSnapshot();
+  });
+
+  it('by a whole state are refused where a route leads nowhere', () => {
+    const core = new CoreFixture('desk-1');
+    core.adopt(createServicePatch(['desk-1']));
+    const {log} = core.state;
+    const good: FoldState = {...log.latest, sequence: 9, version: 9};
+    const bad: FoldState = {...good, config: {...good.config, upstreams: {}}};
+    core.reduce(pullReply({catchUp: {kind: 'state', state: bad}}));
+    const afterBad = log.latest.sequence;
+    core.reduce(pullReply({catchUp: {kind: 'state', state: good}}));
+    const afterGood = log.latest.sequence;
+    core.reduce(
+      pullReply({catchUp: {kind: 'state', state: {...good, sequence: 5}}}),
+    );
+    expect({
+      afterBad,
+      afterGood,
+      afterOlder: log.latest.sequence,
+    }).toMatchSnapshot();
+  });
+
+  it('come in pieces of bounded size to a proxy that is far behind', () => {
+    const core = new CoreFixture('desk-1');
+    core.adopt(createServicePatch(['desk-1']));
+    const padding = 'x'.repeat(200_000);
+    for (let sequence = 2; sequence <= 9; sequence += 1) {
+      const patch = {...changeTimeout(sequence), padding};
+      const submissions = [createSubmission(sequence, 1, patch)];
+      core.reduce({kind: 'sourceAnswered', head: sequence, submissions});
+    }
+    const effects = core.reduce({
+      kind: 'peerAsked',
+      requestId: 'p',
+      request: {kind: 'pull', afterSequence: 1},
+    });
+    const [reply] = effects.flatMap(effect =>
+      effect.kind === 'replyPeer' ? [effect.reply] : [],
+    );
+    const catchUp = reply?.kind === 'pull' ? reply.catchUp : undefined;
+    expect(
+      catchUp?.kind === 'submissions' &&
+        catchUp.submissions.map(({sequence}) => sequence),
+    ).toMatchSnapshot();
+  });
+});
