--- /dev/null
+++ b/test/spread/control_bytes.test.ts
@@ -0,0 +1,215 @@
+/** Bytes of control messages in a fleet of the two-year size. */
+import {AddressInfo, connect, createServer} from 'node:net';
+import {Effect} from '../../src/core/types.js';
+import {PeerReply, PeerRequest} from '../../src/model/peer.js';
+import {VmList} from '../../src/model/platform.js';
+import {ConnectionPools} from '../../src/proxy/connections.js';
+import {ControlClient} from '../../src/proxy/control_channel.js';
+import {closeGracefully, listen} from '../../src/proxy/listener.js';
+import {PeerServer} from '../../src/proxy/peer_server.js';
+import {
+  CoreFixture,
+  createSettings,
+  createSubmission,
+  START_MS,
+} from '../support/core_fixture.js';
+import {
+  changeTimeout,
+  createIds,
+  createZonedPatch,
+  getZone,
+} from '../support/fleet_patches.js';
+import {sizeOf} from '../support/fleet_fixture.js';
+import {expect} from '../support/chai_setup.js';
+
+const FLEET = 630;
+const ZONES = 7;
+
+/** What a node may spend on control, sent and received, in bytes a second. */
+const BUDGET_BYTES = 4_096;
+
+function createLargeCore(): CoreFixture {
+  const core = new CoreFixture('desk-1', {zone: getZone('desk-1', ZONES)});
+  core.adopt(createZonedPatch(createIds(FLEET), ZONES));
+  core.at += 60_000;
+  core.reduce({kind: 'sourceAnswered', head: 1, submissions: [], vmList});
+  return core;
+}
+
+const vmList: VmList = {
+  revision: 7,
+  vms: createIds(FLEET).map(upstreamId => ({upstreamId, state: 'live'})),
+};
+
+function getAsks(effects: readonly Effect[], kind: PeerRequest['kind']) {
+  return effects.flatMap(effect =>
+    effect.kind === 'askPeer' && effect.request.kind === kind
+      ? [effect.request]
+      : [],
+  );
+}
+
+function tickUntilGossip(core: CoreFixture): PeerRequest {
+  for (;;) {
+    core.at += 25;
+    const [request] = getAsks(core.reduce({kind: 'tick'}), 'gossip');
+    if (request !== undefined) {
+      return request;
+    }
+  }
+}
+
+function ask(core: CoreFixture, request: PeerRequest): PeerReply {
+  const effects = core.reduce({kind: 'peerAsked', requestId: 'r', request});
+  const reply = effects.find(({kind}) => kind === 'replyPeer');
+  if (reply?.kind !== 'replyPeer') {
+    throw new Error('The core gave no reply.');
+  }
+  return reply.reply;
+}
+
+/** Passes bytes on in both directions and counts them. */
+async function startCountingRelay(target: string) {
+  const [host, port] = target.split(':');
+  let bytes = 0;
+  const relay = createServer(near => {
+    const far = connect(Number(port), host);
+    for (const [from, to] of [
+      [near, far],
+      [far, near],
+    ]) {
+      from.on('data', chunk => {
+        bytes += chunk.length;
+        to.write(chunk);
+      });
+      from.on('error', () => to.destroy());
+      from.on('close', () => to.destroy());
+    }
+  });
+  await new Promise<void>(resolve => relay.listen(0, host, resolve));
+  const {port: ownPort} = relay.address() as AddressInfo;
+  return {
+    address: `${host}:${ownPort}`,
+    countBytes: () => bytes,
+    close: () => relay.close(),
+  };
+}
+
+describe('control messages', () => {
+  it('stay small in a fleet of 630', () => {
+    const core = createLargeCore();
+    const gossip = tickUntilGossip(core);
+    const quiet = ask(core, gossip);
+    const announced = core.reduce({
+      kind: 'sourceAnswered',
+      head: 2,
+      submissions: [createSubmission(2, 1, changeTimeout(2_000))],
+    });
+    const [push] = getAsks(announced, 'push');
+    const [announce] = getAsks(announced, 'announce');
+    const join = {kind: 'join', id: 'desk-9'} as const;
+    expect({
+      gossip: sizeOf(gossip),
+      gossipReply: sizeOf(quiet),
+      pushOfChange: sizeOf(push),
+      pushes: getAsks(announced, 'push').length,
+      announce: sizeOf(announce),
+      announces: getAsks(announced, 'announce').length,
+      join: sizeOf(join),
+      joinReply: sizeOf(ask(core, join)),
+    }).toMatchSnapshot();
+  });
+
+  it('carry only what changed of the VM list', () => {
+    const core = createLargeCore();
+    const vms = vmList.vms.map(vm =>
+      vm.upstreamId === 'desk-5' ? {...vm, state: 'leaving' as const} : vm,
+    );
+    const changed = core.reduce({
+      kind: 'sourceAnswered',
+      head: 1,
+      submissions: [],
+      vmList: {revision: 8, vms},
+    });
+    const [push] = getAsks(changed, 'push');
+    const gossip = tickUntilGossip(core);
+    const replyTo = (vmRevision: number) =>
+      gossip.kind === 'gossip'
+        ? sizeOf(ask(core, {...gossip, vmRevision}))
+        : undefined;
+    expect({
+      push,
+      pushBytes: sizeOf(push),
+      replyToCurrent: replyTo(8),
+      replyToOneBehind: replyTo(7),
+      replyToNewcomer: replyTo(0),
+    }).toMatchSnapshot();
+  });
+
+  it('leave room in the budget, with HTTP headers, at one exchange a second', async () => {
+    const core = createLargeCore();
+    const request = tickUntilGossip(core);
+    const {limits} = createSettings('desk-1');
+    const traffic = {sentBytes: 0, receivedBytes: 0};
+    const server = new PeerServer(
+      limits,
+      traffic,
+      event => {
+        if (event.kind === 'peerAsked') {
+          server.reply(event.requestId, ask(core, event.request));
+        }
+      },
+      () => undefined,
+    );
+    const listener = await listen(
+      '127.0.0.1:0',
+      limits,
+      16,
+      () => undefined,
+      (req, res) => void server.handle(req, res),
+    );
+    const relay = await startCountingRelay(listener.address);
+    const pools = new ConnectionPools(2);
+    const client = new ControlClient(pools, traffic);
+    const exchanges = 10;
+    for (let i = 0; i < exchanges; i += 1) {
+      const reply = await client.ask(relay.address, request);
+      expect(reply?.kind).to.equal('gossip');
+    }
+    await pools.destroy();
+    relay.close();
+    await closeGracefully(listener);
+    const perExchange = Math.round(relay.countBytes() / exchanges);
+    console.log(`        ${perExchange} bytes in one gossip exchange`);
+    // A node begins one exchange a second and is asked for one, on average.
+    expect(perExchange).to.be.above(500);
+    expect(2 * perExchange).to.be.below(BUDGET_BYTES / 2);
+  });
+
+  it('of a start do not carry the state more than once', () => {
+    const core = new CoreFixture('desk-1', {
+      zone: getZone('desk-1', ZONES),
+      seeds: ['127.0.0.1:9001', '127.0.0.1:9002'],
+    });
+    core.reduce({kind: 'started'});
+    const reply: PeerReply = {
+      kind: 'join',
+      ready: true,
+      sequence: 4,
+      floor: 0,
+      upMs: 60_000,
+      members: [],
+    };
+    const request = {kind: 'join', id: 'desk-1'} as const;
+    const effects = [1, 2].flatMap(n =>
+      core.reduce({
+        kind: 'peerReplied',
+        address: `127.0.0.1:900${n}`,
+        request,
+        reply,
+      }),
+    );
+    expect(getAsks(effects, 'pull')).to.have.length(1);
+    expect(core.at).to.equal(START_MS);
+  });
+});
