--- a/src/bench/core_driver.ts
+++ b/src/bench/core_driver.ts
@@ -56,6 +56,9 @@
   });
 }
 
+/** Long enough for a peer to remember what it was told. */
+const JOIN_UP_MS = 60_000;
+
 export class CoreDriver {
   private state: ProxyState;
   private at = START_MS;
@@ -190,7 +193,7 @@
           ready: true,
           sequence: latest.sequence,
           floor: 0,
-          upMs: 0,
+          upMs: JOIN_UP_MS,
           members: [],
         };
       }
