--- /dev/null
+++ b/tools/model_checks.ts
@@ -0,0 +1,113 @@
+/** The searches of `npm run model`: properties, and the mutants that break them. */
+
+export interface ModelCheck {
+  /** Name of the file below spec/, without its ending. */
+  readonly spec: string;
+  readonly macros: readonly string[];
+  /** What the search proves, or what the mutant must break. */
+  readonly properties: readonly string[];
+  readonly expected: 'holds' | 'violated';
+}
+
+/** Properties by their number in the specification's CHECK macro. */
+const VERSION_PROPERTIES = [
+  'a proxy never goes back while it runs',
+  'a proxy that met another digest stops advancing',
+  'routes and upstreams in force are of one version',
+  'of submissions with one base at most one is accepted',
+  'proxies with one sequence hold one configuration',
+] as const;
+
+const KEY_PROPERTIES = [
+  'a key runs at most once',
+  'a key does not run after a caller was told that it did not',
+  'no caller is told that a key did not run after it ran',
+] as const;
+
+const WITNESS_RESTART = 'a restarted witness never goes back';
+const OTHER_RESTART = 'a restarted proxy that is no witness never goes back';
+
+/** Guards and the numbers of the properties that fall without them. */
+const VERSION_MUTANTS: ReadonlyArray<[string, readonly number[]]> = [
+  ['OLD_ACCEPTED', [1, 5]],
+  ['OLD_STATE', [1]],
+  ['NO_ORDER', [1, 5]],
+  ['NO_STOP', [2]],
+  ['HALF_SWAP', [3]],
+  ['NO_BASE_CHECK', [4]],
+];
+
+const KEY_MUTANTS: ReadonlyArray<[string, readonly number[]]> = [
+  ['NO_RECORD', [1, 3]],
+  ['NO_RECHECK', [1, 2]],
+  ['NO_FORMER_HOMES', [1, 2]],
+  ['LATEST_FORMER_HOME_ONLY', [1, 2]],
+  ['SILENCE_IS_NEVER_RAN', [1, 2]],
+  ['RESTARTED_HOME_VOUCHES', [1, 2]],
+  ['RESTARTED_HOME_HANDS_OVER', [1, 2]],
+  ['HAND_OVER_BEFORE_STOP', [1, 2]],
+  ['REFUSAL_LEAVES_OPEN', [2]],
+  ['GIVE_UP_LEAVES_OPEN', [2]],
+  ['CLOSED_IS_NEVER_RAN', [2]],
+  ['GIVE_UP_SKIPS_FORMER_HOMES', [2, 3]],
+  ['WRONG_HOME_IS_NOT_RUN', [2, 3]],
+  ['MOVED_IS_NOT_RUN', [2, 3]],
+  ['LOCAL_REFUSAL_IS_NOT_RUN', [2, 3]],
+  ['BROKEN_CONNECTION_IS_NOT_RUN', [2, 3]],
+];
+
+const RESTART_CHECKS: readonly ModelCheck[] = [
+  restartCheck([], 'holds', WITNESS_RESTART),
+  restartCheck(['SUBJECT_OUTSIDE'], 'holds', OTHER_RESTART),
+  ...[
+    'MUTANT_NO_JOIN',
+    'MUTANT_ONE_ROUND',
+    'MUTANT_CURRENT_SET_ONLY',
+    'MUTANT_JOIN_WITH_SOURCE_STATE',
+    'MUTANT_MAJORITY_STARTING',
+  ].map(mutant => restartCheck([mutant], 'violated', WITNESS_RESTART)),
+  ...[
+    'MUTANT_ONE_ROUND',
+    'MUTANT_STARTING_WITNESS_COUNTS',
+    'MUTANT_JOIN_WITH_SOURCE_STATE',
+  ].map(mutant =>
+    restartCheck([mutant, 'SUBJECT_OUTSIDE'], 'violated', OTHER_RESTART),
+  ),
+  ...['SKIPPED_SET', 'LOST_WITNESS'].map(variant => ({
+    spec: 'restart_per_proxy',
+    macros: [variant],
+    properties: [OTHER_RESTART],
+    expected: 'violated' as const,
+  })),
+];
+
+export const MODEL_CHECKS: readonly ModelCheck[] = [
+  ...RESTART_CHECKS,
+  ...createChecks('versions', VERSION_PROPERTIES, VERSION_MUTANTS),
+  ...createChecks('keys', KEY_PROPERTIES, KEY_MUTANTS),
+];
+
+function restartCheck(
+  macros: readonly string[],
+  expected: ModelCheck['expected'],
+  property: string,
+): ModelCheck {
+  return {spec: 'restart', macros, properties: [property], expected};
+}
+
+/** One search for all properties, and one for each mutant and property. */
+function createChecks(
+  spec: string,
+  properties: readonly string[],
+  mutants: ReadonlyArray<[string, readonly number[]]>,
+): ModelCheck[] {
+  const mutantChecks = mutants.flatMap(([mutant, broken]) =>
+    broken.map<ModelCheck>(number => ({
+      spec,
+      macros: [`MUTANT_${mutant}`, `ONLY=${number}`],
+      properties: [properties[number - 1]],
+      expected: 'violated',
+    })),
+  );
+  return [{spec, macros: [], properties, expected: 'holds'}, ...mutantChecks];
+}
--- /dev/null
+++ b/tools/run_model.ts
@@ -0,0 +1,138 @@
+/**
+ * Searches every specification below spec/ exhaustively with spin, and each of
+ * its mutants, which must fail. The last line counts both.
+ */
+import {execFile} from 'node:child_process';
+import {copyFileSync, mkdirSync, readFileSync, rmSync} from 'node:fs';
+import {join} from 'node:path';
+import {promisify} from 'node:util';
+import {MODEL_CHECKS, ModelCheck} from './model_checks.js';
+
+const SPEC_DIR = 'spec';
+const BUILD_DIR = join(SPEC_DIR, 'build');
+const PARALLEL_SEARCHES = 4;
+const MEMORY_LIMIT_MB = 900;
+const MAX_DEPTH = 2_000_000;
+const MAX_OUTPUT_BYTES = 16 * 1024 * 1024;
+
+const run = promisify(execFile);
+
+type Verdict = 'holds' | 'violated' | 'unfinished';
+
+interface Search {
+  readonly check: ModelCheck;
+  readonly verdict: Verdict;
+  readonly states: number;
+  readonly detail: string;
+}
+
+/** Anything but a full search without errors counts as not proved. */
+function readVerdict(output: string): Verdict {
+  if (/^pan:1: assertion violated/m.test(output)) {
+    return 'violated';
+  }
+  const complete =
+    /errors: 0$/m.test(output) &&
+    !/Search not completed|max search depth too small|out of memory|truncated|aborting/i.test(
+      output,
+    );
+  return complete ? 'holds' : 'unfinished';
+}
+
+async function search(check: ModelCheck, index: number): Promise<Search> {
+  const dir = join(BUILD_DIR, String(index));
+  mkdirSync(dir, {recursive: true});
+  const file = `${check.spec}.pml`;
+  copyFileSync(join(SPEC_DIR, file), join(dir, file));
+  const options = {cwd: dir, maxBuffer: MAX_OUTPUT_BYTES};
+  const macros = check.macros.map(macro => `-D${macro}`);
+  await run('spin', ['-a', ...macros, file], options);
+  const optimization = check.expected === 'holds' ? '-O2' : '-O1';
+  const flags = [optimization, '-w', '-DSAFETY', `-DMEMLIM=${MEMORY_LIMIT_MB}`];
+  await run('gcc', [...flags, '-o', 'pan', 'pan.c'], options);
+  // Without -E, a state in which nothing is left to do would count as an error.
+  const args = ['-E', `-m${MAX_DEPTH}`];
+  const {stdout, stderr} = await run('./pan', args, options);
+  const output = stdout + stderr;
+  const violation = /^pan:1: .*$/m.exec(output)?.[0];
+  return {
+    check,
+    verdict: readVerdict(output),
+    states: Number(/(\S+) states, stored/.exec(output)?.[1] ?? 0),
+    detail: violation ?? '',
+  };
+}
+
+/** A search that cannot be built or run is one that did not finish. */
+async function trySearch(check: ModelCheck, index: number): Promise<Search> {
+  try {
+    return await search(check, index);
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return {check, verdict: 'unfinished', states: 0, detail};
+  }
+}
+
+async function searchAll(): Promise<Search[]> {
+  const searches: Search[] = [];
+  let next = 0;
+  const work = async () => {
+    while (next < MODEL_CHECKS.length) {
+      const index = next++;
+      const result = await trySearch(MODEL_CHECKS[index], index);
+      searches.push(result);
+      console.log(describeSearch(result));
+    }
+  };
+  await Promise.all(Array.from({length: PARALLEL_SEARCHES}, work));
+  return searches;
+}
+
+function describeSearch({check, verdict, states, detail}: Search): string {
+  const passed = verdict === check.expected ? 'ok  ' : 'FAIL';
+  const macros =
+    check.macros.length === 0 ? '' : ` [${check.macros.join(' ')}]`;
+  const found = verdict === check.expected ? '' : ` ${detail}`;
+  return `${passed} ${check.spec}${macros}: ${verdict}, ${states} states; ${check.properties.join('; ')}${found}`;
+}
+
+/** Prints what each specification says of its bounds in its first comment. */
+function printBounds(): void {
+  for (const spec of new Set(MODEL_CHECKS.map(check => check.spec))) {
+    const text = readFileSync(join(SPEC_DIR, `${spec}.pml`), 'utf8');
+    const comment = text.slice(0, text.indexOf('*/'));
+    const bounds = /Bounds:[^]*?(?=\n \*\n|\s*$)/.exec(comment)?.[0] ?? '';
+    console.log(`${spec}. ${bounds.replace(/\s*\n \* ?/g, ' ')}`);
+  }
+}
+
+/** A mutant that is searched for several properties counts once. */
+function countMutants(searches: readonly Search[]): number {
+  const names = searches.map(({check}) => {
+    const macros = check.macros.filter(macro => !macro.startsWith('ONLY='));
+    return [check.spec, ...macros].join(' ');
+  });
+  return new Set(names).size;
+}
+
+async function main(): Promise<void> {
+  rmSync(BUILD_DIR, {recursive: true, force: true});
+  printBounds();
+  const searches = await searchAll();
+  const held = searches.filter(s => s.check.expected === s.verdict);
+  const proved = held.filter(s => s.check.expected === 'holds');
+  const caught = held.filter(s => s.check.expected === 'violated');
+  const properties = proved.flatMap(s => s.check.properties);
+  const caughtProperties = new Set(caught.flatMap(s => s.check.properties));
+  const unguarded = properties.filter(p => !caughtProperties.has(p));
+  for (const property of unguarded) {
+    console.log(`FAIL no mutant breaks: ${property}`);
+  }
+  console.log(
+    `model: ${properties.length} properties hold, ${countMutants(caught)} mutants caught`,
+  );
+  const failed = searches.length - held.length + unguarded.length;
+  process.exit(failed === 0 ? 0 : 1);
+}
+
+void main();
