--- /dev/null
+++ b/src/bench/plan.ts
@@ -0,0 +1,137 @@
+/** What a bench run measures, quick and full. */
+import {CoreCostPlan} from './core_cost.js';
+import {LatencyPlan} from './call_latency.js';
+import {Dissemination} from './proxies.js';
+import {ThroughputPlan} from './throughput.js';
+
+/** One proxy's share of 60,000 calls a second over 630 proxies. */
+const SHARE_PER_PROXY = 95;
+const PEAK_FACTOR = 5;
+
+/** The parts of a bench run. */
+export const BENCH_PARTS = [
+  'calls',
+  'chains',
+  'throughput',
+  'fleet',
+  'core',
+] as const;
+
+export type BenchPart = (typeof BENCH_PARTS)[number];
+
+/** One way of spreading that is compared with others. */
+export interface Variant {
+  readonly name: string;
+  readonly dissemination: Dissemination;
+}
+
+export interface BenchPlan {
+  readonly seed: number;
+  readonly share: LatencyPlan;
+  readonly peak: LatencyPlan;
+  /** Chains of calls; the rate counts chains. */
+  readonly chains: LatencyPlan;
+  readonly throughput: ThroughputPlan;
+  readonly fleet: FleetMeasurements;
+  readonly core: CoreCostPlan;
+}
+
+/** One fleet to measure. */
+export interface FleetRun {
+  readonly size: number;
+  readonly variant: Variant;
+}
+
+export interface FleetMeasurements {
+  /** Groups follow one another; the fleets of a group run at the same time. */
+  readonly groups: ReadonlyArray<readonly FleetRun[]>;
+  readonly zones: number;
+  /** At most this many proxies have a process of their own. */
+  readonly maxProcesses: number;
+  readonly changes: number;
+  readonly burst: number;
+  readonly restMs: number;
+  /** Single restarts where each proxy has a process of its own. */
+  readonly starts: number;
+}
+
+/** The default settings. */
+const TREE: Variant = {name: 'tree', dissemination: {}};
+
+/** The baseline: every proxy watches the source. */
+const NAIVE: Variant = {name: 'naive', dissemination: {watchersPerZone: 100}};
+
+/** Tuned for short convergence. */
+const SWIFT: Variant = {
+  name: 'swift',
+  dissemination: {fanOut: 8, gossipIntervalMs: 500},
+};
+
+/** Tuned for few control bytes and source calls. */
+const THRIFTY: Variant = {
+  name: 'thrifty',
+  dissemination: {watchersPerZone: 2, gossipIntervalMs: 2_000},
+};
+
+const FULL_SIZES = [8, 16, 32, 64, 128];
+
+/** Sizes at which all variants are compared. */
+const COMPARED_SIZES = [32, 64];
+
+function getFullRuns(): FleetRun[] {
+  return FULL_SIZES.flatMap(size => {
+    const variants = COMPARED_SIZES.includes(size)
+      ? [TREE, NAIVE, SWIFT, THRIFTY]
+      : [TREE, NAIVE];
+    return variants.map(variant => ({size, variant}));
+  });
+}
+
+/**
+ * Chooses what to measure.
+ * @param quick - Finish within 45 seconds.
+ * @param seed - Seed of all schedules.
+ * @returns The plan.
+ */
+export function createPlan(quick: boolean, seed: number): BenchPlan {
+  const peakRate = SHARE_PER_PROXY * PEAK_FACTOR;
+  if (quick) {
+    return {
+      seed,
+      share: {rate: SHARE_PER_PROXY, windowMs: 1_500, repetitions: 3, seed},
+      peak: {rate: peakRate, windowMs: 1_000, repetitions: 2, seed},
+      chains: {rate: 20, windowMs: 1_000, repetitions: 2, seed},
+      throughput: {concurrency: 64, windowMs: 700, repetitions: 2},
+      fleet: {
+        groups: [8, 16].map(size => [
+          {size, variant: TREE},
+          {size, variant: NAIVE},
+        ]),
+        zones: 2,
+        maxProcesses: 8,
+        changes: 3,
+        burst: 5,
+        restMs: 1_500,
+        starts: 1,
+      },
+      core: {sizes: [126, 630], repetitions: 3},
+    };
+  }
+  return {
+    seed,
+    share: {rate: SHARE_PER_PROXY, windowMs: 10_000, repetitions: 7, seed},
+    peak: {rate: peakRate, windowMs: 5_000, repetitions: 7, seed},
+    chains: {rate: 20, windowMs: 5_000, repetitions: 5, seed},
+    throughput: {concurrency: 64, windowMs: 3_000, repetitions: 5},
+    fleet: {
+      groups: getFullRuns().map(run => [run]),
+      zones: 2,
+      maxProcesses: 8,
+      changes: 15,
+      burst: 30,
+      restMs: 8_000,
+      starts: 5,
+    },
+    core: {sizes: [63, 126, 315, 630, 1_260], repetitions: 15},
+  };
+}
--- /dev/null
+++ b/src/cli/status.ts
@@ -0,0 +1,177 @@
+/** `fireflysill status`: which version each proxy holds, and how far behind. */
+import {okAsync, ResultAsync} from 'neverthrow';
+import {CliError, describeCliError, EXIT_CODES, ExitCode} from './errors.js';
+import {
+  createFleetRows,
+  findDisagreement,
+  FleetRow,
+  ProxyStatus,
+  StatusSchema,
+} from './fleet_rows.js';
+import {History} from './history.js';
+import {CliHost} from './host.js';
+import {describeSchemaError, parseAddress} from './published_log.js';
+import {renderDuration, renderTable, renderTime, Report} from './report.js';
+
+interface UnreachableProxy {
+  readonly address: string;
+  readonly error: CliError;
+}
+
+/** What a proxy is compared with. */
+export interface StatusQuery {
+  /** Operators' addresses of proxies. */
+  readonly addresses: readonly string[];
+  /** Also list the proxies that the asked ones know. */
+  readonly fleet: boolean;
+  /** What is published, where the operator gave a source. */
+  readonly published?: History;
+}
+
+type ProxyAnswer =
+  | {readonly kind: 'status'; readonly status: ProxyStatus}
+  | ({readonly kind: 'unreachable'} & UnreachableProxy);
+
+function askProxy(
+  host: CliHost,
+  address: string,
+): ResultAsync<ProxyAnswer, CliError> {
+  return host
+    .getJson(address, '/v1/status')
+    .map((value): ProxyAnswer => parseStatus(address, value))
+    .orElse(detail => {
+      const error: CliError = {kind: 'unreachable', address, detail};
+      return okAsync<ProxyAnswer, CliError>({
+        kind: 'unreachable',
+        address,
+        error,
+      });
+    });
+}
+
+function parseStatus(address: string, value: unknown): ProxyAnswer {
+  const parsed = StatusSchema.safeParse(value);
+  if (parsed.success) {
+    return {kind: 'status', status: parsed.data};
+  }
+  const detail = describeSchemaError(parsed.error);
+  const error: CliError = {kind: 'answer_invalid', address, detail};
+  return {kind: 'unreachable', address, error};
+}
+
+/**
+ * Asks proxies for their status and compares them.
+ * @param host - The machine.
+ * @param query - Whom to ask and what to compare with.
+ * @returns One row for each proxy. Exit code 3 where one did not answer, 1
+ * where one that stays lags, is not ready or disagrees on the digest, 0
+ * otherwise.
+ */
+export function reportStatus(
+  host: CliHost,
+  query: StatusQuery,
+): ResultAsync<Report, CliError> {
+  const checked = query.addresses.map(address =>
+    parseAddress(address).asyncAndThen(valid => askProxy(host, valid)),
+  );
+  return ResultAsync.combine(checked).map(answers => {
+    const statuses = answers.flatMap(answer =>
+      answer.kind === 'status' ? [answer.status] : [],
+    );
+    const unreachable = answers.flatMap(answer =>
+      answer.kind === 'unreachable' ? [answer] : [],
+    );
+    return createReport(host.now(), query, statuses, unreachable);
+  });
+}
+
+function createReport(
+  now: number,
+  query: StatusQuery,
+  statuses: readonly ProxyStatus[],
+  unreachable: readonly UnreachableProxy[],
+): Report {
+  const {head, rows} = createFleetRows(
+    statuses,
+    query.fleet,
+    now,
+    query.published,
+  );
+  const disagreeing = findDisagreement(rows);
+  const failed = unreachable.map(({address, error}) => ({
+    address,
+    message: describeCliError(error),
+  }));
+  return {
+    exitCode: chooseExitCode(rows, failed.length, disagreeing),
+    data: {head, proxies: rows, unreachable: failed, disagreeing},
+    text: [
+      ...(rows.length > 0 ? [renderRows(rows)] : []),
+      `Highest sequence seen: ${head}.`,
+      ...disagreeing.map(
+        sequence =>
+          `Proxies disagree on the digest at sequence ${sequence}; compare their releases.`,
+      ),
+      ...failed.map(({message}) => message),
+    ].join('\n'),
+  };
+}
+
+function chooseExitCode(
+  rows: readonly FleetRow[],
+  unreachable: number,
+  disagreeing: readonly number[],
+): ExitCode {
+  if (unreachable > 0) {
+    return EXIT_CODES.unreachable;
+  }
+  const isBehind = rows.some(
+    row => !row.leaving && (row.lag > 0 || row.versionLag > 0 || !row.ready),
+  );
+  return isBehind || disagreeing.length > 0
+    ? EXIT_CODES.negative
+    : EXIT_CODES.ok;
+}
+
+function renderRows(rows: readonly FleetRow[]): string {
+  return renderTable(
+    ['proxy', 'zone', 'by', 'state', 'version', 'sequence', 'since', 'lag'],
+    rows.map(row => [
+      row.id,
+      row.zone,
+      row.by,
+      renderState(row),
+      row.version,
+      row.sequence,
+      renderSince(row),
+      renderLag(row),
+    ]),
+  );
+}
+
+function renderState(row: FleetRow): string {
+  if (row.leaving) {
+    return 'leaving';
+  }
+  return row.ready ? 'ready' : 'not ready';
+}
+
+function renderSince({since, heardAgoMs}: FleetRow): string {
+  return heardAgoMs === undefined
+    ? renderTime(since)
+    : `heard ${renderDuration(heardAgoMs)} ago`;
+}
+
+function renderLag({lag, versionLag, lagMs}: FleetRow): string {
+  const parts: string[] = [];
+  if (lag > 0) {
+    parts.push(`${lag} submission${lag === 1 ? '' : 's'}`);
+  }
+  if (versionLag > 0) {
+    parts.push(`${versionLag} version${versionLag === 1 ? '' : 's'}`);
+  }
+  if (lagMs !== undefined) {
+    parts.push(renderDuration(lagMs));
+  }
+  return parts.join(', ') || 'none';
+}
--- /dev/null
+++ b/src/core/entry/balancer.ts
@@ -0,0 +1,99 @@
+/** Chooses the upstream of an attempt. */
+import {
+  RoutingTable,
+  ServiceTargets,
+  UpstreamTarget,
+} from '../config/routing_table.js';
+import {CoreSettings} from '../core_settings.js';
+import {getRendezvousWinner} from '../hashing.js';
+import {isLeaving, Membership} from '../spread/membership.js';
+import {getLoad, getUtilization, LoadView} from './load_view.js';
+
+/** Largest share of a service that failures may eject. */
+const MAX_EJECTED_SHARE = 0.5;
+
+/** What the choice depends on besides the service. */
+export interface BalancerView {
+  readonly membership: Membership;
+  readonly loads: LoadView;
+  /** Where this entry runs, and the weights of distances. */
+  readonly settings: Pick<CoreSettings, 'zone' | 'region' | 'policy'>;
+  readonly at: number;
+  readonly entropy: number;
+}
+
+/**
+ * Chooses the upstream of an attempt by load, nearer ones first.
+ * @param service - The service.
+ * @param tried - Upstreams that this call has already tried.
+ * @param view - What is known of the upstreams.
+ * @returns The upstream, or undefined where none takes new work.
+ */
+export function chooseUpstream(
+  service: ServiceTargets,
+  tried: ReadonlySet<string>,
+  view: BalancerView,
+): UpstreamTarget | undefined {
+  const candidates = getCandidates(service, tried, view);
+  if (candidates.length === 0) {
+    return undefined;
+  }
+  const {loads, settings, at, entropy} = view;
+  const getCost = (upstream: UpstreamTarget) =>
+    getUtilization(getLoad(loads, upstream.id), service.slots, at) +
+    getDistancePenalty(upstream, settings);
+  return settings.policy.chooser.choose(candidates, getCost, entropy);
+}
+
+function getCandidates(
+  service: ServiceTargets,
+  tried: ReadonlySet<string>,
+  view: BalancerView,
+): UpstreamTarget[] {
+  const {loads, membership, at} = view;
+  const taking = service.upstreams.filter(
+    ({id}) =>
+      !tried.has(id) &&
+      !isLeaving(membership, id) &&
+      (loads.get(id)?.leavingUntil ?? 0) <= at,
+  );
+  const getEnd = ({id}: UpstreamTarget) => loads.get(id)?.ejectedUntil ?? 0;
+  const ejected = taking.filter(upstream => getEnd(upstream) > at);
+  if (ejected.length === 0) {
+    return taking;
+  }
+  // Evidence that condemns most of a service is more likely to be wrong, so
+  // those whose ejection ends first are used again.
+  ejected.sort((a, b) => getEnd(b) - getEnd(a));
+  const limit = Math.floor(service.upstreams.length * MAX_EJECTED_SHARE);
+  const avoided = new Set(ejected.slice(0, limit));
+  const healthy = taking.filter(upstream => !avoided.has(upstream));
+  return healthy.length > 0 ? healthy : taking;
+}
+
+function getDistancePenalty(
+  upstream: UpstreamTarget,
+  settings: BalancerView['settings'],
+): number {
+  const {zone, region, policy} = settings;
+  if (upstream.region !== region) {
+    return policy.otherRegionPenalty;
+  }
+  return upstream.zone === zone ? 0 : policy.otherZonePenalty;
+}
+
+/**
+ * Finds the one upstream that may run a key.
+ * @param table - The routing table.
+ * @param service - The service.
+ * @param key - The idempotency key.
+ * @returns The key's home, or undefined where the service has no upstream.
+ */
+export function getHome(
+  table: RoutingTable,
+  service: ServiceTargets,
+  key: string,
+): UpstreamTarget | undefined {
+  const id = getRendezvousWinner(key, service.upstreamIds);
+  return id === undefined ? undefined : table.upstreams.get(id);
+}
--- /dev/null
+++ b/src/core/owner/key_protocol.ts
@@ -0,0 +1,320 @@
+/** How a home opens a key for one run, and what it remembers of the run. */
+import {createRefusal, Refusal} from '../refusals.js';
+import {Attempt, KeyVerdict} from '../../model/peer.js';
+import {Answer, Emit} from '../types.js';
+import {getUnsettledHomes, mayPredate} from './key_doubt.js';
+import {getRecordId, isSettled, KeyRecord, setRecord} from './key_records.js';
+import {getOwnService, Owner, OwnerView} from './owner_state.js';
+
+/** Time after a deadline for which an attempt with a private key is kept. */
+export const PRIVATE_KEY_GRACE_MS = 30_000;
+
+const RUNNING_RETRY_AFTER_MS = 500;
+
+/** Attempts that may wait for the answer of one that runs. */
+const MAX_WAITERS = 64;
+
+/** What to do with an attempt under a key. */
+export type KeyDecision =
+  | {readonly kind: 'admit'}
+  /** Former homes or the running attempt will settle it. */
+  | {readonly kind: 'wait'}
+  | {readonly kind: 'finish'; readonly result: Answer | Refusal};
+
+const ADMIT: KeyDecision = {kind: 'admit'};
+const WAIT: KeyDecision = {kind: 'wait'};
+
+function finish(result: Answer | Refusal): KeyDecision {
+  return {kind: 'finish', result};
+}
+
+/**
+ * Decides whether an attempt may run under its key.
+ * @param owner - The owner's state.
+ * @param view - Read-only views of the other parts.
+ * @param attempt - An attempt with a key.
+ * @param deadlineAt - Its deadline on this proxy's clock.
+ * @param emit - Takes effects.
+ * @returns The decision; where it is to wait, the attempt has been noted.
+ */
+export function openKey(
+  owner: Owner,
+  view: OwnerView,
+  attempt: Attempt,
+  deadlineAt: number,
+  emit: Emit,
+): KeyDecision {
+  const {service, key = ''} = attempt;
+  const recordId = getRecordId(service, key);
+  const record = owner.keys.get(recordId);
+  // A record that is not settled counts however old it is: its run may go on.
+  const counts =
+    record !== undefined && (record.expiresAt > view.at || !isSettled(record));
+  if (counts && record.kind !== 'open') {
+    return resumeKey(owner, recordId, record, attempt);
+  }
+  const isFull = owner.keys.size >= view.settings.limits.maxKeyRecords;
+  if (record === undefined && isFull) {
+    const refusal = createRefusal('key_table_full', RUNNING_RETRY_AFTER_MS);
+    return finish(
+      attempt.privateKey ? {...refusal, outcome: 'not-run'} : refusal,
+    );
+  }
+  const expiresAt = getExpiry(view, attempt, deadlineAt);
+  if (attempt.privateKey || counts) {
+    setRecord(owner.keys, recordId, queuedRecord(attempt, expiresAt));
+    return ADMIT;
+  }
+  if (mayPredate(view, service, key)) {
+    setRecord(owner.keys, recordId, {kind: 'in-doubt', expiresAt});
+    return finish(createRefusal('key_in_doubt'));
+  }
+  const homes = getUnsettledHomes(owner, view, service, key);
+  if (homes.size === 0) {
+    setRecord(owner.keys, recordId, queuedRecord(attempt, expiresAt));
+    return ADMIT;
+  }
+  askFormerHomes(owner, view, attempt, deadlineAt, homes, emit);
+  return WAIT;
+}
+
+function queuedRecord(attempt: Attempt, expiresAt: number): KeyRecord {
+  const {attemptId, fingerprint} = attempt;
+  return {kind: 'queued', attemptId, fingerprint, expiresAt};
+}
+
+/** Decides about a key that has a record. */
+function resumeKey(
+  owner: Owner,
+  recordId: string,
+  record: Exclude<KeyRecord, {kind: 'open'}>,
+  attempt: Attempt,
+): KeyDecision {
+  if ('fingerprint' in record && record.fingerprint !== attempt.fingerprint) {
+    return finish(createRefusal('key_reused'));
+  }
+  switch (record.kind) {
+    case 'finished':
+      return finish(record.answer);
+    case 'closed':
+      return finish(
+        createRefusal(record.cause === 'moved' ? 'key_in_doubt' : 'key_closed'),
+      );
+    case 'in-doubt':
+      return finish(createRefusal('key_in_doubt'));
+    case 'asking':
+    case 'queued':
+      return finish(createRefusal('key_running', RUNNING_RETRY_AFTER_MS));
+    case 'running':
+      if (record.waiters.length >= MAX_WAITERS) {
+        return finish(createRefusal('key_running', RUNNING_RETRY_AFTER_MS));
+      }
+      record.waiters.push(attempt.attemptId);
+      owner.waiting.set(attempt.attemptId, recordId);
+      return WAIT;
+  }
+}
+
+function getExpiry(
+  view: OwnerView,
+  attempt: Attempt,
+  deadlineAt: number,
+): number {
+  if (attempt.privateKey) {
+    return deadlineAt + PRIVATE_KEY_GRACE_MS;
+  }
+  const lifetimeMs = getOwnService(view)?.keyLifetimeMs ?? 0;
+  return Math.max(view.at + lifetimeMs, deadlineAt + PRIVATE_KEY_GRACE_MS);
+}
+
+function askFormerHomes(
+  owner: Owner,
+  view: OwnerView,
+  attempt: Attempt,
+  deadlineAt: number,
+  homes: ReadonlyMap<string, string>,
+  emit: Emit,
+): void {
+  const {service, key = '', attemptId, fingerprint} = attempt;
+  const addresses = new Set(homes.values());
+  const expiresAt = getExpiry(view, attempt, deadlineAt);
+  setRecord(owner.keys, getRecordId(service, key), {
+    kind: 'asking',
+    attemptId,
+    fingerprint,
+    silentHomes: addresses,
+    expiresAt,
+  });
+  owner.asking.set(attemptId, {attempt, deadlineAt, cancelled: false});
+  const version = view.log.active.version;
+  for (const address of addresses) {
+    emit({kind: 'count', counter: 'key_asked', reason: 'former_home'});
+    emit({
+      kind: 'askPeer',
+      address,
+      request: {
+        kind: 'closeKey',
+        service,
+        key,
+        attemptId,
+        cause: 'moved',
+        version,
+      },
+    });
+  }
+}
+
+/**
+ * Takes a former home's word on a key, or its silence.
+ * @param owner - The owner's state.
+ * @param address - The former home's peer address.
+ * @param attemptId - The attempt that waits.
+ * @param verdict - Its word, or undefined where it did not answer.
+ * @returns The attempt with the decision once it is settled; undefined too
+ *     where its entry has gone away.
+ */
+export function settleFormerHome(
+  owner: Owner,
+  address: string,
+  attemptId: string,
+  verdict: KeyVerdict | undefined,
+): {attempt: Attempt; deadlineAt: number; decision: KeyDecision} | undefined {
+  const waiting = owner.asking.get(attemptId);
+  if (waiting === undefined) {
+    return undefined;
+  }
+  const {attempt} = waiting;
+  const recordId = getRecordId(attempt.service, attempt.key ?? '');
+  const record = owner.keys.get(recordId);
+  if (record?.kind !== 'asking' || record.attemptId !== attemptId) {
+    return undefined;
+  }
+  const {expiresAt} = record;
+  if (verdict?.status === 'never-ran') {
+    record.silentHomes.delete(address);
+    if (record.silentHomes.size > 0) {
+      return undefined;
+    }
+    owner.asking.delete(attemptId);
+    if (waiting.cancelled) {
+      setRecord(owner.keys, recordId, {kind: 'open', expiresAt});
+      return undefined;
+    }
+    setRecord(owner.keys, recordId, queuedRecord(attempt, expiresAt));
+    return {...waiting, decision: ADMIT};
+  }
+  owner.asking.delete(attemptId);
+  if (verdict?.status === 'closed') {
+    const closed = {kind: 'closed', cause: 'refused', expiresAt} as const;
+    setRecord(owner.keys, recordId, closed);
+    return {...waiting, decision: finish(createRefusal('key_closed'))};
+  }
+  setRecord(owner.keys, recordId, {kind: 'in-doubt', expiresAt});
+  return {...waiting, decision: finish(createRefusal('key_in_doubt'))};
+}
+
+/**
+ * Marks a key as running, in the same step that dispatches it.
+ * @param owner - The owner's state.
+ * @param attempt - The attempt, already taken from the queue.
+ */
+export function markKeyRunning(owner: Owner, attempt: Attempt): void {
+  replaceRecord(owner, attempt, ({expiresAt}) => ({
+    kind: 'running',
+    attemptId: attempt.attemptId,
+    fingerprint: attempt.fingerprint,
+    waiters: [],
+    expiresAt,
+  }));
+}
+
+/**
+ * Notes the end of a run under a key. It is remembered for a lifetime from
+ * now, because the caller hears of it only now.
+ * @param owner - The owner's state.
+ * @param view - Read-only views of the other parts.
+ * @param attempt - The attempt that ran.
+ * @param result - Its answer, or `in-doubt`, or `never-ran` where the upstream
+ *     was never sent it.
+ * @returns Other attempts that wait for the same result.
+ */
+export function markKeyEnded(
+  owner: Owner,
+  view: OwnerView,
+  attempt: Attempt,
+  result: Answer | 'in-doubt' | 'never-ran',
+): readonly string[] {
+  const expiresAt = getExpiry(view, attempt, view.at);
+  const record = replaceRecord(owner, attempt, () => {
+    if (result === 'never-ran') {
+      return {kind: 'closed', cause: 'refused', expiresAt};
+    }
+    // Nobody resends a private key, so its answer need not be kept.
+    return result === 'in-doubt' || attempt.privateKey
+      ? {kind: 'in-doubt', expiresAt}
+      : {
+          kind: 'finished',
+          fingerprint: attempt.fingerprint,
+          answer: result,
+          expiresAt,
+        };
+  });
+  const waiters = record?.kind === 'running' ? record.waiters : [];
+  for (const attemptId of waiters) {
+    owner.waiting.delete(attemptId);
+  }
+  return waiters;
+}
+
+/**
+ * Takes back an attempt that was cancelled before its dispatch. Nobody was
+ * told anything, so the caller may send the key again.
+ * @param owner - The owner's state.
+ * @param attempt - The attempt, already taken from the queue.
+ */
+export function reopenKey(owner: Owner, attempt: Attempt): void {
+  // Former homes that vouched for the key have closed it and would now be in
+  // doubt, so what they said is kept.
+  replaceRecord(owner, attempt, ({expiresAt}) => ({kind: 'open', expiresAt}));
+}
+
+/**
+ * Forgets an attempt that waits for others and was cancelled.
+ * @param owner - The owner's state.
+ * @param attemptId - The attempt.
+ */
+export function cancelWaiting(owner: Owner, attemptId: string): void {
+  const asking = owner.asking.get(attemptId);
+  if (asking !== undefined) {
+    asking.cancelled = true;
+    return;
+  }
+  const record = owner.keys.get(owner.waiting.get(attemptId) ?? '');
+  owner.waiting.delete(attemptId);
+  if (record?.kind === 'running') {
+    const index = record.waiters.indexOf(attemptId);
+    record.waiters.splice(index, index < 0 ? 0 : 1);
+  }
+}
+
+/** Replaces the record that this attempt made; returns the one before. */
+function replaceRecord(
+  owner: Owner,
+  attempt: Attempt,
+  create: (record: KeyRecord) => KeyRecord,
+): KeyRecord | undefined {
+  if (attempt.key === undefined) {
+    return undefined;
+  }
+  const recordId = getRecordId(attempt.service, attempt.key);
+  const record = owner.keys.get(recordId);
+  const isOwn =
+    record !== undefined &&
+    'attemptId' in record &&
+    record.attemptId === attempt.attemptId;
+  if (!isOwn) {
+    return undefined;
+  }
+  owner.keys.set(recordId, create(record));
+  return record;
+}
--- /dev/null
+++ b/src/core/owner/owner_state.ts
@@ -0,0 +1,134 @@
+/** State of the owner role and the views that its modules read. */
+import {ConfigLog} from '../config/config_log.js';
+import {ServiceTargets} from '../config/routing_table.js';
+import {CoreSettings} from '../core_settings.js';
+import {isLeaving, Membership} from '../spread/membership.js';
+import {Attempt, LoadReport} from '../../model/peer.js';
+import {Admission, createAdmission, getUsableSlots} from './admission.js';
+import {CrashSuspects} from './crash_suspects.js';
+import {KeyRecords} from './key_records.js';
+
+export interface HandOver {
+  readonly silentPeers: Set<string>;
+  readonly startedAt: number;
+}
+
+export interface Owner {
+  readonly admission: Admission;
+  readonly keys: KeyRecords;
+  /** Attempts that wait for former homes to answer, by attempt. */
+  readonly asking: Map<string, AskingAttempt>;
+  /** The key record of each attempt that waits for one that runs. */
+  readonly waiting: Map<string, string>;
+  /** Proxies that stopped as planned and told us all that they ran. */
+  readonly handedOverBy: Map<string, TakenHandOver>;
+  /** A planned stop of this VM has begun. */
+  draining: boolean;
+  /** The upstream itself says that it drains. */
+  upstreamDraining: boolean;
+  crashCount: number;
+  /** Dispatches up to this number belong to the last crash or an older one. */
+  crashedDispatch: number;
+  handOver?: HandOver;
+  drained: boolean;
+}
+
+export interface AskingAttempt {
+  readonly attempt: Attempt;
+  readonly deadlineAt: number;
+  /** Its entry went away. */
+  cancelled: boolean;
+}
+
+/** What a stopped home told; it covers the keys of which we are the heir. */
+export interface TakenHandOver {
+  /** Start of the process that stopped, in Unix milliseconds. */
+  readonly incarnation: number;
+  /** Upstreams among which its keys were shared out. */
+  readonly heirs: readonly string[];
+}
+
+/** What the owner reads from the other parts. */
+export interface OwnerView {
+  readonly settings: CoreSettings;
+  readonly log: ConfigLog;
+  readonly membership: Membership;
+  readonly suspects: CrashSuspects;
+  readonly ready: boolean;
+  readonly at: number;
+}
+
+export function createOwner(): Owner {
+  return {
+    admission: createAdmission(),
+    keys: new Map(),
+    asking: new Map(),
+    waiting: new Map(),
+    handedOverBy: new Map(),
+    draining: false,
+    upstreamDraining: false,
+    crashCount: 0,
+    crashedDispatch: 0,
+    drained: false,
+  };
+}
+
+/**
+ * Tells whether the upstream takes no new work, by any news.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @returns True where it is leaving.
+ */
+export function isOwnerLeaving(owner: Owner, view: OwnerView): boolean {
+  return (
+    owner.draining ||
+    owner.upstreamDraining ||
+    isLeaving(view.membership, view.settings.id)
+  );
+}
+
+/**
+ * Tells whether the upstream's own word that it drains is to be believed.
+ * Health endpoints mislead, so together they may not empty more than half of
+ * a service; where more claim to drain, the first ones by name are believed.
+ * @param owner - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @returns False where the word must be ignored.
+ */
+export function mayHonourDrainHint(owner: Owner, view: OwnerView): boolean {
+  const {id} = view.settings;
+  const ids = getOwnService(view)?.upstreamIds ?? [];
+  const leaving = ids.filter(
+    other => other !== id && isLeaving(view.membership, other),
+  );
+  const limit = Math.floor(ids.length / 2);
+  const before = owner.upstreamDraining
+    ? leaving.filter(other => other < id)
+    : leaving;
+  return before.length < limit;
+}
+
+/**
+ * Gets the service that the upstream beside this proxy belongs to.
+ * @param view - Read-only views of the other parts.
+ * @returns The service, or undefined where the configuration does not name
+ *     the upstream.
+ */
+export function getOwnService(view: OwnerView): ServiceTargets | undefined {
+  const {table} = view.log;
+  const own = table.upstreams.get(view.settings.id);
+  return own === undefined ? undefined : table.services.get(own.service);
+}
+
+export function getLoadReport(owner: Owner, view: OwnerView): LoadReport {
+  const service = getOwnService(view);
+  return {
+    running: owner.admission.running.size,
+    queued: owner.admission.queue.length,
+    slots:
+      service === undefined
+        ? 0
+        : getUsableSlots(owner.admission, service, view.at),
+    leaving: isOwnerLeaving(owner, view),
+  };
+}
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -69,6 +69,10 @@
     409,
     'The idempotency key was closed without running; send the request again under a new key.',
   ),
+  key_reused: notRun(
+    422,
+    'The idempotency key was used for another request; send this one under a new key.',
+  ),
   quarantined: notRun(
     403,
     'The request crashed upstreams that ran it; correct the request, or wait until the quarantine ends.',
@@ -114,6 +118,8 @@
 export interface Refusal {
   readonly kind: 'refusal';
   readonly reason: RefusalReason;
+  /** What is known of the request, and of every earlier try under its key. */
+  readonly outcome: Exclude<Outcome, 'answered'>;
   /** Wait after which another try has a chance, in milliseconds. */
   readonly retryAfterMs?: number;
   readonly detail?: string;
@@ -131,7 +137,18 @@
   retryAfterMs?: number,
   detail?: string,
 ): Refusal {
-  return {kind: 'refusal', reason, retryAfterMs, detail};
+  const {outcome} = REFUSALS[reason];
+  return {kind: 'refusal', reason, outcome, retryAfterMs, detail};
+}
+
+/**
+ * Weakens a refusal that speaks for one try only. Another try under the same
+ * key may have run elsewhere, so only the key's home may say `not-run` of it.
+ * @param refusal - The refusal of one try.
+ * @returns The refusal with outcome `unknown`.
+ */
+export function weakenToUnknown(refusal: Refusal): Refusal {
+  return {...refusal, outcome: 'unknown'};
 }
 
 /**
--- /dev/null
+++ b/src/core/spread/dissemination.ts
@@ -0,0 +1,197 @@
+/**
+ * Spreads submissions and membership news between proxies: push along a tree
+ * in each zone, gossip with one peer each interval, pull from whoever is ahead.
+ */
+import {compareDigest, ConfigLog, getDigestAt} from '../config/config_log.js';
+import {CoreSettings} from '../core_settings.js';
+import {MemberInfo, PeerRequest} from '../../model/peer.js';
+import {Emit} from '../types.js';
+import {Membership, mergeMember, takeNews} from './membership.js';
+import {getWitnesses} from './witnesses.js';
+
+/** One gossip exchange in so many goes to a witness. */
+export const GOSSIPS_PER_WITNESS = 3;
+
+/** Time after which a pull that got no answer no longer holds others up. */
+const PULL_TIMEOUT_MS = 3_000;
+
+export interface Dissemination {
+  /** Counts this proxy's own heartbeats. */
+  heartbeat: number;
+  /** Counts the exchanges that this proxy began. */
+  gossips: number;
+  nextGossipAt: number;
+  /** Address of a peer that is known to have news for us. */
+  gossipWith?: string;
+  /** The pull that is under way. */
+  pulling?: {readonly address: string; readonly startedAt: number};
+  /** Whether the fleet has been told that this upstream leaves. */
+  toldLeaving: boolean;
+}
+
+export function createDissemination(): Dissemination {
+  return {heartbeat: 0, gossips: 0, nextGossipAt: 0, toldLeaving: false};
+}
+
+/**
+ * Chooses the peer of the next gossip exchange: one that has news for us; in
+ * turn each witness, so that one that restarted learns the floor again, and
+ * the watcher that this proxy would replace; mostly a random proxy.
+ * @param spread - This part's state.
+ * @param log - The submission log.
+ * @param settings - This proxy's settings.
+ * @param ward - Address of the watcher to look after, if any.
+ * @param entropy - Random 32-bit integer.
+ * @returns A peer address, or undefined where this proxy knows no other.
+ */
+export function chooseGossipPeer(
+  spread: Dissemination,
+  log: ConfigLog,
+  settings: CoreSettings,
+  ward: string | undefined,
+  entropy: number,
+): string | undefined {
+  const turn = spread.gossips;
+  spread.gossips += 1;
+  const {gossipWith} = spread;
+  spread.gossipWith = undefined;
+  const {id, region} = settings;
+  const witnesses = getWitnesses(id, region, log.latest.config);
+  if (turn % GOSSIPS_PER_WITNESS === 0 && witnesses.length > 0) {
+    const index = Math.floor(turn / GOSSIPS_PER_WITNESS) % witnesses.length;
+    return witnesses[index].peerAddress;
+  }
+  if (gossipWith !== undefined) {
+    return gossipWith;
+  }
+  if (turn % GOSSIPS_PER_WITNESS === 1 && ward !== undefined) {
+    return ward;
+  }
+  const addresses = Object.values(log.latest.config.upstreams)
+    .map(({peerAddress}) => peerAddress)
+    .concat(settings.seeds)
+    .filter(address => address !== settings.peerAddress);
+  return addresses.length === 0
+    ? undefined
+    : addresses[entropy % addresses.length];
+}
+
+/**
+ * Describes this proxy for its peers.
+ * @param spread - This part's state.
+ * @param log - The submission log.
+ * @param settings - This proxy's settings.
+ * @param ready - Whether it serves calls.
+ * @param leaving - Whether it takes no new work.
+ * @returns The description, with a heartbeat of its own.
+ */
+export function describeSelf(
+  spread: Dissemination,
+  log: ConfigLog,
+  settings: CoreSettings,
+  ready: boolean,
+  leaving: boolean,
+): MemberInfo {
+  spread.heartbeat += 1;
+  const {id, peerAddress, startedAt: incarnation} = settings;
+  return {
+    id,
+    peerAddress,
+    incarnation,
+    heartbeat: spread.heartbeat,
+    sequence: log.latest.sequence,
+    version: log.active.version,
+    digest: getDigestAt(log, log.latest.sequence) ?? '',
+    leaving,
+    ready,
+  };
+}
+
+/**
+ * Takes in the members that a gossip message describes, compares digests,
+ * and asks for what is missing where the sender is ahead.
+ * @param spread - This part's state.
+ * @param log - The submission log.
+ * @param membership - The membership view.
+ * @param from - The sender.
+ * @param members - Others that it describes.
+ * @param at - Now, in Unix milliseconds.
+ * @param emit - Takes effects.
+ */
+export function mergeGossip(
+  spread: Dissemination,
+  log: ConfigLog,
+  membership: Membership,
+  from: MemberInfo,
+  members: readonly MemberInfo[],
+  at: number,
+  emit: Emit,
+): void {
+  for (const info of [from, ...members]) {
+    mergeMember(membership, info, at, emit);
+  }
+  compareDigest(log, from.id, from.sequence, from.digest, emit);
+  pullIfBehind(spread, log, from.peerAddress, from.sequence, at, emit);
+}
+
+/**
+ * Asks a peer for what follows our last sequence, one pull at a time.
+ * @param spread - This part's state.
+ * @param log - The submission log.
+ * @param address - The peer's address.
+ * @param sequence - A sequence that the peer has folded.
+ * @param at - Now, in Unix milliseconds.
+ * @param emit - Takes effects.
+ */
+export function pullIfBehind(
+  spread: Dissemination,
+  log: ConfigLog,
+  address: string,
+  sequence: number,
+  at: number,
+  emit: Emit,
+): void {
+  const {pulling} = spread;
+  const isPulling =
+    pulling !== undefined && at - pulling.startedAt < PULL_TIMEOUT_MS;
+  if (sequence <= log.latest.sequence || isPulling) {
+    return;
+  }
+  spread.pulling = {address, startedAt: at};
+  const afterSequence = log.latest.sequence;
+  const digest = getDigestAt(log, afterSequence);
+  const request = {kind: 'pull', afterSequence, digest} as const;
+  emit({kind: 'askPeer', address, request});
+}
+
+/**
+ * Notes that a pull was answered or failed.
+ * @param spread - This part's state.
+ * @param address - The peer that was asked.
+ */
+export function notePullEnded(spread: Dissemination, address: string): void {
+  if (spread.pulling?.address === address) {
+    spread.pulling = undefined;
+  }
+}
+
+/**
+ * Builds a gossip request.
+ * @param self - This proxy's description.
+ * @param membership - The membership view.
+ * @param suspects - Crash suspects worth telling.
+ * @returns The request.
+ */
+export function createGossip(
+  self: MemberInfo,
+  membership: Membership,
+  suspects: Extract<PeerRequest, {kind: 'gossip'}>['suspects'],
+): PeerRequest {
+  return {
+    kind: 'gossip',
+    from: self,
+    members: takeNews(membership),
+    suspects,
+    vmRevision: membership.vmList.revision,
+  };
+}
--- /dev/null
+++ b/src/core/spread/witnesses.ts
@@ -0,0 +1,137 @@
+/** Chooses the peers that remember which sequence a proxy has put in force. */
+import {Config, Upstream} from '../../model/config.js';
+import {rankByRendezvous} from '../hashing.js';
+import {isGone, isReachable, Membership} from './membership.js';
+
+export const MAX_WITNESSES = 5;
+
+/** Further peers that a starting proxy asks where no witness remembers it. */
+const MAX_WIDER_CIRCLE = 16;
+
+export interface Witness {
+  readonly id: string;
+  readonly peerAddress: string;
+}
+
+/** Choices made before, by the upstreams that they were made from. */
+const chosenByUpstreams = new WeakMap<
+  Config['upstreams'],
+  Map<string, Witness[]>
+>();
+
+/**
+ * Chooses a proxy's witnesses: an odd number, its own region first, spread
+ * over availability zones.
+ * @param id - The proxy.
+ * @param region - Its region.
+ * @param config - The configuration that names the other proxies.
+ * @returns At most 5 witnesses; none where the proxy is alone.
+ */
+export function getWitnesses(
+  id: string,
+  region: string,
+  config: Config,
+): readonly Witness[] {
+  let chosen = chosenByUpstreams.get(config.upstreams);
+  if (chosen === undefined) {
+    chosen = new Map();
+    chosenByUpstreams.set(config.upstreams, chosen);
+  }
+  const subject = `${region} ${id}`;
+  let witnesses = chosen.get(subject);
+  if (witnesses === undefined) {
+    witnesses = chooseWitnesses(id, region, config);
+    chosen.set(subject, witnesses);
+  }
+  return witnesses;
+}
+
+function chooseWitnesses(
+  id: string,
+  region: string,
+  config: Config,
+): Witness[] {
+  const others = Object.keys(config.upstreams).filter(other => other !== id);
+  const ranked = rankByRendezvous(id, others);
+  const inRegion = (other: string) => config.upstreams[other].region === region;
+  const ordered = [
+    ...spreadOverZones(ranked.filter(inRegion), config.upstreams),
+    ...spreadOverZones(
+      ranked.filter(other => !inRegion(other)),
+      config.upstreams,
+    ),
+  ];
+  const count = Math.min(MAX_WITNESSES, ordered.length);
+  const oddCount = count % 2 === 0 ? Math.max(0, count - 1) : count;
+  return ordered.slice(0, oddCount).map(other => toWitness(other, config));
+}
+
+function toWitness(id: string, config: Config): Witness {
+  return {id, peerAddress: config.upstreams[id].peerAddress};
+}
+
+/**
+ * Chooses the peers that a starting proxy asks besides its witnesses.
+ * @param id - The proxy.
+ * @param config - The configuration that names the other proxies.
+ * @returns At most 16 proxies; in a small fleet all others.
+ */
+export function getWiderCircle(id: string, config: Config): Witness[] {
+  const others = Object.keys(config.upstreams).filter(other => other !== id);
+  return rankByRendezvous(`circle ${id}`, others)
+    .slice(0, MAX_WIDER_CIRCLE)
+    .map(other => toWitness(other, config));
+}
+
+/**
+ * Leaves out witnesses whose memory is gone for good. One failed contact does
+ * not tell a dead witness from a partition, so a second source must say the
+ * same: the newest configuration, or the platform's VM list.
+ * @param witnesses - The witnesses under some configuration.
+ * @param newest - The newest configuration folded.
+ * @param membership - The membership view.
+ * @param at - Now, in Unix milliseconds.
+ * @returns The witnesses that count.
+ */
+export function dropLostWitnesses(
+  witnesses: readonly Witness[],
+  newest: Config,
+  membership: Membership,
+  at: number,
+): readonly Witness[] {
+  return witnesses.filter(({id, peerAddress}) => {
+    const removed = newest.upstreams[id]?.peerAddress !== peerAddress;
+    const lost = removed || isGone(membership, id);
+    return !lost || isReachable(membership, peerAddress, at);
+  });
+}
+
+/** Reorders so that each zone's best come first, then each zone's second. */
+function spreadOverZones(
+  ranked: readonly string[],
+  upstreams: Readonly<Record<string, Upstream>>,
+): string[] {
+  const countByZone = new Map<string, number>();
+  const turns = ranked.map(id => {
+    const {zone} = upstreams[id];
+    const turn = countByZone.get(zone) ?? 0;
+    countByZone.set(zone, turn + 1);
+    return {id, turn};
+  });
+  turns.sort((a, b) => a.turn - b.turn);
+  return turns.map(({id}) => id);
+}
+
+/**
+ * Tells whether a majority of witnesses is in a set.
+ * @param witnesses - The witnesses.
+ * @param ids - Identifiers of those that answered.
+ * @returns True for a majority, or where there is no witness.
+ */
+export function hasMajority(
+  witnesses: readonly Witness[],
+  ids: ReadonlySet<string>,
+): boolean {
+  const present = witnesses.filter(({id}) => ids.has(id)).length;
+  return witnesses.length === 0 || 2 * present > witnesses.length;
+}
