Keys: a hand-over speaks only for the process that stopped

Cause: a home that restarted and soon after stopped as planned handed over an empty record, and its heir took that as proof that no key had run there, though the process before may have run it. Ruled out: the incarnation check, which only refuses a hand-over older than a known restart. Change: the heir counts the hand-over only for keys that are younger than the start of the process that stopped; for others it asks, and is in doubt. Before: test/owner/restarted_hand_over.test.ts failed (dispatch a).

--- a/src/core/owner/key_doubt.ts
+++ b/src/core/owner/key_doubt.ts
@@ -111,13 +111,21 @@
   service: string,
   key: string,
 ): boolean {
-  const {settings, at} = view;
+  return mayPredateProcess(view, service, key, view.settings.startedAt);
+}
+
+function mayPredateProcess(
+  view: OwnerView,
+  service: string,
+  key: string,
+  startedAt: number,
+): boolean {
   return mayPredateStart(
     key,
-    settings.startedAt,
+    startedAt,
     getKeyLifetimeMs(view, service) ?? Infinity,
-    settings.limits.clockSkewMs,
-    at,
+    view.settings.limits.clockSkewMs,
+    view.at,
   );
 }
 
@@ -147,8 +155,16 @@
   for (const [homeId, handOver] of owner.handedOverBy) {
     const isLatest =
       getIncarnation(view.membership, homeId) <= handOver.incarnation;
+    // The process that stopped knew nothing of what one before it had run.
+    const vouches = !mayPredateProcess(
+      view,
+      service,
+      key,
+      handOver.incarnation,
+    );
     // Each heir was told of its own keys only.
-    if (isLatest && getRendezvousWinner(key, handOver.heirs) === id) {
+    const isHeir = getRendezvousWinner(key, handOver.heirs) === id;
+    if (isLatest && vouches && isHeir) {
       homes.delete(homeId);
     }
   }
--- /dev/null
+++ b/test/owner/restarted_hand_over.test.ts
@@ -0,0 +1,52 @@
+/** A hand-over speaks only for what its process can have run. */
+import {expect} from '../support/chai_setup.js';
+import {
+  createKeyMintedAt,
+  createRemoval,
+  findKey,
+  OwnerFixture,
+} from './owner_fixture.js';
+
+const ALONE = ['desk-1'];
+const PAIR = ['desk-1', 'desk-2'];
+
+const UP_MS = 10_000;
+
+/** The other home restarts, stops as planned soon after, and leaves. */
+function takeOverFromRestarted(owner: OwnerFixture): void {
+  owner.reduce({
+    kind: 'peerAsked',
+    requestId: 'h',
+    request: {
+      kind: 'handOver',
+      service: 'desk',
+      fromId: 'desk-2',
+      incarnation: owner.at - UP_MS,
+      heirs: ALONE,
+      records: [],
+    },
+  });
+  owner.publish(createRemoval('desk-2'));
+}
+
+describe('hand-over by a home that had restarted', () => {
+  it('does not run a key that the process before may have run', () => {
+    const owner = new OwnerFixture(PAIR);
+    const key = findKey([[PAIR, 'desk-2']]);
+    takeOverFromRestarted(owner);
+    expect({
+      attempt: owner.attempt('a', {key}),
+      silent: owner.settle('desk-2', key, 'a'),
+    }).to.deep.equal({
+      attempt: ['ask 127.0.0.1:7002 closeKey'],
+      silent: ['a: key_in_doubt (unknown, 409)'],
+    });
+  });
+
+  it('runs a key that is younger than the restart', () => {
+    const owner = new OwnerFixture(PAIR);
+    const key = createKeyMintedAt(owner.at - UP_MS / 2);
+    takeOverFromRestarted(owner);
+    expect(owner.attempt('a', {key})).to.deep.equal(['dispatch a']);
+  });
+});
