Routing: hosts match in any case and with any port

Cause: findRoute promised to take a host with or without a port and compared it as it came, so a caller that sent 'Host: desk:8080' or 'Desk' got no_route.

--- a/src/core/config/routing_table.ts
+++ b/src/core/config/routing_table.ts
@@ -29,7 +29,7 @@
   readonly version: number;
   readonly services: ReadonlyMap<string, ServiceTargets>;
   readonly upstreams: ReadonlyMap<string, UpstreamTarget>;
-  /** Longest prefix first; a route with a host before one without. */
+  /** Longest prefix first; a route with a host, in lower case, before one without. */
   readonly routes: readonly RouteTarget[];
 }
 
@@ -65,7 +65,7 @@
   for (const [id, route] of Object.entries(config.routes)) {
     const target = services.get(route.service);
     if (target !== undefined) {
-      routes.push({...route, id, target});
+      routes.push({...route, host: route.host?.toLowerCase(), id, target});
     }
   }
   routes.sort(compareRoutes);
@@ -95,14 +95,20 @@
   host: string,
   path: string,
 ): RouteTarget | undefined {
+  const hostName = getHostName(host);
   return table.routes.find(
     route =>
       matchesPath(route.pathPrefix, path) &&
-      (route.host === undefined || route.host === host) &&
+      (route.host === undefined || route.host === hostName) &&
       (route.methods === undefined || route.methods.includes(method)),
   );
 }
 
+/** Host names ignore case, and clients add a port that is not the default. */
+function getHostName(host: string): string {
+  return host.replace(/:\d+$/, '').toLowerCase();
+}
+
 /** A prefix matches whole path segments only. */
 function matchesPath(prefix: string, path: string): boolean {
   if (!path.startsWith(prefix)) {
