--- a/src/bench/core_driver.ts
+++ b/src/bench/core_driver.ts
@@ -189,8 +189,8 @@
           kind: 'join',
           ready: true,
           sequence: latest.sequence,
-          floor: 0,
-          upMs: 0,
+          region: 'region-0',
+          heard: 0,
           members: [],
         };
       }
--- a/src/core/config/config_log.ts
+++ b/src/core/config/config_log.ts
@@ -38,7 +38,7 @@
   readonly recent: Submission[];
   /** Submissions that arrived ahead of a missing one, by sequence. */
   readonly waiting: Map<number, Submission>;
-  /** States folded since `active` that changed the upstreams, oldest first. */
+  /** States folded since `active`, oldest first. */
   readonly steps: FoldState[];
   /** Digest of each recent sequence number. */
   readonly digests: Map<number, string>;
@@ -165,11 +165,9 @@
 }
 
 function setLatest(log: ConfigLog, state: FoldState): void {
-  if (state.config.upstreams !== log.latest.config.upstreams) {
-    log.steps.push(state);
-    if (log.steps.length > KEPT_SUBMISSIONS) {
-      log.steps.shift();
-    }
+  log.steps.push(state);
+  if (log.steps.length > KEPT_SUBMISSIONS) {
+    log.steps.shift();
   }
   log.latest = state;
   log.digests.set(state.sequence, state.digest);
@@ -232,8 +230,9 @@
  * @param log - The log.
  * @param afterSequence - The last sequence number that the peer has folded.
  * @param digest - The peer's digest at that sequence, where it sent one.
- * @returns Submissions where they are kept, and the folded state otherwise;
- *     nothing to a peer that disagrees, because it would not take it.
+ * @returns Only what is in force here: submissions where they are kept, and
+ *     the folded state otherwise; nothing to a peer that disagrees, because it
+ *     would not take it.
  */
 export function getCatchUp(
   log: ConfigLog,
@@ -244,11 +243,28 @@
   if (own !== undefined && digest !== undefined && own !== digest) {
     return {kind: 'submissions', submissions: []};
   }
-  const submissions = log.recent.filter(s => s.sequence > afterSequence);
-  const missing = log.latest.sequence - afterSequence;
+  const submissions = getSubmissions(log, afterSequence, log.active.sequence);
+  const missing = log.active.sequence - afterSequence;
   return submissions.length >= missing
     ? {kind: 'submissions', submissions: limitSize(submissions)}
-    : {kind: 'state', state: log.latest};
+    : {kind: 'state', state: log.active};
+}
+
+/**
+ * Gets kept submissions of a range.
+ * @param log - The log.
+ * @param afterSequence - The sequence before the first.
+ * @param upToSequence - The last sequence.
+ * @returns Those that are kept, in order.
+ */
+export function getSubmissions(
+  log: ConfigLog,
+  afterSequence: number,
+  upToSequence: number,
+): Submission[] {
+  return log.recent.filter(
+    ({sequence}) => sequence > afterSequence && sequence <= upToSequence,
+  );
 }
 
 /** Keeps the first submissions that fit; the peer asks again for the rest. */
--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -9,7 +9,9 @@
   ConfigLog,
   compareDigest,
   createConfigLog,
+  adoptState,
   getCatchUp,
+  getSubmissions,
   getDigestAt,
   isHalted,
   restartLog,
@@ -57,7 +59,10 @@
   Adoption,
   advanceAdoption,
   createAdoption,
-  recordFloor,
+  AdoptionView,
+  noteHeard,
+  noteVouched,
+  recordAnnouncement,
 } from './spread/adoption.js';
 import {
   chooseGossipPeer,
@@ -89,6 +94,7 @@
   noteSourceAnswered,
   noteSourceFailed,
   rankWatchers,
+  getWatcherTurn,
   SourceWatch,
 } from './spread/source_watch.js';
 import {
@@ -96,12 +102,12 @@
   createStartup,
   findPeerAhead,
   getRequiredSequence,
-  hasCaughtUp,
+  findStartState,
   recordJoinFailure,
   recordJoinReply,
   Startup,
+  StartupView,
 } from './spread/startup.js';
-import {Submission} from '../model/config.js';
 import {VmChanges} from '../model/platform.js';
 import {KeyVerdict, MemberInfo, PeerReply, PeerRequest} from '../model/peer.js';
 import {getVmNews} from './spread/vm_list.js';
@@ -113,6 +119,9 @@
 /** Time after which a proxy checks again whether it is a watcher. */
 const WATCH_ROLE_CHECK_MS = 250;
 
+/** Time between the announcements of a region's watchers. */
+const ANNOUNCE_STAGGER_MS = 100;
+
 const MAX_ENTROPY = 2 ** 32;
 
 export interface ProxyState {
@@ -275,10 +284,10 @@
   entropy: number,
   emit: Emit,
 ): void {
-  const {startup, log, settings, watch} = state;
+  const {startup, settings, watch} = state;
   const alone = settings.seeds.length === 0;
   watch.nextAt = alone ? at : at + (START_SPREAD_MS * entropy) / MAX_ENTROPY;
-  askToJoin(startup, log, settings, at, emit);
+  askToJoin(startup, viewStartup(state, at), emit);
   watchSource(state, at, emit);
 }
 
@@ -287,7 +296,7 @@
   const {startup, log, settings, spread, membership} = state;
   refreshMarks(membership, at);
   if (!startup.ready) {
-    askToJoin(startup, log, settings, at, emit);
+    askToJoin(startup, viewStartup(state, at), emit);
     pullAtStart(state, at, entropy, emit);
   }
   advanceConfig(state, at, emit);
@@ -320,11 +329,10 @@
   entropy: number,
   emit: Emit,
 ): void {
-  const {startup, log, spread} = state;
-  const {sequence} = log.latest;
-  const address = findPeerAhead(startup, sequence, entropy);
+  const {startup, log, spread, adoption} = state;
+  const address = findPeerAhead(startup, adoption.vouched, entropy);
   if (address !== undefined) {
-    pullIfBehind(spread, log, address, sequence + 1, at, emit);
+    pullIfBehind(spread, log, address, adoption.vouched + 1, at, emit);
   }
 }
 
@@ -355,7 +363,8 @@
   // A floor that no ready peer reaches can only be met by the source.
   const peersSuffice =
     peerReady &&
-    findPeerAhead(startup, getRequiredSequence(startup) - 1, 0) !== undefined;
+    findPeerAhead(startup, getRequiredSequence(startup, settings) - 1, 0) !==
+      undefined;
   const mustWatch = startup.ready ? isWatcher || !isListed : !peersSuffice;
   if (!mustWatch) {
     watch.nextAt = at + WATCH_ROLE_CHECK_MS;
@@ -380,7 +389,6 @@
     vmList === undefined ? undefined : mergeVmList(membership, vmList, at);
   const hasNews = folded.length > 0 || vmChanges !== undefined;
   noteSourceAnswered(watch, settings, head, hasNews, at, entropy);
-  pushFolded(state, folded, true, emit);
   if (vmChanges !== undefined) {
     pushVmChanges(state, vmChanges, true, emit);
   }
@@ -388,15 +396,28 @@
   watchSource(state, at, emit);
 }
 
-function pushFolded(
+/**
+ * Passes on what has come into force: from a push along the zone's tree, and
+ * otherwise to every zone of the region, because nobody else may have it.
+ */
+function pushAdopted(
   state: ProxyState,
-  folded: readonly Submission[],
-  isRoot: boolean,
+  afterSequence: number,
+  cause: AdvanceCause,
   emit: Emit,
 ): void {
-  if (folded.length > 0) {
-    const news: PushNews = {kind: 'submissions', news: folded};
-    pushNews(state.log.table, state.settings, news, isRoot, emit);
+  const {log, settings} = state;
+  const news = getSubmissions(log, afterSequence, log.active.sequence);
+  if (news.length === 0) {
+    return;
+  }
+  const push: PushNews = {kind: 'submissions', news};
+  if (cause === 'push') {
+    pushNews(log.table, settings, push, false, emit);
+  } else if (cause === 'pull') {
+    pushNews(log.table, settings, push, true, emit);
+  } else {
+    pushToAllZones(log.table, settings, push, emit, settings.region);
   }
 }
 
@@ -413,33 +434,66 @@
   }
 }
 
+/** What made the log advance. */
+type AdvanceCause = 'push' | 'pull' | 'announced';
+
 /** Becomes ready, or announces and adopts, as far as the log allows. */
-function advanceConfig(state: ProxyState, at: number, emit: Emit): void {
-  const {startup, log, settings, adoption, membership} = state;
+function advanceConfig(
+  state: ProxyState,
+  at: number,
+  emit: Emit,
+  cause: AdvanceCause = 'announced',
+): void {
+  const {startup, log, adoption} = state;
   watchRemovals(state);
-  if (startup.ready) {
-    advanceAdoption(adoption, log, settings, membership, at, emit);
+  if (!startup.ready) {
+    tryBecomeReady(state, at, emit);
     return;
   }
+  if (isHalted(log)) {
+    return;
+  }
+  const before = log.active.sequence;
+  advanceAdoption(adoption, viewAdoption(state, at), emit);
+  if (log.active.sequence > before) {
+    pushAdopted(state, before, cause, emit);
+  }
+}
+
+function tryBecomeReady(state: ProxyState, at: number, emit: Emit): void {
+  const {startup, log, adoption} = state;
   if (isHalted(log)) {
     // Nothing depends on this copy yet, and most peers hold another one.
     emit({kind: 'count', counter: 'digest_mismatch', reason: 'start_over'});
     restartLog(log);
     return;
   }
-  if (!hasCaughtUp(startup, log, settings, membership, at)) {
+  const start = findStartState(startup, viewStartup(state, at));
+  if (start === undefined) {
     return;
   }
-  advanceAdoption(adoption, log, settings, membership, at, emit);
-  if (log.active.sequence === log.latest.sequence) {
-    startup.ready = true;
-    emit({
-      kind: 'log',
-      level: 'info',
-      part: 'config',
-      message: `Ready at version ${log.active.version}.`,
-    });
-  }
+  adoptState(log, start, at, emit);
+  noteHeard(adoption, start.sequence);
+  startup.ready = true;
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'config',
+    message: `Ready at version ${start.version}.`,
+  });
+}
+
+function viewStartup(state: ProxyState, at: number): StartupView {
+  const {log, adoption, settings, membership} = state;
+  return {log, adoption, settings, membership, at};
+}
+
+function viewAdoption(state: ProxyState, at: number): AdoptionView {
+  const {log, settings, membership} = state;
+  const getAnnounceDelay = (sequence: number) =>
+    getWatcherTurn(log.table, membership, settings, sequence, at) *
+    ANNOUNCE_STAGGER_MS;
+  return {log, settings, membership, at, getAnnounceDelay};
 }
 
 /** Upstreams that the newest configuration drops leave before it is in force. */
@@ -491,17 +545,18 @@
         catchUp: getCatchUp(log, request.afterSequence, request.digest),
         from: settings.id,
         digest: getDigestAt(log, request.afterSequence),
+        region: settings.region,
+        sequence: startup.ready ? log.active.sequence : 0,
       };
     case 'announce':
-      recordFloor(adoption, request.id, request.sequence);
-      return {kind: 'ok'};
+      return recordAnnouncement(adoption, request.sequence, settings.startedAt);
     case 'join':
       return {
         kind: 'join',
         ready: startup.ready,
-        sequence: log.latest.sequence,
-        floor: adoption.floors.get(request.id) ?? 0,
-        upMs: Math.max(0, at - settings.startedAt),
+        region: settings.region,
+        sequence: log.active.sequence,
+        heard: Math.max(adoption.heard, log.active.sequence),
         members: [describe(state, at)],
       };
     case 'closeKey':
@@ -518,9 +573,11 @@
   at: number,
   emit: Emit,
 ): void {
-  const {log, membership, settings} = state;
+  const {log, membership, settings, adoption} = state;
   const {submissions, vmChanges, members = []} = push;
-  pushFolded(state, acceptSubmissions(log, submissions, emit), false, emit);
+  acceptSubmissions(log, submissions, emit);
+  // Proxies push within their region, and only what they have in force.
+  noteVouched(adoption, submissions.at(-1)?.sequence ?? 0);
   if (vmChanges !== undefined && mergeVmChanges(membership, vmChanges, at)) {
     pushVmChanges(state, vmChanges, false, emit);
   }
@@ -531,7 +588,7 @@
     const news: PushNews = {kind: 'members', news: changed};
     pushNews(log.table, settings, news, false, emit);
   }
-  advanceConfig(state, at, emit);
+  advanceConfig(state, at, emit, 'push');
 }
 
 function takeGossip(
@@ -543,8 +600,7 @@
   const {spread, log, membership, suspects, adoption} = state;
   const {from, members, vmList, vmChanges = []} = message;
   if (from.ready) {
-    // One that is starting must not hear its own guess back as our memory.
-    recordFloor(adoption, from.id, from.sequence);
+    noteHeard(adoption, from.sequence);
   }
   mergeGossip(spread, log, membership, from, members, at, emit);
   for (const suspect of message.suspects) {
@@ -572,24 +628,30 @@
     case 'gossip':
       return takeGossip(state, reply, at, emit);
     case 'ok':
+      if (request.kind === 'handOver') {
+        noteHandOverSettled(state.owner, address);
+      }
+      return;
+    case 'announce':
       if (request.kind === 'announce') {
-        acknowledgeAnnouncement(adoption, address, request.sequence);
+        const {incarnation} = reply;
+        acknowledgeAnnouncement(adoption, address, request, incarnation);
         advanceConfig(state, at, emit);
-      } else if (request.kind === 'handOver') {
-        noteHandOverSettled(state.owner, address);
       }
       return;
     case 'pull':
       notePullEnded(spread, address);
       takeCatchUp(state, request, reply, emit);
-      return advanceConfig(state, at, emit);
+      return advanceConfig(state, at, emit, 'pull');
     case 'join':
       recordJoinReply(startup, address, reply);
       for (const info of reply.members) {
         mergeMember(membership, info, at, emit);
         compareDigest(log, info.id, info.sequence, info.digest, emit);
       }
-      pullIfBehind(spread, log, address, reply.sequence, at, emit);
+      if (reply.ready) {
+        pullIfBehind(spread, log, address, reply.sequence, at, emit);
+      }
       return advanceConfig(state, at, emit);
     case 'closeKey':
       return takeKeyVerdict(state, event, reply.verdict, emit);
@@ -607,17 +669,19 @@
   reply: Extract<PeerReply, {kind: 'pull'}>,
   emit: Emit,
 ): void {
-  const {log} = state;
-  const {catchUp, from, digest} = reply;
+  const {log, adoption, settings} = state;
+  const {catchUp, from, digest, region, sequence} = reply;
   if (request.kind === 'pull' && from !== undefined && digest !== undefined) {
     compareDigest(log, from, request.afterSequence, digest, emit);
   }
   if (catchUp.kind === 'state') {
     acceptFoldState(log, catchUp.state, emit);
-    return;
+  } else {
+    acceptSubmissions(log, catchUp.submissions, emit);
+  }
+  if (region === settings.region) {
+    noteVouched(adoption, sequence);
   }
-  const folded = acceptSubmissions(log, catchUp.submissions, emit);
-  pushFolded(state, folded, true, emit);
 }
 
 /** A key verdict concerns an entry that gave up or a home that took over. */
--- a/src/core/spread/adoption.ts
+++ b/src/core/spread/adoption.ts
@@ -1,8 +1,12 @@
 /**
- * Announces a sequence to the proxy's witnesses before it is put in force, so
- * that a restarted proxy can learn how far it had come.
+ * Decides when a folded state is put in force. A state that some proxy of the
+ * region has in force may be taken at once. One that comes from outside, from
+ * the source or another region, is first announced to the region's witnesses,
+ * so that no restarted proxy can become ready at an older one unnoticed. The
+ * protocol is specified in spec/restart.pml.
  */
 import {FoldState} from '../../model/fold_state.js';
+import {PeerReply} from '../../model/peer.js';
 import {adoptState, ConfigLog} from '../config/config_log.js';
 import {CoreSettings} from '../core_settings.js';
 import {Emit} from '../types.js';
@@ -19,163 +23,245 @@
 
 /**
  * Time after which an announcement that lacks a majority gives way to that of
- * a newer state. Above a round trip, so that a burst of changes cannot renew
- * the announcement for ever.
+ * a newer state. Above two round trips, so that a burst of changes cannot
+ * renew the announcement for ever.
  */
 const RETARGET_MS = 1_000;
 
 interface PendingAdoption {
   readonly target: FoldState;
-  /** A majority of each set must acknowledge. */
+  /** A majority of each set must confirm. */
   readonly witnessSets: readonly (readonly Witness[])[];
-  readonly acknowledgedBy: Set<string>;
-  readonly startedAt: number;
+  /** Start times of the witnesses that acknowledged the first round. */
+  readonly acknowledged: Map<string, number>;
+  /** Witnesses that acknowledged both rounds without a restart between. */
+  readonly confirmed: Set<string>;
+  round: 1 | 2;
+  readonly startsAt: number;
   askedAt: number;
 }
 
 export interface Adoption {
   pending?: PendingAdoption;
-  /** Highest sequence that each other proxy has announced to this one. */
-  readonly floors: Map<string, number>;
+  /** Highest sequence that this proxy, as a witness, has heard of. */
+  heard: number;
+  /** Highest sequence that a ready proxy of this region has had in force. */
+  vouched: number;
+}
+
+/** What the decision depends on. */
+export interface AdoptionView {
+  readonly log: ConfigLog;
+  readonly settings: CoreSettings;
+  readonly membership: Membership;
+  readonly at: number;
+  /** Delay of an announcement, so that watchers do not all announce. */
+  getAnnounceDelay(sequence: number): number;
 }
 
 export function createAdoption(): Adoption {
-  return {floors: new Map()};
+  return {heard: 0, vouched: 0};
+}
+
+export function noteHeard(adoption: Adoption, sequence: number): void {
+  adoption.heard = Math.max(adoption.heard, sequence);
 }
 
 /**
- * Remembers that a proxy is about to put a sequence in force.
- * @param adoption - This proxy's memory.
- * @param id - The other proxy.
- * @param sequence - The sequence that it announced.
+ * Notes that a ready proxy of this region has had a sequence in force.
+ * @param adoption - This part's state.
+ * @param sequence - The sequence.
  */
-export function recordFloor(
-  adoption: Adoption,
-  id: string,
-  sequence: number,
-): void {
-  const known = adoption.floors.get(id) ?? 0;
-  adoption.floors.set(id, Math.max(known, sequence));
+export function noteVouched(adoption: Adoption, sequence: number): void {
+  adoption.vouched = Math.max(adoption.vouched, sequence);
+  noteHeard(adoption, sequence);
 }
 
 /**
- * Starts or repeats the announcement of the latest folded state, and adopts
- * it where a majority of witnesses already knows.
- * @param adoption - Progress of the announcement.
+ * Finds the newest folded state that a proxy of this region has had in force.
+ * @param adoption - This part's state.
  * @param log - The submission log.
- * @param settings - This proxy's settings.
- * @param membership - Tells which witnesses are lost.
- * @param at - Now, in Unix milliseconds.
+ * @returns The state, or undefined where none is newer than the one in force.
+ */
+export function findVouchedState(
+  adoption: Adoption,
+  log: ConfigLog,
+): FoldState | undefined {
+  return log.steps.findLast(({sequence}) => sequence <= adoption.vouched);
+}
+
+/**
+ * Puts in force what may be, and announces the rest.
+ * @param adoption - This part's state.
+ * @param view - What the decision depends on.
  * @param emit - Takes effects.
  */
 export function advanceAdoption(
   adoption: Adoption,
-  log: ConfigLog,
-  settings: CoreSettings,
-  membership: Membership,
-  at: number,
+  view: AdoptionView,
   emit: Emit,
 ): void {
+  const {log, at} = view;
+  const vouched = findVouchedState(adoption, log);
+  if (vouched !== undefined) {
+    putInForce(adoption, view, vouched, emit);
+  }
   if (log.latest.sequence === log.active.sequence) {
+    adoption.pending = undefined;
     return;
   }
-  if (adoption.pending === undefined || isOutdated(adoption.pending, log, at)) {
-    adoption.pending = createPending(log, settings, at);
+  if (adoption.pending === undefined || isOutdated(adoption.pending, view)) {
+    adoption.pending = createPending(view);
   }
-  tryAdopt(adoption, log, settings, membership, at, emit);
   const {pending} = adoption;
-  if (pending === undefined || at - pending.askedAt < ANNOUNCE_RETRY_MS) {
+  if (tryConfirm(adoption, view, emit) || at < pending.startsAt) {
     return;
   }
-  pending.askedAt = at;
-  for (const address of getSilentWitnesses(pending)) {
-    const {sequence} = pending.target;
-    const request = {kind: 'announce', id: settings.id, sequence} as const;
-    emit({kind: 'askPeer', address, request});
+  askWitnesses(pending, view, emit);
+}
+
+function putInForce(
+  adoption: Adoption,
+  {log, at}: AdoptionView,
+  state: FoldState,
+  emit: Emit,
+): void {
+  adoptState(log, state, at, emit);
+  noteHeard(adoption, state.sequence);
+  const {pending} = adoption;
+  if (pending !== undefined && pending.target.sequence <= state.sequence) {
+    adoption.pending = undefined;
   }
 }
 
-function isOutdated(
-  pending: PendingAdoption,
-  log: ConfigLog,
-  at: number,
-): boolean {
+function isOutdated(pending: PendingAdoption, view: AdoptionView): boolean {
   return (
-    pending.target.sequence < log.latest.sequence &&
-    at - pending.startedAt >= RETARGET_MS
+    pending.target.sequence < view.log.latest.sequence &&
+    view.at - pending.startsAt >= RETARGET_MS
   );
 }
 
-function createPending(
-  log: ConfigLog,
-  settings: CoreSettings,
-  at: number,
-): PendingAdoption {
+function createPending(view: AdoptionView): PendingAdoption {
+  const {log, settings, at} = view;
   // Every version on the way counts: a restarted proxy may be given any of
   // them, and asks the witnesses of the one that it was given.
-  const passed = [log.active, ...log.steps, log.latest];
-  const witnessSets = [...new Set(passed.map(({config}) => config))].map(
-    config => getWitnesses(settings.id, settings.region, config),
-  );
+  const passed = [log.active, ...log.steps.slice(0, -1)];
+  const upstreams = new Set(passed.map(({config}) => config.upstreams));
   return {
     target: log.latest,
-    witnessSets,
-    acknowledgedBy: new Set(),
-    startedAt: at,
+    witnessSets: [...upstreams].map(named =>
+      getWitnesses(settings.region, named),
+    ),
+    acknowledged: new Map(),
+    confirmed: new Set(),
+    round: 1,
+    startsAt: at + view.getAnnounceDelay(log.latest.sequence),
     askedAt: -Infinity,
   };
 }
 
-function getSilentWitnesses(pending: PendingAdoption): Set<string> {
-  const silent = pending.witnessSets
-    .flat()
-    .filter(({id}) => !pending.acknowledgedBy.has(id));
-  return new Set(silent.map(({peerAddress}) => peerAddress));
+function askWitnesses(
+  pending: PendingAdoption,
+  {settings, at}: AdoptionView,
+  emit: Emit,
+): void {
+  if (at - pending.askedAt < ANNOUNCE_RETRY_MS) {
+    return;
+  }
+  pending.askedAt = at;
+  const {round, target} = pending;
+  const {sequence} = target;
+  const request = {kind: 'announce', sequence, round} as const;
+  const answered = round === 1 ? pending.acknowledged : pending.confirmed;
+  const silent = pending.witnessSets.flat().filter(({id}) => !answered.has(id));
+  for (const address of new Set(silent.map(w => w.peerAddress))) {
+    if (address !== settings.peerAddress) {
+      emit({kind: 'askPeer', address, request});
+    }
+  }
 }
 
 /**
  * Counts a witness's acknowledgement.
- * @param adoption - Progress of the announcement.
+ * @param adoption - This part's state.
  * @param address - The witness's peer address.
- * @param sequence - The sequence that was announced.
+ * @param request - The announcement that it answers.
+ * @param incarnation - Start time of the witness, in Unix milliseconds.
  */
 export function acknowledgeAnnouncement(
   adoption: Adoption,
   address: string,
-  sequence: number,
+  request: {readonly sequence: number; readonly round: 1 | 2},
+  incarnation: number,
 ): void {
   const {pending} = adoption;
-  if (pending === undefined || pending.target.sequence !== sequence) {
+  if (pending?.target.sequence !== request.sequence) {
     return;
   }
   for (const {id, peerAddress} of pending.witnessSets.flat()) {
-    if (peerAddress === address) {
-      pending.acknowledgedBy.add(id);
+    if (peerAddress !== address) {
+      continue;
+    }
+    const known = pending.acknowledged.get(id);
+    if (request.round === 2 && known === incarnation) {
+      pending.confirmed.add(id);
+    } else if (known !== incarnation) {
+      // It restarted since the first round, so it has to be asked again.
+      pending.acknowledged.set(id, incarnation);
+      pending.confirmed.delete(id);
     }
   }
 }
 
-function tryAdopt(
+/** Goes on to the second round, or puts the target in force after it. */
+function tryConfirm(
   adoption: Adoption,
-  log: ConfigLog,
-  settings: CoreSettings,
-  membership: Membership,
-  at: number,
+  view: AdoptionView,
   emit: Emit,
-): void {
+): boolean {
   const {pending} = adoption;
-  const newest = log.latest.config;
-  const isKnown = pending?.witnessSets.every(set =>
+  if (pending === undefined) {
+    return false;
+  }
+  const own = view.settings.id;
+  const answered =
+    pending.round === 1
+      ? new Set([own, ...pending.acknowledged.keys()])
+      : new Set([own, ...pending.confirmed]);
+  const newest = view.log.latest.config;
+  const isEnough = pending.witnessSets.every(set =>
     hasMajority(
-      dropLostWitnesses(set, newest, membership, at),
-      pending.acknowledgedBy,
+      dropLostWitnesses(set, newest, view.membership, view.at),
+      answered,
     ),
   );
-  if (pending === undefined || isKnown !== true) {
-    return;
+  if (!isEnough) {
+    return false;
+  }
+  if (pending.round === 1) {
+    pending.round = 2;
+    pending.askedAt = -Infinity;
+    return tryConfirm(adoption, view, emit);
   }
-  adoption.pending = undefined;
-  adoptState(log, pending.target, at, emit);
+  noteVouched(adoption, pending.target.sequence);
+  putInForce(adoption, view, pending.target, emit);
   // Submissions that arrived meanwhile need an announcement of their own.
-  advanceAdoption(adoption, log, settings, membership, at, emit);
+  advanceAdoption(adoption, view, emit);
+  return true;
+}
+
+/**
+ * Answers an announcement, as a witness.
+ * @param adoption - This part's state.
+ * @param sequence - The announced sequence.
+ * @param incarnation - Start time of this process, in Unix milliseconds.
+ * @returns The reply.
+ */
+export function recordAnnouncement(
+  adoption: Adoption,
+  sequence: number,
+  incarnation: number,
+): PeerReply {
+  noteHeard(adoption, sequence);
+  return {kind: 'announce', incarnation};
 }
--- a/src/core/spread/dissemination.ts
+++ b/src/core/spread/dissemination.ts
@@ -7,10 +7,9 @@
 import {MemberInfo, PeerRequest} from '../../model/peer.js';
 import {Emit} from '../types.js';
 import {Membership, mergeMember, takeNews} from './membership.js';
-import {getWitnesses} from './witnesses.js';
 
-/** One gossip exchange in so many goes to a witness. */
-export const GOSSIPS_PER_WITNESS = 3;
+/** One gossip exchange in so many goes to the watcher to look after. */
+const GOSSIPS_PER_WARD = 3;
 
 /** Time after which a pull that got no answer no longer holds others up. */
 const PULL_TIMEOUT_MS = 3_000;
@@ -35,8 +34,7 @@
 
 /**
  * Chooses the peer of the next gossip exchange: one that has news for us; in
- * turn each witness, so that one that restarted learns the floor again, and
- * the watcher that this proxy would replace; mostly a random proxy.
+ * turn the watcher that this proxy would replace; mostly a random proxy.
  * @param spread - This part's state.
  * @param log - The submission log.
  * @param settings - This proxy's settings.
@@ -55,16 +53,10 @@
   spread.gossips += 1;
   const {gossipWith} = spread;
   spread.gossipWith = undefined;
-  const {id, region} = settings;
-  const witnesses = getWitnesses(id, region, log.latest.config);
-  if (turn % GOSSIPS_PER_WITNESS === 0 && witnesses.length > 0) {
-    const index = Math.floor(turn / GOSSIPS_PER_WITNESS) % witnesses.length;
-    return witnesses[index].peerAddress;
-  }
   if (gossipWith !== undefined) {
     return gossipWith;
   }
-  if (turn % GOSSIPS_PER_WITNESS === 1 && ward !== undefined) {
+  if (turn % GOSSIPS_PER_WARD === 0 && ward !== undefined) {
     return ward;
   }
   const addresses = Object.values(log.latest.config.upstreams)
@@ -99,9 +91,9 @@
     peerAddress,
     incarnation,
     heartbeat: spread.heartbeat,
-    sequence: log.latest.sequence,
+    sequence: log.active.sequence,
     version: log.active.version,
-    digest: getDigestAt(log, log.latest.sequence) ?? '',
+    digest: getDigestAt(log, log.active.sequence) ?? '',
     leaving,
     ready,
   };
@@ -135,11 +127,12 @@
 }
 
 /**
- * Asks a peer for what follows our last sequence, one pull at a time.
+ * Asks a peer for what follows our last sequence, one pull at a time. Where we
+ * have folded it ourselves, its reply still tells that it is in force there.
  * @param spread - This part's state.
  * @param log - The submission log.
  * @param address - The peer's address.
- * @param sequence - A sequence that the peer has folded.
+ * @param sequence - A sequence that the peer has in force.
  * @param at - Now, in Unix milliseconds.
  * @param emit - Takes effects.
  */
@@ -154,7 +147,7 @@
   const {pulling} = spread;
   const isPulling =
     pulling !== undefined && at - pulling.startedAt < PULL_TIMEOUT_MS;
-  if (sequence <= log.latest.sequence || isPulling) {
+  if (sequence <= log.active.sequence || isPulling) {
     return;
   }
   spread.pulling = {address, startedAt: at};
--- a/src/core/spread/push.ts
+++ b/src/core/spread/push.ts
@@ -75,22 +75,33 @@
  * @param settings - This proxy's settings.
  * @param news - What was new here.
  * @param emit - Takes effects.
+ * @param region - Leaves out zones of other regions, where given.
  */
 export function pushToAllZones(
   table: RoutingTable,
   settings: CoreSettings,
   news: PushNews,
   emit: Emit,
+  region?: string,
 ): void {
   const request = createPush(news);
   const subject = getTreeSubject(request);
-  const heads = [...getZones(table).keys()].flatMap(zone => {
+  const zones = getZones(table);
+  const reached = [...zones.keys()].filter(zone => {
+    const [first] = zones.get(zone) ?? [];
+    return (
+      region === undefined || table.upstreams.get(first)?.region === region
+    );
+  });
+  const targets = reached.flatMap(zone => {
     const order = getTreeOrder(table, zone, subject);
-    return order[0] === settings.id
-      ? getChildren(settings, order, 0)
-      : order.slice(0, 1);
+    const own = order.indexOf(settings.id);
+    // What comes back along the tree is not new here, so this proxy's own
+    // children get it now.
+    const children = getChildren(settings, order, own);
+    return own === 0 ? children : [...order.slice(0, 1), ...children];
   });
-  sendPush(table, settings, heads, request, emit);
+  sendPush(table, settings, targets, request, emit);
 }
 
 /**
--- a/src/core/spread/source_watch.ts
+++ b/src/core/spread/source_watch.ts
@@ -105,6 +105,37 @@
   return table.upstreams.get(line[own - watchersPerZone])?.peerAddress;
 }
 
+/**
+ * Gets this proxy's turn to announce a sequence that it read from outside its
+ * region: zones take turns, and watchers within a zone. Whoever sees it in
+ * force before its turn need not announce.
+ * @param table - Names the proxies.
+ * @param membership - The membership view.
+ * @param settings - This proxy's settings.
+ * @param sequence - The sequence.
+ * @param at - Now, in Unix milliseconds.
+ * @returns 0 for the first.
+ */
+export function getWatcherTurn(
+  table: RoutingTable,
+  membership: Membership,
+  settings: CoreSettings,
+  sequence: number,
+  at: number,
+): number {
+  const zones = getZones(table);
+  const inRegion = [...zones.keys()].filter(zone => {
+    const [first] = zones.get(zone) ?? [];
+    return table.upstreams.get(first)?.region === settings.region;
+  });
+  const order = rankByRendezvous(`announce ${sequence}`, inRegion);
+  const ranked = rankWatchers(table, membership, settings.zone, at);
+  return (
+    Math.max(0, order.indexOf(settings.zone)) +
+    Math.max(0, ranked.indexOf(settings.id))
+  );
+}
+
 /**
  * Starts a watch call, unless one is under way or it is too early.
  * @param watch - State of the calls.
--- a/src/core/spread/startup.ts
+++ b/src/core/spread/startup.ts
@@ -1,23 +1,27 @@
 /**
  * Decides when a starting proxy, which remembers nothing, has caught up with
- * every version that it may have held before its restart.
+ * every version that it may have held before its restart. The protocol is
+ * specified in spec/restart.pml.
  */
+import {Config} from '../../model/config.js';
+import {FoldState} from '../../model/fold_state.js';
+import {PeerReply} from '../../model/peer.js';
 import {ConfigLog} from '../config/config_log.js';
 import {CoreSettings} from '../core_settings.js';
-import {PeerReply} from '../../model/peer.js';
 import {Emit} from '../types.js';
+import {Adoption, findVouchedState} from './adoption.js';
 import {Membership} from './membership.js';
 import {
   dropLostWitnesses,
   getWiderCircle,
   getWitnesses,
   hasMajority,
-  MAX_WITNESSES,
   Witness,
 } from './witnesses.js';
-import {GOSSIPS_PER_WITNESS} from './dissemination.js';
 
+/** Pause before silent or starting peers are asked again; it doubles. */
 const JOIN_RETRY_MS = 200;
+const JOIN_RETRY_MAX_MS = 1_600;
 
 /** Failed tries after which a silent peer no longer delays the start. */
 const MAX_JOIN_FAILURES = 3;
@@ -29,80 +33,74 @@
   sourceAnswered: boolean;
   readonly replies: Map<string, JoinReply>;
   readonly failures: Map<string, number>;
+  /** Times that the peers have been asked. */
+  rounds: number;
   askedAt: number;
-  /** Asked as well once too few witnesses remember; empty before. */
+  /** Asked as well where the witnesses have lost their memory. */
   widerCircle: readonly Witness[];
 }
 
+/** What the decision depends on. */
+export interface StartupView {
+  readonly log: ConfigLog;
+  readonly adoption: Adoption;
+  readonly settings: CoreSettings;
+  readonly membership: Membership;
+  readonly at: number;
+}
+
 export function createStartup(): Startup {
   return {
     ready: false,
     sourceAnswered: false,
     replies: new Map(),
     failures: new Map(),
+    rounds: 0,
     askedAt: -Infinity,
     widerCircle: [],
   };
 }
 
 /**
- * Asks seeds and witnesses that have not answered yet.
+ * Asks seeds and witnesses what they hold and have heard of.
  * @param startup - Progress of the start.
- * @param log - The submission log.
- * @param settings - This proxy's settings.
- * @param at - Now, in Unix milliseconds.
+ * @param view - What the decision depends on.
  * @param emit - Takes effects.
  */
 export function askToJoin(
   startup: Startup,
-  log: ConfigLog,
-  settings: CoreSettings,
-  at: number,
+  view: StartupView,
   emit: Emit,
 ): void {
-  if (at - startup.askedAt < JOIN_RETRY_MS) {
+  const pauseMs = Math.min(
+    JOIN_RETRY_MAX_MS,
+    JOIN_RETRY_MS * 2 ** Math.max(0, startup.rounds - MAX_JOIN_FAILURES),
+  );
+  if (view.at - startup.askedAt < pauseMs) {
     return;
   }
-  startup.askedAt = at;
-  for (const address of getJoinAddresses(startup, log, settings)) {
-    const reply = startup.replies.get(address);
-    // A peer that was itself starting may have become ready since.
-    if (reply?.ready !== true || !isRemembering(reply, settings)) {
-      const request = {kind: 'join', id: settings.id} as const;
-      emit({kind: 'askPeer', address, request});
-    }
+  startup.askedAt = view.at;
+  startup.rounds += 1;
+  const {id} = view.settings;
+  for (const address of getJoinAddresses(startup, view)) {
+    emit({kind: 'askPeer', address, request: {kind: 'join', id}});
   }
 }
 
-/**
- * Tells whether an answer says all that its sender was ever told: it knows the
- * asking proxy, or has run long enough for each proxy to have told it again
- * what its predecessor knew.
- */
-function isRemembering(reply: JoinReply, settings: CoreSettings): boolean {
-  const {gossipIntervalMs} = settings.dissemination;
-  // Gossip comes at most one and a half intervals apart.
-  const retoldAfterMs =
-    1.5 * gossipIntervalMs * GOSSIPS_PER_WITNESS * MAX_WITNESSES;
-  return reply.floor > 0 || reply.upMs >= retoldAfterMs;
-}
-
 function getJoinAddresses(
   startup: Startup,
-  log: ConfigLog,
-  settings: CoreSettings,
+  {log, adoption, settings}: StartupView,
 ): Set<string> {
-  const witnesses = getWitnesses(
-    settings.id,
-    settings.region,
-    log.latest.config,
+  const states = [findVouchedState(adoption, log) ?? log.latest, log.latest];
+  const witnesses = states.flatMap(({config}) =>
+    getWitnesses(settings.region, config.upstreams),
+  );
+  const addresses = [...witnesses, ...startup.widerCircle].map(
+    ({peerAddress}) => peerAddress,
   );
-  const addresses = [
-    ...settings.seeds,
-    ...witnesses.map(({peerAddress}) => peerAddress),
-    ...startup.widerCircle.map(({peerAddress}) => peerAddress),
-  ];
-  return new Set(addresses.filter(a => a !== settings.peerAddress));
+  const all = new Set([...settings.seeds, ...addresses]);
+  all.delete(settings.peerAddress);
+  return all;
 }
 
 export function recordJoinReply(
@@ -119,14 +117,23 @@
 }
 
 /**
- * Gets the sequence that a starting proxy must reach before it serves.
+ * Gets the sequence that a starting proxy must reach before it serves: what
+ * any ready peer has in force, and what any peer of its region has heard of.
  * @param startup - Progress of the start.
- * @returns The highest floor and the highest sequence of a ready peer.
+ * @param settings - This proxy's settings.
+ * @returns The sequence.
  */
-export function getRequiredSequence(startup: Startup): number {
+export function getRequiredSequence(
+  startup: Startup,
+  settings: CoreSettings,
+): number {
   let required = 0;
-  for (const {floor, ready, sequence} of startup.replies.values()) {
-    required = Math.max(required, floor, ready ? sequence : 0);
+  for (const {ready, region, sequence, heard} of startup.replies.values()) {
+    required = Math.max(
+      required,
+      ready ? sequence : 0,
+      region === settings.region ? heard : 0,
+    );
   }
   return required;
 }
@@ -134,7 +141,7 @@
 /**
  * Finds a peer that is ahead, so that a starting proxy can pull from it.
  * @param startup - Progress of the start.
- * @param sequence - The last sequence that this proxy has folded.
+ * @param sequence - The last sequence that this proxy has.
  * @param entropy - Random 32-bit integer.
  * @returns The peer's address, or undefined where none is ahead.
  */
@@ -144,87 +151,90 @@
   entropy: number,
 ): string | undefined {
   const ahead = [...startup.replies]
-    .filter(([, reply]) => reply.sequence > sequence)
+    .filter(([, reply]) => reply.ready && reply.sequence > sequence)
     .map(([address]) => address);
   return ahead[entropy % ahead.length];
 }
 
 /**
- * Tells whether the latest folded state may be put in force after a start.
+ * Finds the state at which a starting proxy may begin to serve.
  * @param startup - Progress of the start.
- * @param log - The submission log.
- * @param settings - This proxy's settings.
- * @param membership - Tells which witnesses are lost.
- * @param at - Now, in Unix milliseconds.
- * @returns True where no version held before the restart can be newer.
+ * @param view - What the decision depends on.
+ * @returns The state, or undefined while a version held before the restart
+ *     could be newer than any state at hand.
  */
-export function hasCaughtUp(
+export function findStartState(
   startup: Startup,
-  log: ConfigLog,
-  settings: CoreSettings,
-  membership: Membership,
-  at: number,
-): boolean {
-  const anyReady = [...startup.replies.values()].some(reply => reply.ready);
-  if (!anyReady && !startup.sourceAnswered) {
-    return false;
+  view: StartupView,
+): FoldState | undefined {
+  const {log, adoption, settings} = view;
+  if (!haveAllSettled(startup, getJoinAddresses(startup, view))) {
+    return undefined;
   }
-  if (getRequiredSequence(startup) > log.latest.sequence) {
-    return false;
-  }
-  if (!haveAllSettled(startup, getJoinAddresses(startup, log, settings))) {
-    return false;
-  }
-  const {config} = log.latest;
-  const counted = dropLostWitnesses(
-    getWitnesses(settings.id, settings.region, config),
-    config,
-    membership,
-    at,
-  );
+  const required = getRequiredSequence(startup, settings);
+  const vouched = findVouchedState(adoption, log);
   if (
-    !hasMajority(
-      counted,
-      getAnswered(startup, counted, () => true),
-    )
+    vouched !== undefined &&
+    vouched.sequence >= required &&
+    hasWitnessMajority(startup, view, vouched.config, reply => reply.ready)
   ) {
-    return false;
-  }
-  const isKeeper = (reply: JoinReply) => isRemembering(reply, settings);
-  if (hasMajority(counted, getAnswered(startup, counted, isKeeper))) {
-    return true;
+    return vouched;
   }
-  return hasAskedWiderCircle(startup, log, settings, membership, at);
+  return log.latest.sequence >= required && mayStartCold(startup, view)
+    ? log.latest
+    : undefined;
 }
 
 /**
- * Witnesses that have lost their memory say nothing of versions held, so more
- * peers are asked: one that serves tells how far the fleet has come.
+ * Tells whether a majority of the region's witnesses has lost its memory, so
+ * that they cannot help; then the source decides, and all other peers that
+ * this proxy can reach.
  */
-function hasAskedWiderCircle(
-  startup: Startup,
-  log: ConfigLog,
-  settings: CoreSettings,
-  membership: Membership,
-  at: number,
-): boolean {
-  const {config} = log.latest;
-  startup.widerCircle = getWiderCircle(settings.id, config);
-  if (!haveAllSettled(startup, getJoinAddresses(startup, log, settings))) {
+function mayStartCold(startup: Startup, view: StartupView): boolean {
+  const anyReady = [...startup.replies.values()].some(reply => reply.ready);
+  if (!anyReady && !startup.sourceAnswered) {
     return false;
   }
-  const counted = dropLostWitnesses(
-    startup.widerCircle,
+  const {config} = view.log.latest;
+  const areStarting = hasWitnessMajority(
+    startup,
+    view,
     config,
-    membership,
-    at,
+    reply => !reply.ready,
+    view.settings.id,
   );
-  return hasMajority(
-    counted,
-    getAnswered(startup, counted, () => true),
+  if (!areStarting) {
+    return false;
+  }
+  startup.widerCircle = getWiderCircle(view.settings.id, config);
+  const counted = dropLost(startup.widerCircle, view);
+  const answered = getAnswered(startup, counted, () => true);
+  return (
+    haveAllSettled(startup, getJoinAddresses(startup, view)) &&
+    hasMajority(counted, answered)
   );
 }
 
+function hasWitnessMajority(
+  startup: Startup,
+  view: StartupView,
+  config: Config,
+  counts: (reply: JoinReply) => boolean,
+  ...alsoCounted: readonly string[]
+): boolean {
+  const witnesses = getWitnesses(view.settings.region, config.upstreams);
+  const counted = dropLost(witnesses, view);
+  const answered = getAnswered(startup, counted, counts);
+  return hasMajority(counted, new Set([...answered, ...alsoCounted]));
+}
+
+function dropLost(
+  witnesses: readonly Witness[],
+  {log, membership, at}: StartupView,
+): readonly Witness[] {
+  return dropLostWitnesses(witnesses, log.latest.config, membership, at);
+}
+
 function haveAllSettled(
   startup: Startup,
   addresses: ReadonlySet<string>,
--- a/src/core/spread/witnesses.ts
+++ b/src/core/spread/witnesses.ts
@@ -1,11 +1,11 @@
-/** Chooses the peers that remember which sequence a proxy has put in force. */
+/** Chooses the peers that remember which sequences a region has heard of. */
 import {Config, Upstream} from '../../model/config.js';
 import {rankByRendezvous} from '../hashing.js';
 import {isGone, isReachable, Membership} from './membership.js';
 
-export const MAX_WITNESSES = 5;
+const MAX_WITNESSES = 5;
 
-/** Further peers that a starting proxy asks where no witness remembers it. */
+/** Further peers that a starting proxy asks where the witnesses start as well. */
 const MAX_WIDER_CIRCLE = 16;
 
 export interface Witness {
@@ -20,54 +20,45 @@
 >();
 
 /**
- * Chooses a proxy's witnesses: an odd number, its own region first, spread
- * over availability zones.
- * @param id - The proxy.
- * @param region - Its region.
- * @param config - The configuration that names the other proxies.
- * @returns At most 5 witnesses; none where the proxy is alone.
+ * Chooses the witnesses of a region under some configuration: an odd number,
+ * spread over availability zones. All proxies of the region get the same.
+ * @param region - The region.
+ * @param upstreams - The upstreams that the configuration names.
+ * @returns At most 5 witnesses; none where the region has no proxy.
  */
 export function getWitnesses(
-  id: string,
   region: string,
-  config: Config,
+  upstreams: Config['upstreams'],
 ): readonly Witness[] {
-  let chosen = chosenByUpstreams.get(config.upstreams);
+  let chosen = chosenByUpstreams.get(upstreams);
   if (chosen === undefined) {
     chosen = new Map();
-    chosenByUpstreams.set(config.upstreams, chosen);
+    chosenByUpstreams.set(upstreams, chosen);
   }
-  const subject = `${region} ${id}`;
-  let witnesses = chosen.get(subject);
+  let witnesses = chosen.get(region);
   if (witnesses === undefined) {
-    witnesses = chooseWitnesses(id, region, config);
-    chosen.set(subject, witnesses);
+    witnesses = chooseWitnesses(region, upstreams);
+    chosen.set(region, witnesses);
   }
   return witnesses;
 }
 
 function chooseWitnesses(
-  id: string,
   region: string,
-  config: Config,
+  upstreams: Config['upstreams'],
 ): Witness[] {
-  const others = Object.keys(config.upstreams).filter(other => other !== id);
-  const ranked = rankByRendezvous(id, others);
-  const inRegion = (other: string) => config.upstreams[other].region === region;
-  const ordered = [
-    ...spreadOverZones(ranked.filter(inRegion), config.upstreams),
-    ...spreadOverZones(
-      ranked.filter(other => !inRegion(other)),
-      config.upstreams,
-    ),
-  ];
+  const members = Object.keys(upstreams).filter(
+    id => upstreams[id].region === region,
+  );
+  const ranked = rankByRendezvous(`witness ${region}`, members);
+  const ordered = spreadOverZones(ranked, upstreams);
   const count = Math.min(MAX_WITNESSES, ordered.length);
   const oddCount = count % 2 === 0 ? Math.max(0, count - 1) : count;
-  return ordered.slice(0, oddCount).map(other => toWitness(other, config));
+  return ordered.slice(0, oddCount).map(id => toWitness(id, upstreams));
 }
 
-function toWitness(id: string, config: Config): Witness {
-  return {id, peerAddress: config.upstreams[id].peerAddress};
+function toWitness(id: string, upstreams: Config['upstreams']): Witness {
+  return {id, peerAddress: upstreams[id].peerAddress};
 }
 
 /**
@@ -80,7 +71,7 @@
   const others = Object.keys(config.upstreams).filter(other => other !== id);
   return rankByRendezvous(`circle ${id}`, others)
     .slice(0, MAX_WIDER_CIRCLE)
-    .map(other => toWitness(other, config));
+    .map(other => toWitness(other, config.upstreams));
 }
 
 /**
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -123,8 +123,9 @@
   }),
   z.strictObject({
     kind: z.literal('announce'),
-    id: NameSchema,
     sequence: SequenceSchema,
+    /** The second round finds out which witnesses restarted meanwhile. */
+    round: z.literal([1, 2]),
   }),
   z.strictObject({kind: z.literal('join'), id: NameSchema}),
   z.strictObject({
@@ -151,21 +152,29 @@
 export const PeerReplySchema = z.discriminatedUnion('kind', [
   z.strictObject(GossipFields),
   z.strictObject({kind: z.literal('ok')}),
+  z.strictObject({
+    kind: z.literal('announce'),
+    /** Start time of the witness, in Unix milliseconds. */
+    incarnation: z.number(),
+  }),
   z.strictObject({
     kind: z.literal('pull'),
     catchUp: CatchUpSchema,
     /** The sender, with its digest at the sequence that was asked about. */
     from: NameSchema.optional(),
     digest: z.string().optional(),
+    region: NameSchema,
+    /** Sequence that the sender has in force; 0 while it starts. */
+    sequence: SequenceSchema,
   }),
   z.strictObject({
     kind: z.literal('join'),
     ready: z.boolean(),
+    region: NameSchema,
+    /** Sequence that the sender has in force. */
     sequence: SequenceSchema,
-    /** Highest sequence that the asking proxy has announced, 0 if none. */
-    floor: SequenceSchema,
-    /** How long the sender has been running, in milliseconds. */
-    upMs: z.number().min(0),
+    /** Highest sequence that the sender has heard of as a witness. */
+    heard: SequenceSchema,
     members: z.array(MemberInfoSchema).max(MAX_MEMBERS_PER_MESSAGE).readonly(),
   }),
   z.strictObject({kind: z.literal('closeKey'), verdict: KeyVerdictSchema}),
--- a/test/owner/owner_fixture.ts
+++ b/test/owner/owner_fixture.ts
@@ -44,17 +44,15 @@
       head: this.sequence,
       submissions: [submission],
     });
-    for (let n = 1; n < 10; n += 1) {
-      this.reduce({
-        kind: 'peerReplied',
-        address: getPeerAddress(`desk-${n}`),
-        request: {
-          kind: 'announce',
-          id: this.state.settings.id,
-          sequence: this.sequence,
-        },
-        reply: {kind: 'ok'},
-      });
+    for (const round of [1, 2] as const) {
+      for (let n = 1; n < 10; n += 1) {
+        this.reduce({
+          kind: 'peerReplied',
+          address: getPeerAddress(`desk-${n}`),
+          request: {kind: 'announce', sequence: this.sequence, round},
+          reply: {kind: 'announce', incarnation: START_MS},
+        });
+      }
     }
   }
 
--- a/test/spread/versions.test.ts
+++ b/test/spread/versions.test.ts
@@ -1,5 +1,6 @@
 /** Never backwards, and never stuck: starts, restarts and witnesses. */
 import {getWitnesses} from '../../src/core/spread/witnesses.js';
+import {Submission} from '../../src/model/config.js';
 import {createServicePatch} from '../support/core_fixture.js';
 import {FleetFixture} from '../support/fleet_fixture.js';
 import {
@@ -81,6 +82,7 @@
       9_000,
     );
     expect(ms).not.to.equal(undefined);
+    fleet.run(1_000);
     expect(fleet.getVersions()).toMatchSnapshot();
   });
 
@@ -106,21 +108,25 @@
     const change = fleet.source.publish(changeTimeout(1_001), 1);
     fleet.source.staleAt = 1;
     fleet.isCut = from => from === 'desk-2';
-    const node = fleet.get('desk-2');
-    const effects = fleet.reduce(node, {
+    const announced = new Set<string>();
+    fleet.onAsk = (from, {address, request}) => {
+      if (request.kind === 'announce' && request.sequence === 2) {
+        announced.add(`${from.id} to ${address}`);
+      }
+    };
+    fleet.reduce(fleet.get('desk-2'), {
       kind: 'sourceAnswered',
       head: 2,
       submissions: [change],
     });
-    const announced = effects.filter(
-      effect => effect.kind === 'askPeer' && effect.request.kind === 'announce',
-    );
+    fleet.run(500);
+    fleet.onAsk = () => undefined;
     for (const other of ids) {
       if (other !== 'desk-2') {
         fleet.reduce(fleet.get(other), {
           kind: 'peerAsked',
           requestId: 'floor',
-          request: {kind: 'announce', id: 'desk-2', sequence: 2},
+          request: {kind: 'announce', sequence: 2, round: 1},
         });
       }
     }
@@ -133,7 +139,7 @@
     fleet.source.staleAt = Infinity;
     fleet.run(25_000);
     expect({
-      announced: announced.length,
+      announced: announced.size,
       whileStale,
       afterwards: fleet.getVersions(),
     }).toMatchSnapshot();
@@ -147,8 +153,11 @@
     fleet.run(30_000);
     fleet.source.staleAt = 2;
     const {log, settings} = fleet.get('desk-1').state;
-    const known = getWitnesses('desk-1', settings.region, log.active.config);
-    const [kept, ...lost] = known.map(({id}) => id);
+    const {upstreams} = log.active.config;
+    const known = getWitnesses(settings.region, upstreams);
+    const [kept, ...lost] = known
+      .map(({id}) => id)
+      .filter(id => id !== 'desk-1');
     // One witness is cut off, the others restart together with the proxy and
     // hear only each other and the stale source.
     const group = new Set(['desk-1', ...lost]);
@@ -162,4 +171,85 @@
     fleet.run(10_000);
     expect({whileCut, afterwards: fleet.getVersions()}).toMatchSnapshot();
   });
+
+  it('does not go back where a witness lost its memory meanwhile', () => {
+    const ids = createIds(13);
+    const fleet = new FleetFixture(ids);
+    fleet.boot();
+    fleet.run(30_000);
+    const {log, settings} = fleet.get('desk-1').state;
+    const {upstreams} = log.active.config;
+    const [a, b, c, d, e] = getWitnesses(settings.region, upstreams).map(
+      ({id}) => id,
+    );
+    const alone = ids.find(id => ![a, b, c, d, e].includes(id)) ?? '';
+    const change = fleet.source.publish(changeTimeout(1_001), 1);
+    fleet.source.staleAt = 1;
+    // One proxy puts the change in force with a, b and c, and tells nobody.
+    fleet.isLost = ({kind}) => kind !== 'announce' && kind !== 'join';
+    fleet.isCut = (_, to) => to === d || to === e;
+    fleet.reduce(fleet.get(alone), {
+      kind: 'sourceAnswered',
+      head: 2,
+      submissions: [change],
+    });
+    fleet.run(3_000);
+    const held = fleet.get(alone).state.log.active.version;
+    fleet.kill(alone, b);
+    // Both start again where only the witnesses that never heard answer.
+    fleet.isLost = () => false;
+    fleet.isCut = (from, to) => [a, c].includes(from) || [a, c].includes(to);
+    fleet.start(b);
+    fleet.run(40_000);
+    fleet.start(alone);
+    fleet.run(40_000);
+    const whileCut = [fleet.isReady(b), fleet.isReady(alone)];
+    fleet.isCut = () => false;
+    fleet.source.staleAt = Infinity;
+    fleet.run(10_000);
+    const afterwards = [b, alone].map(id => fleet.getVersions()[id]);
+    expect({held, whileCut, afterwards}).to.deep.equal({
+      held: 2,
+      whileCut: [false, false],
+      afterwards: [2, 2],
+    });
+  });
+
+  it('does not go back to a version that it skipped', () => {
+    const ids = createIds(7);
+    const fleet = new FleetFixture(ids);
+    fleet.boot();
+    fleet.run(30_000);
+    const [first, second] = [1, 2].map(base =>
+      fleet.source.publish(changeTimeout(1_000 + base), base),
+    );
+    fleet.source.staleAt = 1;
+    // One proxy goes from 1 to 3, another only to 2, before they are cut off.
+    fleet.isLost = ({kind}) => kind === 'gossip' || kind === 'push';
+    const feed = (id: string, submissions: Submission[]) =>
+      fleet.reduce(fleet.get(id), {
+        kind: 'sourceAnswered',
+        head: 1 + submissions.length,
+        submissions,
+      });
+    feed('desk-1', [first, second]);
+    fleet.run(3_000);
+    const held = fleet.get('desk-1').state.log.active.version;
+    fleet.kill('desk-1');
+    feed('desk-2', [first]);
+    fleet.run(3_000);
+    const peer = fleet.get('desk-2').state.log.active.version;
+    fleet.start('desk-1');
+    fleet.run(20_000);
+    const whileStale = fleet.isReady('desk-1');
+    fleet.isLost = () => false;
+    fleet.source.staleAt = Infinity;
+    fleet.run(10_000);
+    expect({
+      held,
+      peer,
+      whileStale,
+      afterwards: fleet.getVersions()['desk-1'],
+    }).to.deep.equal({held: 3, peer: 2, whileStale: false, afterwards: 3});
+  });
 });
--- a/test/support/core_fixture.ts
+++ b/test/support/core_fixture.ts
@@ -125,8 +125,8 @@
   }
 
   /**
-   * Makes the proxy ready at a configuration: the source answers, every peer
-   * is unreachable at the join and acknowledges the announcement.
+   * Makes the proxy ready at a configuration: the source answers, and every
+   * peer is starting too.
    * @param patch - Becomes version 1.
    */
   adopt(patch: Patch): void {
@@ -143,20 +143,12 @@
           kind: 'join',
           ready: false,
           sequence: 0,
-          floor: 0,
-          upMs: 60_000,
+          region: 'centre',
+          heard: 0,
           members: [],
         },
       });
     }
-    for (const other of Object.keys(patch.upstreams ?? {})) {
-      this.reduce({
-        kind: 'peerReplied',
-        address: getPeerAddress(other),
-        request: {kind: 'announce', id, sequence: 1},
-        reply: {kind: 'ok'},
-      });
-    }
   }
 
   /**
