--- a/src/bench/core_driver.ts
+++ b/src/bench/core_driver.ts
@@ -56,9 +56,6 @@
   });
 }
 
-/** Long enough for a peer to remember what it was told. */
-const JOIN_UP_MS = 60_000;
-
 export class CoreDriver {
   private state: ProxyState;
   private at = START_MS;
@@ -192,8 +189,8 @@
           kind: 'join',
           ready: true,
           sequence: latest.sequence,
-          floor: 0,
-          upMs: JOIN_UP_MS,
+          region: 'region-0',
+          heard: 0,
           members: [],
         };
       }
--- a/test/spread/control_bytes.test.ts
+++ b/test/spread/control_bytes.test.ts
@@ -196,8 +196,8 @@
       kind: 'join',
       ready: true,
       sequence: 4,
-      floor: 0,
-      upMs: 60_000,
+      region: 'centre',
+      heard: 0,
       members: [],
     };
     const request = {kind: 'join', id: 'desk-1'} as const;
