Orders by fp-ts where several keys decide

Cause: the house style builds on fp-ts; orders with several keys were written by hand. Change: rendezvous ranks and the order of routes are composed from Ord.

--- a/src/core/config/routing_table.ts
+++ b/src/core/config/routing_table.ts
@@ -1,4 +1,11 @@
 /** Lookup structures built once for each version and then swapped whole. */
+import * as B from 'fp-ts/lib/boolean.js';
+import {pipe} from 'fp-ts/lib/function.js';
+import {concatAll} from 'fp-ts/lib/Monoid.js';
+import * as N from 'fp-ts/lib/number.js';
+import {contramap, getMonoid, Ord, reverse} from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as S from 'fp-ts/lib/string.js';
 import {Config, Route, Service, Upstream} from '../../model/config.js';
 
 const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
@@ -68,18 +75,33 @@
       routes.push({...route, host: route.host?.toLowerCase(), id, target});
     }
   }
-  routes.sort(compareRoutes);
-  return {version, services, upstreams, routes};
+  return {
+    version,
+    services,
+    upstreams,
+    routes: RA.sort(BY_SPECIFICITY)(routes),
+  };
 }
 
-function compareRoutes(a: RouteTarget, b: RouteTarget): number {
-  return (
-    b.pathPrefix.length - a.pathPrefix.length ||
-    Number(b.host !== undefined) - Number(a.host !== undefined) ||
-    Number(b.methods !== undefined) - Number(a.methods !== undefined) ||
-    (a.id < b.id ? -1 : 1)
-  );
-}
+/** The most specific route first. */
+const BY_SPECIFICITY: Ord<RouteTarget> = concatAll(getMonoid<RouteTarget>())([
+  pipe(
+    reverse(N.Ord),
+    contramap(({pathPrefix}: RouteTarget) => pathPrefix.length),
+  ),
+  pipe(
+    reverse(B.Ord),
+    contramap(({host}: RouteTarget) => host !== undefined),
+  ),
+  pipe(
+    reverse(B.Ord),
+    contramap(({methods}: RouteTarget) => methods !== undefined),
+  ),
+  pipe(
+    S.Ord,
+    contramap(({id}: RouteTarget) => id),
+  ),
+]);
 
 /**
  * Finds the most specific route of a request.
--- a/src/core/hashing.ts
+++ b/src/core/hashing.ts
@@ -2,8 +2,31 @@
 import {sha256} from '@noble/hashes/sha2.js';
 import {bytesToHex, utf8ToBytes} from '@noble/hashes/utils.js';
 import canonicalize from 'canonicalize';
+import {concatAll} from 'fp-ts/lib/Monoid.js';
+import * as N from 'fp-ts/lib/number.js';
+import {contramap, getMonoid, Ord, reverse} from 'fp-ts/lib/Ord.js';
+import {pipe} from 'fp-ts/lib/function.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as S from 'fp-ts/lib/string.js';
 import murmur from 'imurmurhash';
 
+interface Scored {
+  readonly id: string;
+  readonly score: number;
+}
+
+/** Highest score first; equal scores in the order of identifiers. */
+const BY_SCORE: Ord<Scored> = concatAll(getMonoid<Scored>())([
+  pipe(
+    reverse(N.Ord),
+    contramap(({score}: Scored) => score),
+  ),
+  pipe(
+    S.Ord,
+    contramap(({id}: Scored) => id),
+  ),
+]);
+
 /**
  * Hashes a JSON value independently of the order of its members.
  * @param parts - JSON values.
@@ -25,12 +48,13 @@
   subject: string,
   candidates: readonly string[],
 ): string[] {
-  const scored = candidates.map(id => ({
-    id,
-    score: getRendezvousScore(subject, id),
-  }));
-  scored.sort((a, b) => b.score - a.score || (a.id < b.id ? -1 : 1));
-  return scored.map(({id}) => id);
+  return pipe(
+    candidates,
+    RA.map(id => ({id, score: getRendezvousScore(subject, id)})),
+    RA.sort(BY_SCORE),
+    RA.map(({id}) => id),
+    RA.toArray,
+  );
 }
 
 /**
