--- a/src/cli/fleet_rows.ts
+++ b/src/cli/fleet_rows.ts
@@ -5,9 +5,9 @@
 
 const MemberSchema = z.looseObject({
   id: z.string(),
-  zone: z.string(),
   sequence: SequenceSchema,
   version: SequenceSchema,
+  /** Of the submissions up to `sequence`, shortened. */
   digest: z.string(),
   ready: z.boolean(),
   leaving: z.boolean(),
@@ -22,7 +22,7 @@
   ready: z.boolean(),
   sequence: SequenceSchema,
   version: SequenceSchema,
-  digest: z.string(),
+  leaving: z.boolean().default(false),
   /** When the version was put in force, in Unix milliseconds. */
   adoptedAt: z.number().optional(),
   members: z.array(MemberSchema).default([]),
@@ -33,14 +33,14 @@
 /** One proxy of the fleet, as it answered or as a peer described it. */
 export interface FleetRow {
   readonly id: string;
-  readonly zone: string;
+  /** Undefined where neither the proxy nor the platform was asked. */
+  readonly zone?: string;
   /** `asked`: it answered itself. `heard`: an asked proxy knows it. */
   readonly by: 'asked' | 'heard';
   readonly ready: boolean;
   readonly leaving: boolean;
   readonly version: number;
   readonly sequence: number;
-  readonly digest: string;
   /** When it put its version in force, known of asked proxies only. */
   readonly since?: number;
   /** Age of what was heard, in milliseconds. */
@@ -75,7 +75,7 @@
     ...members.map(member => member.sequence),
   );
   const asked = statuses.map(status => createAskedRow(status));
-  const heard = fleet ? createHeardRows(statuses, now) : [];
+  const heard = fleet ? createHeardRows(statuses, now, published) : [];
   const version = Math.max(
     0,
     published?.latest.version ?? 0,
@@ -90,17 +90,15 @@
 type RowWithoutLag = Omit<FleetRow, 'lag' | 'versionLag' | 'lagMs'>;
 
 function createAskedRow(status: ProxyStatus): RowWithoutLag {
-  const {id, zone, ready, version, sequence, digest, adoptedAt} = status;
-  const self = status.members.find(member => member.id === id);
+  const {id, zone, ready, leaving, version, sequence, adoptedAt} = status;
   return {
     id,
     zone,
     by: 'asked',
     ready,
-    leaving: self?.leaving ?? false,
+    leaving,
     version,
     sequence,
-    digest,
     since: adoptedAt,
   };
 }
@@ -109,6 +107,7 @@
 function createHeardRows(
   statuses: readonly ProxyStatus[],
   now: number,
+  published: History | undefined,
 ): RowWithoutLag[] {
   const askedIds = new Set(statuses.map(({id}) => id));
   const rows = new Map<string, RowWithoutLag>();
@@ -116,17 +115,15 @@
     const known = rows.get(member.id);
     const isNewer = known === undefined || member.sequence > known.sequence;
     if (!askedIds.has(member.id) && isNewer) {
-      const {id, zone, ready, leaving, version, sequence, digest} = member;
-      const {heardAt} = member;
+      const {id, ready, leaving, version, sequence, heardAt} = member;
       rows.set(id, {
         id,
-        zone,
+        zone: published?.latest.config.upstreams[id]?.zone,
         by: 'heard',
         ready,
         leaving,
         version,
         sequence,
-        digest,
         heardAgoMs: heardAt === undefined ? undefined : now - heardAt,
       });
     }
@@ -154,13 +151,15 @@
 }
 
 /**
- * Finds sequences at which two proxies hold different digests.
- * @param rows - The proxies.
+ * Finds sequences at which members hold different digests. What a proxy says
+ * of itself is left out: its digest belongs to the version in force, which may
+ * be older than its sequence.
+ * @param statuses - What the asked proxies answered.
  * @returns The sequences in rising order.
  */
-export function findDisagreement(rows: readonly FleetRow[]): number[] {
+export function findDisagreement(statuses: readonly ProxyStatus[]): number[] {
   const digests = new Map<number, Set<string>>();
-  for (const {sequence, digest} of rows) {
+  for (const {sequence, digest} of statuses.flatMap(({members}) => members)) {
     const known = digests.get(sequence) ?? new Set();
     digests.set(sequence, known.add(digest));
   }
--- a/src/cli/status.ts
+++ b/src/cli/status.ts
@@ -97,7 +97,7 @@
     now,
     query.published,
   );
-  const disagreeing = findDisagreement(rows);
+  const disagreeing = findDisagreement(statuses);
   const failed = unreachable.map(({address, error}) => ({
     address,
     message: describeCliError(error),
@@ -138,7 +138,7 @@
     ['proxy', 'zone', 'by', 'state', 'version', 'sequence', 'since', 'lag'],
     rows.map(row => [
       row.id,
-      row.zone,
+      row.zone ?? 'unknown',
       row.by,
       renderState(row),
       row.version,
--- a/test/cli/cli.test.ts
+++ b/test/cli/cli.test.ts
@@ -86,23 +86,19 @@
   });
 
   function proxyStatus(id: string, sequence: number, digest = `d${sequence}`) {
-    const member = {id, zone: 'zilina-a', sequence, digest};
-    const held = {version: Math.min(sequence, 2), ready: true};
-    const silent = {
-      id: 'bill-9',
-      zone: 'zilina-b',
-      ready: true,
-      leaving: true,
-      version: 1,
-      sequence: 1,
-      digest: 'd1',
-      heardAt: 1_700_000_097_000,
-    };
+    const version = Math.min(sequence, 2);
+    const held = {id, sequence, version, ready: true, leaving: false};
+    const heardAt = 1_700_000_097_000;
+    const silent = {...held, id: 'bill-9', sequence: 1, version: 1};
     return {
-      ...member,
       ...held,
+      zone: 'zilina-a',
+      digest: 'of the version in force',
       adoptedAt: 1_700_000_040_000,
-      members: [{...member, ...held, leaving: false}, silent],
+      members: [
+        {...held, digest, heardAt},
+        {...silent, leaving: true, digest: 'd1', heardAt},
+      ],
       outcomes: [],
     };
   }
