--- a/src/core/entry/entry.ts
+++ b/src/core/entry/entry.ts
@@ -23,6 +23,7 @@
 import {
   getLoad,
   LoadView,
+  noteDown,
   noteFailure,
   noteReport,
   noteSuccess,
@@ -163,7 +164,8 @@
   }
   call.attemptCount += 1;
   call.triedUpstreams.add(upstream.id);
-  const attempt = createAttempt(view, call, upstream.id, remainingMs);
+  const timeoutMs = getAttemptMs(entry, view, call, remainingMs);
+  const attempt = createAttempt(view, call, upstream.id, timeoutMs);
   call.currentAttempt = {
     attemptId: attempt.attemptId,
     upstreamId: upstream.id,
@@ -197,15 +199,32 @@
   return chooseUpstream(service, call.triedUpstreams, {...view, loads});
 }
 
+/** Keeps time for closing a key, or for another attempt. */
+function getAttemptMs(
+  entry: Entry,
+  view: EntryView,
+  call: Call,
+  remainingMs: number,
+): number {
+  if (!call.idempotent) {
+    const reserveMs = remainingMs * CLOSE_RESERVE_SHARE;
+    return remainingMs - Math.min(CLOSE_RESERVE_MAX_MS, reserveMs);
+  }
+  const {firstAttemptShare} = view.settings.policy;
+  const hasOther =
+    firstAttemptShare < 1 &&
+    call.attemptCount === 1 &&
+    !call.info.retriedByOuter &&
+    chooseTarget(entry, view, call) !== undefined;
+  return hasOther ? remainingMs * firstAttemptShare : remainingMs;
+}
+
 function createAttempt(
   view: EntryView,
   call: Call,
   upstreamId: string,
-  remainingMs: number,
+  timeoutMs: number,
 ): Attempt {
-  const reserveMs = call.idempotent
-    ? 0
-    : Math.min(CLOSE_RESERVE_MAX_MS, remainingMs * CLOSE_RESERVE_SHARE);
   return {
     attemptId: `${call.callId}.${call.attemptCount}`,
     service: call.route.service,
@@ -214,7 +233,7 @@
     idempotent: call.idempotent,
     key: call.key,
     privateKey: call.privateKey,
-    timeoutMs: remainingMs - reserveMs,
+    timeoutMs,
     fingerprint: call.info.fingerprint,
     suspect: call.suspect,
     priority: call.route.priority,
@@ -265,6 +284,8 @@
   }
   switch (result.reason) {
     case 'upstream_down':
+      noteDown(load, at);
+      return;
     case 'proxy_not_ready':
     case 'attempt_lost':
     case 'answer_truncated':
@@ -306,6 +327,8 @@
   if (refusal.outcome === 'unknown') {
     call.mayHaveRun = true;
   }
+  // It crashed an upstream where no other suspect ran, so it is the cause.
+  const isCulprit = refusal.reason === 'attempt_lost' && call.suspect;
   if (refusal.reason === 'attempt_lost') {
     call.suspect = true;
   }
@@ -321,7 +344,7 @@
     return;
   }
   const safe = call.idempotent || refusal.outcome === 'not-run';
-  const final = refusal.reason === 'quarantined';
+  const final = refusal.reason === 'quarantined' || isCulprit;
   if (safe && !final && mayRetry(entry, view, call, refusal.reason, emit)) {
     sendNextAttempt(entry, view, call, refusal, emit);
     return;
@@ -352,6 +375,8 @@
   const load = getLoad(entry.loads, current.upstreamId);
   if (failure === 'timeout') {
     noteTimeout(load, view.at);
+  } else if (failure === 'connect') {
+    noteDown(load, view.at);
   } else {
     noteFailure(load, view.at);
   }
