--- a/src/bench/core_cost.ts
+++ b/src/bench/core_cost.ts
@@ -5,8 +5,9 @@
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {FoldStateSchema} from '../model/fold_state.js';
-import {PeerRequestSchema} from '../model/peer.js';
+import {Attempt, PeerRequestSchema} from '../model/peer.js';
 import {CoreDriver, createLargePatch} from './core_driver.js';
+import {WIDE_SERVICE} from './proxies.js';
 import {getSpread, Spread} from './stats.js';
 
 const US_PER_MS = 1_000;
@@ -16,6 +17,9 @@
 const CALLS = 200;
 const CHANGES = 5;
 
+const KEY_RECORDS = 5_000;
+const MAX_KEY_ATTEMPTS = 200_000;
+
 export interface CoreCostPlan {
   readonly sizes: readonly number[];
   readonly repetitions: number;
@@ -41,6 +45,8 @@
   readonly messagesPerChange: number;
   /** Growth of the heap by the state of one more core. */
   readonly heapMb: number;
+  /** Growth by one remembered idempotency key, without its answer. */
+  readonly keyRecordBytes: number;
 }
 
 function timeUs(action: () => void): number {
@@ -119,22 +125,26 @@
   return us / CALLS;
 }
 
+function createAttempt(driver: CoreDriver, attemptId: string): Attempt {
+  return {
+    attemptId,
+    service: 'service-0',
+    upstreamId: 'vm-0',
+    version: driver.proxy.log.active.version,
+    idempotent: true,
+    privateKey: false,
+    timeoutMs: 1_000,
+    fingerprint: attemptId,
+    suspect: false,
+    priority: 'interactive',
+  };
+}
+
 function runOwnerCalls(driver: CoreDriver, round: number): number {
   const us = timeUs(() => {
     for (let index = 0; index < CALLS; index += 1) {
       const attemptId = `o-${round}-${index}`;
-      const attempt = {
-        attemptId,
-        service: 'service-0',
-        upstreamId: 'vm-0',
-        version: driver.proxy.log.active.version,
-        idempotent: true,
-        privateKey: false,
-        timeoutMs: 1_000,
-        fingerprint: `f${index}`,
-        suspect: false,
-        priority: 'interactive',
-      } as const;
+      const attempt = createAttempt(driver, attemptId);
       driver.reduce({kind: 'attemptArrived', attempt});
       driver.reduce({kind: 'upstreamAnswered', attemptId, answer: ANSWER});
     }
@@ -210,6 +220,33 @@
   );
 }
 
+/** Runs keyed attempts until enough of them belong to this home. */
+function measureKeyRecordBytes(size: number): number {
+  const driver = new CoreDriver(size);
+  // A home that started lately must doubt keys, and so would not run them.
+  driver.advance(3 * WIDE_SERVICE.keyLifetimeMs);
+  const {keys} = driver.proxy.owner;
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  for (let index = 0; index < MAX_KEY_ATTEMPTS; index += 1) {
+    const attemptId = `k-${index}`;
+    const key = `key-${index}-0123456789abcdef01234567`;
+    const attempt = {
+      ...createAttempt(driver, attemptId),
+      idempotent: false,
+      key,
+    };
+    driver.reduce({kind: 'attemptArrived', attempt});
+    driver.reduce({kind: 'upstreamAnswered', attemptId, answer: ANSWER});
+    if (keys.size >= KEY_RECORDS) {
+      break;
+    }
+  }
+  collectGarbage();
+  const after = process.memoryUsage().heapUsed;
+  return (after - before) / keys.size;
+}
+
 function createCost({driver, heapMb, samples}: Subject): CoreCost {
   return {
     size: driver.size,
@@ -224,6 +261,7 @@
     changeBytes: JSON.stringify(createChange(1)).length,
     messagesPerChange: driver.publish(createChange(999_999)),
     heapMb,
+    keyRecordBytes: measureKeyRecordBytes(driver.size),
   };
 }
 
--- a/src/bench/plan.ts
+++ b/src/bench/plan.ts
@@ -141,3 +141,22 @@
     core: {sizes: [63, 126, 315, 630, 1_260], repetitions: 15},
   };
 }
+
+/**
+ * Leaves fleets of other sizes out of a plan.
+ * @param plan - The plan.
+ * @param sizes - The sizes to keep, or undefined for all.
+ * @returns The plan with what is left.
+ */
+export function limitSizes(
+  plan: BenchPlan,
+  sizes: readonly number[] | undefined,
+): BenchPlan {
+  if (sizes === undefined) {
+    return plan;
+  }
+  const groups = plan.fleet.groups
+    .map(group => group.filter(({size}) => sizes.includes(size)))
+    .filter(group => group.length > 0);
+  return {...plan, fleet: {...plan.fleet, groups}};
+}
--- a/src/bin/fireflysill_bench.ts
+++ b/src/bin/fireflysill_bench.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 /** Measures the system; the last line is one JSON object. */
 import {Command, Option} from 'commander';
-import {BENCH_PARTS, BenchPart, createPlan} from '../bench/plan.js';
+import {BENCH_PARTS, BenchPart, createPlan, limitSizes} from '../bench/plan.js';
 import {runBench} from '../bench/run_bench.js';
 import {summarizeBench} from '../bench/summary.js';
 
@@ -10,6 +10,7 @@
 interface Options {
   readonly quick?: boolean;
   readonly seed: string;
+  readonly sizes?: string[];
   readonly part?: BenchPart[];
 }
 
@@ -17,13 +18,17 @@
   .description('Measures added time, throughput, convergence and control cost.')
   .option('--quick', 'finish within 45 seconds')
   .option('--seed <number>', 'seed of all schedules', String(DEFAULT_SEED))
+  .option('--sizes <number...>', 'only fleets of these sizes')
   .addOption(
     new Option('--part <name...>', 'only these parts').choices(BENCH_PARTS),
   )
   .parse();
 
 const opts = program.opts<Options>();
-const plan = createPlan(opts.quick ?? false, Number(opts.seed));
+const plan = limitSizes(
+  createPlan(opts.quick ?? false, Number(opts.seed)),
+  opts.sizes?.map(Number),
+);
 const parts = new Set(opts.part ?? BENCH_PARTS);
 const results = await runBench(plan, parts, line => console.log(line));
 console.log(JSON.stringify(summarizeBench(plan, results)));
