Bench: a fleet that fails is shown and the others go on; load average in the summary

Cause: a full run lost ten fleets' figures when 128 proxies did not start within 60 s (4 of 128 ready,, load average 22 to 29 on 12 cores by other work); the summary came only at the end.

--- a/src/bench/convergence.ts
+++ b/src/bench/convergence.ts
@@ -142,6 +142,17 @@
   plan: ConvergencePlan,
 ): Promise<ConvergenceReport> {
   const fleet = await Fleet.start(children, folder, plan.fleet);
+  try {
+    return await measureFleet(fleet, plan);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function measureFleet(
+  fleet: Fleet,
+  plan: ConvergencePlan,
+): Promise<ConvergenceReport> {
   const changes = await measureChanges(fleet, plan.changes);
   const atRest = await measureCost(fleet, () => sleep(plan.restMs));
   const burst = await measureBurst(fleet, plan.changes, plan.burst);
@@ -151,7 +162,6 @@
     startMs.push(await fleet.restartOne());
   }
   const restart = plan.restart ? await measureRestart(fleet) : undefined;
-  await fleet.stop();
   const {size, zones, proxiesPerProcess} = plan.fleet;
   const whole = [...changes.whole].sort((a, b) => a - b);
   const each = [...changes.each].sort((a, b) => a - b);
--- a/src/bench/fleet.ts
+++ b/src/bench/fleet.ts
@@ -89,9 +89,14 @@
     );
     const fleet = new Fleet(plan, children, platform, proxies, paths, upstream);
     await fleet.publish(createFirstPatch(proxies));
-    await fleet.startHosts();
-    await fleet.waitForVersion();
-    return fleet;
+    try {
+      await fleet.startHosts();
+      await fleet.waitForVersion();
+      return fleet;
+    } catch (failure) {
+      await fleet.stop();
+      throw failure;
+    }
   }
 
   /**
--- a/src/bench/run_bench.ts
+++ b/src/bench/run_bench.ts
@@ -2,7 +2,11 @@
 import {measureChains, measureLatency} from './call_latency.js';
 import {CallTopology, startCallTopology} from './call_topology.js';
 import {Children} from './children.js';
-import {ConvergenceReport, measureConvergence} from './convergence.js';
+import {
+  ConvergencePlan,
+  ConvergenceReport,
+  measureConvergence,
+} from './convergence.js';
 import {BenchPart, BenchPlan, FleetMeasurements, FleetRun} from './plan.js';
 import {SettingsFolder} from './proxies.js';
 import {CoreCost, measureCoreCost} from './core_cost.js';
@@ -13,9 +17,18 @@
 
 /** One size of fleet by one way of spreading. */
 export interface FleetResult extends ConvergenceReport {
+  readonly kind: 'measured';
   readonly variant: string;
 }
 
+/** A fleet that did not come as far as it should; others go on. */
+interface FleetFailure {
+  readonly kind: 'failed';
+  readonly variant: string;
+  readonly size: number;
+  readonly message: string;
+}
+
 export interface BenchResults {
   readonly share?: Awaited<ReturnType<typeof measureLatency>>;
   readonly peak?: Awaited<ReturnType<typeof measureLatency>>;
@@ -106,7 +119,12 @@
     const reports = await Promise.all(
       group.map(run => runFleet(fleet, run, children, folder)),
     );
-    results.push(...reports);
+    for (const report of reports) {
+      progress(JSON.stringify(report));
+      if (report.kind === 'measured') {
+        results.push(report);
+      }
+    }
   }
   return results;
 }
@@ -116,10 +134,10 @@
   {size, variant}: FleetRun,
   children: Children,
   folder: SettingsFolder,
-): Promise<FleetResult> {
+): Promise<FleetResult | FleetFailure> {
   const {zones, maxProcesses, changes, burst, restMs, starts} = fleet;
   const perProcess = Math.ceil(size / maxProcesses);
-  const report = await measureConvergence(children, folder, {
+  const plan: ConvergencePlan = {
     fleet: {
       size,
       zones,
@@ -131,6 +149,12 @@
     restMs,
     starts: perProcess === 1 ? starts : 0,
     restart: true,
-  });
-  return {...report, variant: variant.name};
+  };
+  try {
+    const report = await measureConvergence(children, folder, plan);
+    return {kind: 'measured', ...report, variant: variant.name};
+  } catch (failure) {
+    const message = (failure as Error).message;
+    return {kind: 'failed', variant: variant.name, size, message};
+  }
 }
--- a/src/bin/fireflysill_bench.ts
+++ b/src/bin/fireflysill_bench.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** Measures the system; the last line is one JSON object. */
+import {loadavg} from 'node:os';
 import {Command, Option} from 'commander';
 import {BENCH_PARTS, BenchPart, createPlan, limitSizes} from '../bench/plan.js';
 import {runBench} from '../bench/run_bench.js';
@@ -30,6 +31,12 @@
   opts.sizes?.map(Number),
 );
 const parts = new Set(opts.part ?? BENCH_PARTS);
+// A busy machine shows in all figures, so its load stands beside them.
+const [loadBefore] = loadavg();
 const results = await runBench(plan, parts, line => console.log(line));
-console.log(JSON.stringify(summarizeBench(plan, results)));
+const summary = {
+  ...summarizeBench(plan, results),
+  load_average: [loadBefore, loadavg()[0]],
+};
+console.log(JSON.stringify(summary));
 process.exit(0);
