--- a/src/demo/demo_plan.ts
+++ b/src/demo/demo_plan.ts
@@ -1,7 +1,7 @@
 /** The fleet of the demo and its requests. */
+import {v7 as createUuidV7} from 'uuid';
 import {CallRequest} from '../standins/harness/caller.js';
 import {FleetPlan, UpstreamPlan} from '../standins/harness/fleet_plan.js';
-import {createUuidV7} from '../standins/harness/uuid_v7.js';
 
 const ZONES = ['zilina-a', 'zilina-b', 'martin-c'] as const;
 
@@ -64,7 +64,7 @@
     path: `/charges/${path}`,
     headers: {'x-work-ms': String(WORK_MS)},
     body: JSON.stringify({amountCents: 2_990}),
-    key: createUuidV7(Date.now()),
+    key: createUuidV7(),
   };
 }
 
