Planned stops hand keys over also after the configuration let the home go

Cause: (1) a home that the configuration no longer names built no hand-over, so after its stop every key that it would have owned was in doubt for a key lifetime (planned_stop.test.ts: 40 of 888 requests 'unknown (key_in_doubt)' in the usual order of patch, then stop); (2) a hand-over by a process that had itself restarted was taken as its word on older keys too, so a key that an earlier process had run could run again. Change: the hand-over covers every service of which the proxy was lately a home; it does not count for keys that may predate the process that made it.

--- a/src/core/owner/key_closing.ts
+++ b/src/core/owner/key_closing.ts
@@ -2,6 +2,7 @@
  * How a home closes a key for an entry or a newer home, and hands all keys
  * over on a planned stop.
  */
+import {ServiceTargets} from '../config/routing_table.js';
 import {getRendezvousWinner} from '../hashing.js';
 import {KeyVerdict, PeerRequest} from '../../model/peer.js';
 import {getKeyLifetimeMs, getUnsettledHomes, mayPredate} from './key_doubt.js';
@@ -89,39 +90,56 @@
   owner: Owner,
   view: OwnerView,
 ): Map<string, PeerRequest> {
-  const service = getOwnService(view);
-  const requests = new Map<string, PeerRequest>();
-  if (service === undefined) {
-    return requests;
-  }
   const {id: fromId, startedAt: incarnation} = view.settings;
-  const others = service.upstreams.filter(({id}) => id !== fromId);
-  const otherIds = others.map(({id}) => id);
-  const prefix = getRecordId(service.name, '');
-  for (const {id, peerAddress} of others) {
-    const records: KeyVerdict[] = [];
-    for (const [recordId, record] of owner.keys) {
-      const key = recordId.slice(prefix.length);
-      const isHeir =
-        record.kind !== 'open' &&
-        recordId.startsWith(prefix) &&
-        getRendezvousWinner(key, otherIds) === id;
-      if (isHeir) {
-        records.push(getVerdict(key, record));
-      }
+  const requests = new Map<string, PeerRequest>();
+  for (const service of getServicesAsHome(view)) {
+    const others = service.upstreams.filter(({id}) => id !== fromId);
+    const heirs = others.map(({id}) => id);
+    for (const {id, peerAddress} of others) {
+      requests.set(peerAddress, {
+        kind: 'handOver',
+        service: service.name,
+        fromId,
+        incarnation,
+        heirs,
+        records: getRecordsForHeir(owner, service.name, heirs, id),
+      });
     }
-    requests.set(peerAddress, {
-      kind: 'handOver',
-      service: service.name,
-      fromId,
-      incarnation,
-      heirs: otherIds,
-      records,
-    });
   }
   return requests;
 }
 
+/** The services of which this proxy is a home, or was until lately. */
+function getServicesAsHome(view: OwnerView): Set<ServiceTargets> {
+  const {settings, log} = view;
+  const former = log.active.formerHomes
+    .filter(({upstreams}) => upstreams.some(({id}) => id === settings.id))
+    .map(({service}) => log.table.services.get(service));
+  const services = [getOwnService(view), ...former];
+  return new Set(services.filter(service => service !== undefined));
+}
+
+function getRecordsForHeir(
+  owner: Owner,
+  service: string,
+  heirs: readonly string[],
+  heir: string,
+): KeyVerdict[] {
+  const prefix = getRecordId(service, '');
+  const records: KeyVerdict[] = [];
+  for (const [recordId, record] of owner.keys) {
+    const key = recordId.slice(prefix.length);
+    const isForHeir =
+      record.kind !== 'open' &&
+      recordId.startsWith(prefix) &&
+      getRendezvousWinner(key, heirs) === heir;
+    if (isForHeir) {
+      records.push(getVerdict(key, record));
+    }
+  }
+  return records;
+}
+
 /**
  * Takes over the keys of a proxy that stops as planned.
  * @param owner - The owner's state.
--- a/src/core/owner/key_doubt.ts
+++ b/src/core/owner/key_doubt.ts
@@ -147,8 +147,18 @@
   for (const [homeId, handOver] of owner.handedOverBy) {
     const isLatest =
       getIncarnation(view.membership, homeId) <= handOver.incarnation;
-    // Each heir was told of its own keys only.
-    if (isLatest && getRendezvousWinner(key, handOver.heirs) === id) {
+    // Each heir was told of its own keys only, and the stopped process knew
+    // nothing of those that one before it may have run.
+    const isTold =
+      getRendezvousWinner(key, handOver.heirs) === id &&
+      !mayPredateStart(
+        key,
+        handOver.incarnation,
+        getKeyLifetimeMs(view, service) ?? Infinity,
+        limits.clockSkewMs,
+        view.at,
+      );
+    if (isLatest && isTold) {
       homes.delete(homeId);
     }
   }
