A home that is being removed leaves new keys to the next one

Cause: an owner that has folded its own removal refused keyed requests of entries a step behind with upstream_leaving, which closes the key: one of 745 requests in planned_stop.test.ts was told not-run although nothing failed. Change: it answers wrong_home, so the entry asks the next home under the same key.

--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -100,7 +100,9 @@
     }
     const home = getHome(log.table, service, attempt.key ?? '');
     const behind = log.active.version < attempt.version;
-    if (behind || home?.id !== settings.id) {
+    // The home that a newer version names will be asked next.
+    const isRemoved = view.membership.removed.has(settings.id);
+    if (behind || isRemoved || home?.id !== settings.id) {
       return createRefusal('wrong_home', LEAVING_RETRY_AFTER_MS);
     }
   }
--- a/test/owner/hand_over.test.ts
+++ b/test/owner/hand_over.test.ts
@@ -1,4 +1,8 @@
-import {START_MS, getPeerAddress} from '../support/core_fixture.js';
+import {
+  createSubmission,
+  getPeerAddress,
+  START_MS,
+} from '../support/core_fixture.js';
 import {expect} from '../support/chai_setup.js';
 import {createRemoval, findKey, OwnerFixture} from './owner_fixture.js';
 
@@ -15,6 +19,20 @@
     ]);
   });
 
+  it('leaves new keys to the next home once its removal is known', () => {
+    const owner = new OwnerFixture(PAIR);
+    owner.reduce({
+      kind: 'sourceAnswered',
+      head: 2,
+      submissions: [createSubmission(2, 1, createRemoval('desk-1'))],
+    });
+    const key = findKey([[PAIR, 'desk-1']]);
+    expect(owner.attempt('a', {key})).to.deep.equal([
+      'a: wrong_home (unknown, 503)',
+    ]);
+    expect(owner.close(key, 'b', 'moved')).to.deep.equal(['verdict never-ran']);
+  });
+
   it('says nothing of keys that an earlier process may have run', () => {
     const owner = new OwnerFixture(PAIR);
     const key = findKey([[PAIR, 'desk-2']]);
