--- a/src/bin/fireflysill_experiments.ts
+++ b/src/bin/fireflysill_experiments.ts
@@ -14,6 +14,7 @@
   readonly quick?: boolean;
   readonly seed: string;
   readonly runs: string;
+  readonly entries?: string;
   readonly comparison?: string[];
   readonly fault?: string[];
 }
@@ -23,6 +24,7 @@
   .option('--quick', 'one seed and short faults, within 30 seconds')
   .option('--seed <number>', 'first seed', String(DEFAULT_SEED))
   .option('--runs <number>', 'seeds of a full run', String(DEFAULT_RUNS))
+  .option('--entries <number>', 'entries among which calls are spread')
   .option('--comparison <name...>', 'only these comparisons')
   .option('--fault <name...>', 'only these faults')
   .parse()
@@ -34,6 +36,7 @@
     Number(opts.seed),
     Number(opts.runs),
   ),
+  entryCount: opts.entries === undefined ? undefined : Number(opts.entries),
   comparisons: opts.comparison,
   faults: opts.fault,
 };
--- a/src/experiments/experiment.ts
+++ b/src/experiments/experiment.ts
@@ -13,7 +13,10 @@
 export const ZONES = ['zilina-a', 'zilina-b', 'martin-c'] as const;
 export const OWNER_COUNT = 6;
 export const SLOTS = 6;
-const ENTRY_COUNT = 48;
+
+/** Entries among which the calls are spread evenly. */
+export const DEFAULT_ENTRIES = 48;
+
 export const MEAN_WORK_MS = 100;
 
 /** Calls that the whole service can run, a second. */
@@ -68,16 +71,18 @@
   /**
    * @param candidate - What is compared.
    * @param seed - Two experiments with the same seed get the same calls.
+   * @param entryCount - Entries; the more, the older are their load reports.
    */
   constructor(
     private readonly candidate: Candidate,
     seed: number,
+    private readonly entryCount = DEFAULT_ENTRIES,
   ) {
     this.arrivals = new Chance(seed);
     const places = createPlaces('desk', OWNER_COUNT, 7_001);
     this.submission = createSubmission(places, candidate.service ?? {});
     const seeds = places.map(({peerAddress}) => peerAddress);
-    const callers = createPlaces('caller', ENTRY_COUNT, 7_101);
+    const callers = createPlaces('caller', entryCount, 7_101);
     [...places, ...callers].forEach((place, n) => {
       const proxy = new SimulatedProxy(
         place,
@@ -121,7 +126,8 @@
   private arrive(): void {
     const {arrivals, clock} = this;
     const kind = arrivals.getShare();
-    const entry = this.entries[Math.floor(arrivals.getShare() * ENTRY_COUNT)];
+    const entry =
+      this.entries[Math.floor(arrivals.getShare() * this.entryCount)];
     const workMs = arrivals.getExponential(MEAN_WORK_MS);
     const isBatch = kind < BATCH_SHARE;
     const isCharge = kind > 1 - CHARGE_SHARE;
--- a/src/experiments/run_experiments.ts
+++ b/src/experiments/run_experiments.ts
@@ -8,6 +8,7 @@
   readonly seeds: readonly number[];
   readonly durations: Durations;
   readonly overloadDurations: Durations;
+  readonly entryCount?: number;
   /** Names of comparisons; all where undefined. */
   readonly comparisons?: readonly string[];
   /** Names of faults; all where undefined. */
@@ -70,7 +71,7 @@
           continue;
         }
         for (const candidate of candidates) {
-          const experiment = new Experiment(candidate, seed);
+          const experiment = new Experiment(candidate, seed, plan.entryCount);
           const durations =
             fault.name === 'overload' ? plan.overloadDurations : plan.durations;
           const measures = runFault(experiment, fault, durations);
