--- a/src/experiments/candidates.ts
+++ b/src/experiments/candidates.ts
@@ -13,6 +13,21 @@
   refusesLate: false,
 };
 
+/** The policy before these experiments. */
+const BEFORE: Partial<Policy> = {
+  chooser: new RandomChoices(2),
+  weighsServiceTime: false,
+  firstAttemptShare: 1,
+  otherZonePenalty: 0.25,
+};
+
+/** What won in the single comparisons. */
+const NEAR_FIRST: Partial<Policy> = {
+  ...BEFORE,
+  firstAttemptShare: 0.7,
+  otherZonePenalty: 1,
+};
+
 /** One decision with the candidates for it. */
 export interface Comparison {
   readonly name: string;
@@ -111,6 +126,23 @@
         }),
       ],
     },
+    {
+      name: 'combined',
+      candidates: [
+        vary('before', BEFORE, {queue: 32}),
+        vary('near first', NEAR_FIRST),
+        vary('near, queue 8', NEAR_FIRST, {queue: 8}),
+        vary('near, three choices', {
+          ...NEAR_FIRST,
+          chooser: new RandomChoices(3),
+        }),
+        vary('near, expected time of three', {
+          ...NEAR_FIRST,
+          weighsServiceTime: true,
+          chooser: new RandomChoices(3),
+        }),
+      ],
+    },
     {
       name: 'retry budget',
       candidates: [0, 5, 20, 50].map(retryBudgetPercent =>
