--- a/src/experiments/experiment.ts
+++ b/src/experiments/experiment.ts
@@ -59,6 +59,8 @@
   demand = 0;
   /** A zone that nothing reaches from outside. */
   cutZone?: string;
+  /** The only zone whose entries get calls. */
+  hotZone?: string;
   private readonly byAddress = new Map<string, SimulatedProxy>();
   private readonly upstreamOf = new Map<SimulatedProxy, FakeUpstream>();
   private readonly open = new Map<string, CallRecord>();
@@ -76,7 +78,7 @@
   constructor(
     private readonly candidate: Candidate,
     seed: number,
-    private readonly entryCount = DEFAULT_ENTRIES,
+    entryCount = DEFAULT_ENTRIES,
   ) {
     this.arrivals = new Chance(seed);
     const places = createPlaces('desk', OWNER_COUNT, 7_001);
@@ -126,8 +128,7 @@
   private arrive(): void {
     const {arrivals, clock} = this;
     const kind = arrivals.getShare();
-    const entry =
-      this.entries[Math.floor(arrivals.getShare() * this.entryCount)];
+    const entry = this.chooseEntry(arrivals.getShare());
     const workMs = arrivals.getExponential(MEAN_WORK_MS);
     const isBatch = kind < BATCH_SHARE;
     const isCharge = kind > 1 - CHARGE_SHARE;
@@ -160,6 +161,15 @@
     });
   }
 
+  private chooseEntry(share: number): SimulatedProxy {
+    const {entries, hotZone} = this;
+    const near =
+      hotZone === undefined
+        ? entries
+        : entries.filter(({place}) => place.zone === hotZone);
+    return near[Math.floor(share * near.length)];
+  }
+
   private perform(from: SimulatedProxy, effect: Effect): void {
     const {clock} = this;
     switch (effect.kind) {
--- a/src/experiments/faults.ts
+++ b/src/experiments/faults.ts
@@ -114,12 +114,27 @@
   }
 }
 
+/** All callers are in one zone. */
+class HotZone implements Fault {
+  readonly name = 'hot';
+  readonly title = 'all calls from one zone';
+
+  begin(experiment: Experiment): void {
+    [experiment.hotZone] = ZONES;
+  }
+
+  end(experiment: Experiment): void {
+    experiment.hotZone = undefined;
+  }
+}
+
 export const FAULTS: readonly Fault[] = [
   new SlowTarget(),
   new MisleadingHealth(),
   new HalfCold(),
   new Overload(),
   new ZoneCut(),
+  new HotZone(),
 ];
 
 /**
