--- a/test/differential/bag_fleet.ts
+++ b/test/differential/bag_fleet.ts
@@ -82,7 +82,7 @@
   ran: boolean;
 }
 
-interface Call {
+export interface Call {
   readonly callId: string;
   /** What may run once only: the caller's key, or this call. */
   readonly runId: string;
@@ -179,7 +179,12 @@
     this.reduce(node, {kind: 'sourceAnswered', head, submissions});
   }
 
-  call(node: Node, method: 'GET' | 'POST', key?: string): void {
+  call(
+    node: Node,
+    method: 'GET' | 'POST',
+    key: string | undefined,
+    timeoutMs: number,
+  ): void {
     const callId = `call-${this.calls.size}`;
     const once = method === 'POST';
     const runId = once && key !== undefined ? key : callId;
@@ -195,12 +200,23 @@
         host: 'desk',
         path: '/',
         key,
+        timeoutMs,
         fingerprint,
         retriedByOuter: false,
       },
     });
   }
 
+  /** The caller closes its connection. */
+  hangUp(call: Call): void {
+    const {callId, entry, entryLife} = call;
+    const isWaiting = call.answers === 0 && entry.life === entryLife;
+    if (isWaiting && entry.alive && !entry.paused) {
+      call.answers = 1;
+      this.reduce(entry, {kind: 'callerGone', callId});
+    }
+  }
+
   drain(node: Node): void {
     node.draining = true;
     this.reduce(node, {kind: 'drainRequested'});
@@ -349,8 +365,7 @@
       case 'sendAttempt':
         return this.send(node, effect);
       case 'cancelAttempt':
-        this.sent.delete(effect.attemptId);
-        return;
+        return this.cancel(effect.attemptId);
       case 'answerCall':
         return this.checkAnswer(effect);
       case 'dispatch':
@@ -435,6 +450,16 @@
     });
   }
 
+  private cancel(attemptId: string): void {
+    const sent = this.sent.get(attemptId);
+    this.sent.delete(attemptId);
+    if (sent !== undefined) {
+      const owner = this.getNode(sent.attempt.upstreamId);
+      const body = {kind: 'attemptCancelled', attemptId} as const;
+      this.post(owner, owner.life, 'cancel', body);
+    }
+  }
+
   private dispatch(
     owner: Node,
     effect: Extract<Effect, {kind: 'dispatch'}>,
--- a/test/differential/interleavings.test.ts
+++ b/test/differential/interleavings.test.ts
@@ -14,6 +14,7 @@
   advance: 10,
   call: 10,
   resend: 6,
+  hangUp: 1,
   lose: 2,
   loseLate: 3,
   repeat: 2,
@@ -48,6 +49,7 @@
 /** A caller may resend a key only while its lifetime lasts. */
 const RESEND_WITHIN_MS = 20_000;
 const ADVANCES_MS = [1, 5, 20, 50, 200, 1_000];
+const TIMEOUTS_MS = [5_000, 1_000, 5_000, 100, 5_000, 1, 5_000];
 const SETTLE_MS = 20_000;
 
 interface MintedKey {
@@ -110,6 +112,10 @@
       return isUp ? startCall(fleet, keys, node, m) : undefined;
     case 'resend':
       return isUp ? resend(fleet, keys, node, m) : undefined;
+    case 'hangUp': {
+      const call = pick([...fleet.calls.values()], m);
+      return call && fleet.hangUp(call);
+    }
     case 'readSource':
       return isUp
         ? fleet.answerWatch(node, m % (fleet.log.length + 1))
@@ -144,6 +150,10 @@
   }
 }
 
+function getTimeoutMs(m: number): number {
+  return TIMEOUTS_MS[m % TIMEOUTS_MS.length];
+}
+
 function startCall(
   fleet: BagFleet,
   keys: MintedKey[],
@@ -151,11 +161,13 @@
   m: number,
 ): void {
   if (m % 3 === 0) {
-    return fleet.call(node, m % 2 === 0 ? 'GET' : 'POST');
+    const method = m % 2 === 0 ? 'GET' : 'POST';
+    return fleet.call(node, method, undefined, getTimeoutMs(m));
   }
-  const key = createKeyMintedAt(fleet.at);
+  // The mint time of a key of another form cannot be told.
+  const key = m % 5 === 0 ? `order-${fleet.at}` : createKeyMintedAt(fleet.at);
   keys.push({key, mintedAt: fleet.at});
-  fleet.call(node, 'POST', key);
+  fleet.call(node, 'POST', key, getTimeoutMs(m));
 }
 
 function resend(
@@ -169,7 +181,7 @@
   );
   const minted = pick(live, m);
   if (minted !== undefined) {
-    fleet.call(node, 'POST', minted.key);
+    fleet.call(node, 'POST', minted.key, getTimeoutMs(m));
   }
 }
 
