--- a/src/core/entry/load_view.ts
+++ b/src/core/entry/load_view.ts
@@ -12,10 +12,11 @@
 const TIMEOUTS_TO_EJECT = 3;
 
 /**
- * Time for which an upstream that said that it leaves is avoided. Membership
- * news arrives long before it ends.
+ * Time for which an upstream that said that it leaves is avoided, until
+ * membership news takes over. Where it has changed its mind, or its health
+ * endpoint misled it, one attempt after that finds out at no cost.
  */
-const LEAVING_MEMORY_MS = 10_000;
+const LEAVING_MEMORY_MS = 2_000;
 
 /** Time after which a load report says nothing any more. */
 const REPORT_LIFETIME_MS = 2_000;
@@ -30,6 +31,8 @@
   consecutiveFailures: number;
   consecutiveTimeouts: number;
   ejectedUntil: number;
+  /** Until then nothing is believed to listen there, which leaves no doubt. */
+  downUntil: number;
   /** Until then the upstream's own word that it leaves counts. */
   leavingUntil: number;
 }
@@ -52,6 +55,7 @@
       consecutiveFailures: 0,
       consecutiveTimeouts: 0,
       ejectedUntil: 0,
+      downUntil: 0,
       leavingUntil: 0,
     };
     view.set(upstreamId, load);
@@ -67,6 +71,7 @@
   load.consecutiveFailures = 0;
   load.consecutiveTimeouts = 0;
   load.ejectedUntil = 0;
+  load.downUntil = 0;
 }
 
 /**
@@ -94,11 +99,25 @@
  * @param at - Now, in Unix milliseconds.
  */
 export function noteFailure(load: UpstreamLoad, at: number): void {
+  // Attempts that were under way together fail together; they count as one.
+  if (at < load.ejectedUntil) {
+    return;
+  }
   const factor = 2 ** Math.min(load.consecutiveFailures, 10);
   load.consecutiveFailures += 1;
   load.ejectedUntil = at + Math.min(EJECTION_MAX_MS, EJECTION_BASE_MS * factor);
 }
 
+/**
+ * Ejects an upstream where a connection was refused.
+ * @param load - The upstream's record.
+ * @param at - Now, in Unix milliseconds.
+ */
+export function noteDown(load: UpstreamLoad, at: number): void {
+  noteFailure(load, at);
+  load.downUntil = load.ejectedUntil;
+}
+
 /**
  * Ejects an upstream after several timeouts in a row.
  * @param load - The upstream's record.
@@ -111,6 +130,27 @@
   }
 }
 
+/**
+ * Tells whether an upstream is avoided: for a time after a failure, and after
+ * that while a first attempt tells whether it is well again.
+ * @param load - The upstream's record.
+ * @param at - Now, in Unix milliseconds.
+ * @returns True where others are to be preferred.
+ */
+export function isEjected(load: UpstreamLoad, at: number): boolean {
+  const isTried = load.consecutiveFailures > 0 && load.ownAttempts > 0;
+  return load.ejectedUntil > at || isTried;
+}
+
+/**
+ * Gets the time that requests take at an upstream.
+ * @param load - The upstream's record.
+ * @returns Milliseconds, or undefined where no report told it.
+ */
+export function getServiceTimeMs(load: UpstreamLoad): number | undefined {
+  return load.report?.serviceTimeMs;
+}
+
 /**
  * Estimates how busy an upstream is.
  * @param load - Its record.
