--- a/src/core/config/fold.ts
+++ b/src/core/config/fold.ts
@@ -122,6 +122,10 @@
       publishedAt - homes.untilMs <= 2 * service.keyLifetimeMs
     );
   });
+  if (config.upstreams === state.config.upstreams) {
+    // Most changes leave the upstreams alone, and comparing them is dear.
+    return kept;
+  }
   const before = groupUpstreams(state.config);
   const after = groupUpstreams(config);
   for (const [service, upstreams] of before) {
--- a/test/support/fleet_fixture.ts
+++ b/test/support/fleet_fixture.ts
@@ -22,6 +22,7 @@
 } from './core_fixture.js';
 
 const TICK_MS = 25;
+const STEP_MS = 5;
 const LATENCY_MS = 1;
 const CUT_TIMEOUT_MS = 1_500;
 
@@ -35,6 +36,8 @@
   life: number;
   sentBytes: number;
   receivedBytes: number;
+  /** Messages sent and received, requests and replies. */
+  messages: number;
   readonly counts: Map<string, number>;
   /** Highest sequence that any life had in force while it was ready. */
   held: number;
@@ -113,6 +116,7 @@
         life: 0,
         sentBytes: 0,
         receivedBytes: 0,
+        messages: 0,
         counts: new Map(),
         held: 0,
       });
@@ -165,14 +169,20 @@
   run(ms: number): void {
     const endAt = this.at + ms;
     while (this.at < endAt) {
-      this.at += TICK_MS;
+      this.at += STEP_MS;
       this.deliverDue();
-      for (const node of this.nodes.values()) {
-        if (node.alive) {
-          this.reduce(node, {kind: 'tick'});
-        }
-      }
       this.answerWatches();
+      if ((this.at - START_MS) % TICK_MS === 0) {
+        this.tickAll();
+      }
+    }
+  }
+
+  private tickAll(): void {
+    for (const node of this.nodes.values()) {
+      if (node.alive) {
+        this.reduce(node, {kind: 'tick'});
+      }
     }
   }
 
@@ -188,7 +198,7 @@
       if (this.at - startedAt >= limitMs) {
         return undefined;
       }
-      this.run(TICK_MS);
+      this.run(STEP_MS);
     }
     return this.at - startedAt;
   }
@@ -289,6 +299,7 @@
     const fail = () => post({kind: 'peerFailed', address, request});
     const to = this.ids.find(id => getPeerAddress(id) === address);
     from.sentBytes += sizeOf(request);
+    from.messages += 1;
     if (to === undefined || !this.get(to).alive) {
       this.later(LATENCY_MS, fail);
     } else if (this.isCut(from.id, to) || this.isLost(request)) {
@@ -302,6 +313,7 @@
         }
         this.later(LATENCY_MS, () => {
           from.receivedBytes += sizeOf(reply);
+          from.messages += 1;
           post({kind: 'peerReplied', address, request, reply});
         });
       });
@@ -313,6 +325,7 @@
       return undefined;
     }
     to.receivedBytes += sizeOf(request);
+    to.messages += 2;
     const effects = this.reduce(to, {
       kind: 'peerAsked',
       requestId: 'r',
@@ -359,11 +372,8 @@
   }
 
   private deliverDue(): void {
-    for (;;) {
+    while (this.queue.some(({dueAt}) => dueAt <= this.at)) {
       const due = this.queue.filter(({dueAt}) => dueAt <= this.at);
-      if (due.length === 0) {
-        return;
-      }
       this.queue = this.queue.filter(({dueAt}) => dueAt > this.at);
       for (const {run} of due) {
         run();
@@ -372,7 +382,7 @@
   }
 }
 
-/** Size of a message as it is sent, without HTTP headers. */
+/** Size of a message as it is sent, with the JSON-RPC envelope alone. */
 export function sizeOf(message: PeerRequest | PeerReply): number {
   return JSON.stringify(message).length + JSON_RPC_BYTES;
 }
