--- a/src/core/spread/membership.ts
+++ b/src/core/spread/membership.ts
@@ -285,6 +285,19 @@
   );
 }
 
+/**
+ * Tells whether the health endpoint of an upstream says that it drains.
+ * @param membership - The view.
+ * @param upstreamId - The upstream.
+ * @returns True where its proxy told so.
+ */
+export function hasDrainHint(
+  membership: Membership,
+  upstreamId: string,
+): boolean {
+  return membership.members.get(upstreamId)?.info.drainHint === true;
+}
+
 /**
  * Takes a few members whose change has not been told often enough, leaving
  * ones first, and counts the telling.
