--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -326,12 +326,24 @@
 ): void {
   const {startup, log, spread} = state;
   const {sequence} = log.latest;
-  const address = findPeerAhead(startup, sequence, entropy);
+  const anyPeer = isWorthPulling(state, false);
+  const address = findPeerAhead(startup, sequence, anyPeer, entropy);
   if (address !== undefined) {
     pullIfBehind(spread, log, address, sequence + 1, at, emit);
   }
 }
 
+/**
+ * Tells whether a pull may help. In a herd start all get the same from the
+ * source, so they must not crowd the few that it answered first.
+ */
+function isWorthPulling(state: ProxyState, isPeerReady: boolean): boolean {
+  const {startup, watch} = state;
+  return (
+    isPeerReady || startup.ready || startup.sourceAnswered || watch.failures > 0
+  );
+}
+
 /** Tells every zone at once when this upstream starts to leave, or is back. */
 function tellLeaving(state: ProxyState, at: number, emit: Emit): void {
   const {owner, spread, log, settings} = state;
@@ -359,7 +371,8 @@
   // A floor that no ready peer reaches can only be met by the source.
   const peersSuffice =
     peerReady &&
-    findPeerAhead(startup, getRequiredSequence(startup) - 1, 0) !== undefined;
+    findPeerAhead(startup, getRequiredSequence(startup) - 1, true, 0) !==
+      undefined;
   const mustWatch = startup.ready ? isWatcher || !isListed : !peersSuffice;
   if (!mustWatch) {
     watch.nextAt = at + WATCH_ROLE_CHECK_MS;
@@ -550,7 +563,10 @@
     // One that is starting must not hear its own guess back as our memory.
     recordFloor(adoption, from.id, from.sequence);
   }
-  mergeGossip(spread, log, membership, from, members, at, emit);
+  mergeGossip(log, membership, from, members, at, emit);
+  if (isWorthPulling(state, from.ready)) {
+    pullIfBehind(spread, log, from.peerAddress, from.sequence, at, emit);
+  }
   for (const suspect of message.suspects) {
     mergeSuspect(suspects, suspect);
   }
@@ -593,7 +609,9 @@
         mergeMember(membership, info, at, emit);
         compareDigest(log, info.id, info.sequence, info.digest, emit);
       }
-      pullIfBehind(spread, log, address, reply.sequence, at, emit);
+      if (isWorthPulling(state, reply.ready)) {
+        pullIfBehind(spread, log, address, reply.sequence, at, emit);
+      }
       return advanceConfig(state, at, emit);
     case 'closeKey':
       return takeKeyVerdict(state, event, reply.verdict, emit);
--- a/src/core/spread/dissemination.ts
+++ b/src/core/spread/dissemination.ts
@@ -108,9 +108,7 @@
 }
 
 /**
- * Takes in the members that a gossip message describes, compares digests,
- * and asks for what is missing where the sender is ahead.
- * @param spread - This part's state.
+ * Takes in the members that a gossip message describes and compares digests.
  * @param log - The submission log.
  * @param membership - The membership view.
  * @param from - The sender.
@@ -119,7 +117,6 @@
  * @param emit - Takes effects.
  */
 export function mergeGossip(
-  spread: Dissemination,
   log: ConfigLog,
   membership: Membership,
   from: MemberInfo,
@@ -131,7 +128,6 @@
     mergeMember(membership, info, at, emit);
   }
   compareDigest(log, from.id, from.sequence, from.digest, emit);
-  pullIfBehind(spread, log, from.peerAddress, from.sequence, at, emit);
 }
 
 /**
--- a/src/core/spread/push.ts
+++ b/src/core/spread/push.ts
@@ -94,7 +94,8 @@
 }
 
 /**
- * Takes over the children of a proxy that a push could not reach.
+ * Takes over the children of a proxy that a push could not reach, and tries
+ * the proxy itself once more, because it may only have lost the message.
  * @param table - Names the proxies.
  * @param settings - This proxy's settings.
  * @param address - The unreachable proxy's peer address.
@@ -111,12 +112,13 @@
   const lost = [...table.upstreams.values()].find(
     ({peerAddress}) => peerAddress === address,
   );
-  if (lost === undefined) {
+  if (lost === undefined || request.isRetry === true) {
     return;
   }
   const order = getTreeOrder(table, lost.zone, getTreeSubject(request));
   const children = getChildren(settings, order, order.indexOf(lost.id));
   sendPush(table, settings, children, request, emit);
+  emit({kind: 'askPeer', address, request: {...request, isRetry: true}});
 }
 
 function createPush(news: PushNews): Push {
--- a/src/core/spread/startup.ts
+++ b/src/core/spread/startup.ts
@@ -135,16 +135,20 @@
  * Finds a peer that is ahead, so that a starting proxy can pull from it.
  * @param startup - Progress of the start.
  * @param sequence - The last sequence that this proxy has folded.
+ * @param anyPeer - Peers that do not serve yet may be chosen as well.
  * @param entropy - Random 32-bit integer.
  * @returns The peer's address, or undefined where none is ahead.
  */
 export function findPeerAhead(
   startup: Startup,
   sequence: number,
+  anyPeer: boolean,
   entropy: number,
 ): string | undefined {
   const ahead = [...startup.replies]
-    .filter(([, reply]) => reply.sequence > sequence)
+    .filter(
+      ([, reply]) => reply.sequence > sequence && (anyPeer || reply.ready),
+    )
     .map(([address]) => address);
   return ahead[entropy % ahead.length];
 }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -113,6 +113,8 @@
       .max(MAX_SUBMISSIONS_PER_MESSAGE)
       .readonly(),
     vmChanges: VmChangesSchema.optional(),
+    /** Sent a second time, because the first got no answer. */
+    isRetry: z.boolean().optional(),
     members: z
       .array(MemberInfoSchema)
       .max(MAX_MEMBERS_PER_MESSAGE)
