--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -606,7 +606,10 @@
   if (from.ready) {
     noteHeard(adoption, from.sequence);
   }
-  mergeGossip(spread, log, membership, from, members, at, emit);
+  mergeGossip(log, membership, from, members, at, emit);
+  if (from.ready) {
+    pullIfBehind(spread, log, from.peerAddress, from.sequence, at, emit);
+  }
   for (const suspect of message.suspects) {
     mergeSuspect(suspects, suspect);
   }
