--- a/src/experiments/experiment.ts
+++ b/src/experiments/experiment.ts
@@ -13,7 +13,10 @@
 export const ZONES = ['zilina-a', 'zilina-b', 'martin-c'] as const;
 export const OWNER_COUNT = 6;
 export const SLOTS = 6;
-const ENTRY_COUNT = 48;
+
+/** Entries among which the calls are spread evenly. */
+export const DEFAULT_ENTRIES = 48;
+
 export const MEAN_WORK_MS = 100;
 
 /** Calls that the whole service can run, a second. */
@@ -56,6 +59,8 @@
   demand = 0;
   /** A zone that nothing reaches from outside. */
   cutZone?: string;
+  /** The only zone whose entries get calls. */
+  hotZone?: string;
   private readonly byAddress = new Map<string, SimulatedProxy>();
   private readonly upstreamOf = new Map<SimulatedProxy, FakeUpstream>();
   private readonly open = new Map<string, CallRecord>();
@@ -68,16 +73,18 @@
   /**
    * @param candidate - What is compared.
    * @param seed - Two experiments with the same seed get the same calls.
+   * @param entryCount - Entries; the more, the older are their load reports.
    */
   constructor(
     private readonly candidate: Candidate,
     seed: number,
+    entryCount = DEFAULT_ENTRIES,
   ) {
     this.arrivals = new Chance(seed);
     const places = createPlaces('desk', OWNER_COUNT, 7_001);
     this.submission = createSubmission(places, candidate.service ?? {});
     const seeds = places.map(({peerAddress}) => peerAddress);
-    const callers = createPlaces('caller', ENTRY_COUNT, 7_101);
+    const callers = createPlaces('caller', entryCount, 7_101);
     [...places, ...callers].forEach((place, n) => {
       const proxy = new SimulatedProxy(
         place,
@@ -121,7 +128,7 @@
   private arrive(): void {
     const {arrivals, clock} = this;
     const kind = arrivals.getShare();
-    const entry = this.entries[Math.floor(arrivals.getShare() * ENTRY_COUNT)];
+    const entry = this.chooseEntry(arrivals.getShare());
     const workMs = arrivals.getExponential(MEAN_WORK_MS);
     const isBatch = kind < BATCH_SHARE;
     const isCharge = kind > 1 - CHARGE_SHARE;
@@ -154,6 +161,15 @@
     });
   }
 
+  private chooseEntry(share: number): SimulatedProxy {
+    const {entries, hotZone} = this;
+    const near =
+      hotZone === undefined
+        ? entries
+        : entries.filter(({place}) => place.zone === hotZone);
+    return near[Math.floor(share * near.length)];
+  }
+
   private perform(from: SimulatedProxy, effect: Effect): void {
     const {clock} = this;
     switch (effect.kind) {
--- a/test/config/digests.test.ts
+++ b/test/config/digests.test.ts
@@ -30,12 +30,19 @@
   return fleet.ids.filter(id => isHalted(fleet.get(id).state.log));
 }
 
-function pullReply(reply: Omit<Extract<PeerReply, {kind: 'pull'}>, 'kind'>) {
+/** The reply of a ready peer of the same region. */
+function pullReply(
+  reply: Pick<
+    Extract<PeerReply, {kind: 'pull'}>,
+    'catchUp' | 'from' | 'digest'
+  >,
+) {
+  const inForce = {region: 'centre', sequence: 9};
   return {
     kind: 'peerReplied',
     address: getPeerAddress('desk-2'),
     request: {kind: 'pull', afterSequence: 1},
-    reply: {kind: 'pull', ...reply},
+    reply: {kind: 'pull', ...inForce, ...reply},
   } as const;
 }
 
