--- a/src/bench/summary.ts
+++ b/src/bench/summary.ts
@@ -153,6 +153,6 @@
     change_bytes: cost.changeBytes,
     messages_per_change: cost.messagesPerChange,
     heap_mb: round(cost.heapMb, 2),
-    key_record_bytes: round(cost.keyRecordBytes, 0),
+    key_record_bytes: round(cost.keyRecordBytes ?? NaN, 0),
   };
 }
