Malformed control messages are counted

Cause: a control message that is not JSON, has no identifier, another method or another shape got its error, but no counter showed it. Change: bad_input counts it as control_message; the tests of bad input cover control messages, oversized and slow ones too.

--- a/src/proxy/control_channel.ts
+++ b/src/proxy/control_channel.ts
@@ -89,15 +89,18 @@
 /**
  * Creates the receiving side.
  * @param handle - Answers a checked request.
+ * @param onBadMessage - Told of each message that does not fit its schema.
  * @returns A function from the text of a request to the text of its reply.
  */
 export function createControlServer(
   handle: (request: PeerRequest) => Promise<PeerReply>,
+  onBadMessage: () => void,
 ): (text: string) => Promise<string> {
   const server = new JSONRPCServer();
   server.addMethod(RPC_METHOD, async (params: unknown): Promise<PeerReply> => {
     const parsed = PeerRequestSchema.safeParse(params);
     if (!parsed.success) {
+      onBadMessage();
       const issue = parsed.error.issues[0];
       return {
         kind: 'refused',
@@ -109,6 +112,10 @@
   });
   return async text => {
     const response = await server.receiveJSON(text);
+    const isBad = [response].flat().some(part => part?.error !== undefined);
+    if (response === null || isBad) {
+      onBadMessage();
+    }
     return JSON.stringify(
       response ??
         createJSONRPCErrorResponse(
--- a/src/proxy/peer_server.ts
+++ b/src/proxy/peer_server.ts
@@ -42,7 +42,10 @@
     private readonly post: (event: EventBody) => void,
     private readonly countBadInput: (kind: string) => void,
   ) {
-    this.answerRpc = createControlServer(request => this.ask(request));
+    this.answerRpc = createControlServer(
+      request => this.ask(request),
+      () => countBadInput('control_message'),
+    );
   }
 
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/test/processes/bad_input.test.ts
+++ b/test/processes/bad_input.test.ts
@@ -59,10 +59,27 @@
   'slow body': [head(POST, 'Content-Length: 10'), 'abc'],
 };
 
+/** Builds a control message with any body. */
+function control(body: string): readonly string[] {
+  return [head('POST /rpc HTTP/1.1', `Content-Length: ${body.length}`), body];
+}
+
 const BAD_PEER_MESSAGES: Readonly<Record<string, readonly string[]>> = {
   'unknown path': [head('GET /nowhere HTTP/1.1')],
   'attempt is not JSON': [head(GET, 'Fireflysill-Attempt: {')],
   'attempt of another shape': [head(GET, 'Fireflysill-Attempt: {"key":7}')],
+  'control is not JSON': control('{"jsonrpc":'),
+  'control without identifier': control('{"jsonrpc":"2.0","method":"peer"}'),
+  'control of unknown method': control(
+    '{"jsonrpc":"2.0","id":1,"method":"drop"}',
+  ),
+  'control of another shape': control(
+    '{"jsonrpc":"2.0","id":1,"method":"peer","params":{"kind":"pull"}}',
+  ),
+  'control too large': [
+    head('POST /rpc HTTP/1.1', 'Content-Length: 100000000'),
+  ],
+  'slow control': [head('POST /rpc HTTP/1.1', 'Content-Length: 9'), '{'],
 };
 
 describe('bad input', () => {
--- a/test/processes/raw_socket.ts
+++ b/test/processes/raw_socket.ts
@@ -11,7 +11,7 @@
 
 const LOOPBACK = '127.0.0.1';
 const STATUS_LINE = /^HTTP\/1\.1 (\d{3}) /gm;
-const ERROR_FIELD = /"(?:code|outcome)":"([^"]*)"/g;
+const ERROR_FIELD = /"(?:code|outcome)":"?([^",}]*)/g;
 
 /**
  * Sends bytes and reads until the other side closes the connection.
