--- a/src/standins/harness/fleet.ts
+++ b/src/standins/harness/fleet.ts
@@ -4,7 +4,12 @@
 import {join} from 'node:path';
 import {Patch} from '../../model/config.js';
 import {JournalEntry} from '../upstream/journal.js';
-import {createFirstPatch, FleetPlan, UpstreamPlan} from './fleet_plan.js';
+import {
+  createFirstPatch,
+  createProxySettings,
+  FleetPlan,
+  ProxyPorts,
+} from './fleet_plan.js';
 import {loopback, PortReservation, reservePorts} from './ports.js';
 import {ProxyProcess} from './proxy_process.js';
 import {PlatformProcess, UpstreamProcess} from './standin_process.js';
@@ -38,34 +43,27 @@
    * @returns The fleet; its proxies are not started yet.
    */
   static async prepare(plan: FleetPlan): Promise<Fleet> {
-    const count = plan.upstreams.length;
+    const reservation = await reservePorts(
+      plan.upstreams.length * PORTS_PER_PROXY,
+    );
     const dir = await mkdtemp(join(tmpdir(), 'fireflysill-'));
-    const reservation = await reservePorts(count * PORTS_PER_PROXY);
     const platform = await PlatformProcess.start(plan.platformArgs);
     const upstreams = await Promise.all(
       plan.upstreams.map(({id, args}) => UpstreamProcess.start(id, args)),
     );
-    const peers = plan.upstreams.map((_, index) =>
-      loopback(reservation.ports[index * PORTS_PER_PROXY + 1]),
-    );
+    const ports = groupPorts(reservation.ports);
+    const seeds = ports.slice(0, SEEDS).map(({peers}) => loopback(peers));
     const nodes = plan.upstreams.map((upstreamPlan, index): FleetNode => {
-      const from = index * PORTS_PER_PROXY;
-      const ports = reservation.ports.slice(from, from + PORTS_PER_PROXY);
-      const upstream = upstreams[index];
-      const source = loopback(platform.ports.port);
-      const proxy = createProxy(
-        plan,
-        upstreamPlan,
-        ports,
-        loopback(upstream.ports.port),
-        source,
-        peers.slice(0, SEEDS),
-        dir,
-      );
-      return {...upstreamPlan, upstream, proxy};
+      const settings = createProxySettings(plan, upstreamPlan, {
+        ports: ports[index],
+        upstreamPort: upstreams[index].ports.port,
+        platformPort: platform.ports.port,
+        seeds,
+      });
+      const proxy = new ProxyProcess(settings, ports[index], dir);
+      return {...upstreamPlan, upstream: upstreams[index], proxy};
     });
-    const addresses = plan.upstreams.map(({id}, i) => [id, peers[i]] as const);
-    const firstPatch = createFirstPatch(plan, new Map(addresses));
+    const firstPatch = createFirstPatch(plan, ports);
     return new Fleet(platform, nodes, firstPatch, dir, reservation);
   }
 
@@ -141,30 +139,12 @@
   }
 }
 
-function createProxy(
-  plan: FleetPlan,
-  {id, zone}: UpstreamPlan,
-  [callers, peers, operators]: readonly number[],
-  upstreamAddress: string,
-  source: string,
-  seeds: string[],
-  dir: string,
-): ProxyProcess {
-  const settings = {
-    upstreamId: id,
-    region: plan.region,
-    zone,
-    listen: {
-      callers: loopback(callers),
-      peers: loopback(peers),
-      operators: loopback(operators),
-    },
-    upstream: {address: upstreamAddress},
-    source,
-    seeds,
-    dissemination: plan.dissemination,
-    limits: plan.limits,
-    logLevel: plan.logLevel,
-  };
-  return new ProxyProcess(settings, {callers, peers, operators}, dir);
+/** Gives each proxy its ports. */
+function groupPorts(ports: readonly number[]): ProxyPorts[] {
+  const groups: ProxyPorts[] = [];
+  for (let from = 0; from < ports.length; from += PORTS_PER_PROXY) {
+    const [callers, peers, operators] = ports.slice(from);
+    groups.push({callers, peers, operators});
+  }
+  return groups;
 }
--- a/src/standins/harness/fleet_plan.ts
+++ b/src/standins/harness/fleet_plan.ts
@@ -7,6 +7,7 @@
   ServiceSchema,
 } from '../../model/config.js';
 import {SettingsSchema} from '../../model/settings.js';
+import {loopback} from './ports.js';
 
 type SettingsInput = z.input<typeof SettingsSchema>;
 
@@ -37,22 +38,64 @@
   readonly operators: number;
 }
 
+/** Where one proxy finds the others and is found. */
+export interface ProxyWiring {
+  readonly ports: ProxyPorts;
+  readonly upstreamPort: number;
+  readonly platformPort: number;
+  readonly seeds: readonly string[];
+}
+
+/**
+ * Makes the settings of one proxy.
+ * @param plan - The fleet's plan.
+ * @param upstream - The upstream beside the proxy.
+ * @param wiring - Ports of the proxy and of those that it talks to.
+ * @returns The settings.
+ */
+export function createProxySettings(
+  plan: FleetPlan,
+  upstream: UpstreamPlan,
+  wiring: ProxyWiring,
+): SettingsInput {
+  const {region, dissemination, limits, logLevel} = plan;
+  const {ports, upstreamPort, platformPort, seeds} = wiring;
+  return {
+    upstreamId: upstream.id,
+    region,
+    zone: upstream.zone,
+    listen: {
+      callers: loopback(ports.callers),
+      peers: loopback(ports.peers),
+      operators: loopback(ports.operators),
+    },
+    upstream: {address: loopback(upstreamPort)},
+    source: loopback(platformPort),
+    seeds: [...seeds],
+    dissemination,
+    limits,
+    logLevel,
+  };
+}
+
 /**
  * Makes the patch that publishes a whole plan as version 1.
  * @param plan - The plan.
- * @param peerAddresses - Peer address of each upstream's proxy.
+ * @param ports - Ports of each upstream's proxy, in the plan's order.
  * @returns The patch.
  */
 export function createFirstPatch(
   plan: FleetPlan,
-  peerAddresses: ReadonlyMap<string, string>,
+  ports: readonly ProxyPorts[],
 ): Patch {
-  const upstreams = Object.fromEntries(
-    plan.upstreams.map(({id, service, zone}) => [
-      id,
-      {service, zone, region: plan.region, peerAddress: peerAddresses.get(id)},
-    ]),
-  );
-  const {services, routes} = plan;
-  return PatchSchema.parse({services, routes, upstreams});
+  const {region, services, routes} = plan;
+  const upstreams = plan.upstreams.map(({id, service, zone}, index) => {
+    const peerAddress = loopback(ports[index].peers);
+    return [id, {service, zone, region, peerAddress}];
+  });
+  return PatchSchema.parse({
+    services,
+    routes,
+    upstreams: Object.fromEntries(upstreams),
+  });
 }
