--- a/src/core/spread/dissemination.ts
+++ b/src/core/spread/dissemination.ts
@@ -100,9 +100,7 @@
 }
 
 /**
- * Takes in the members that a gossip message describes, compares digests,
- * and asks for what is missing where the sender is ahead.
- * @param spread - This part's state.
+ * Takes in the members that a gossip message describes and compares digests.
  * @param log - The submission log.
  * @param membership - The membership view.
  * @param from - The sender.
@@ -111,7 +109,6 @@
  * @param emit - Takes effects.
  */
 export function mergeGossip(
-  spread: Dissemination,
   log: ConfigLog,
   membership: Membership,
   from: MemberInfo,
@@ -123,7 +120,6 @@
     mergeMember(membership, info, at, emit);
   }
   compareDigest(log, from.id, from.sequence, from.digest, emit);
-  pullIfBehind(spread, log, from.peerAddress, from.sequence, at, emit);
 }
 
 /**
