--- a/src/experiments/orders.ts
+++ b/src/experiments/orders.ts
@@ -20,10 +20,9 @@
 const BATCH_PENALTY = 1;
 
 /**
- * Ranks by the penalty that a delay would cause, after Khazankin, Schall and
- * Dustdar, "Adaptive Request Prioritization in Dynamic Service-oriented
- * Systems": the difference between the penalty when the request runs now and
- * when it takes `DELAY_FACTOR` times as long; then by deadline.
+ * Ranks by the penalty that a delay would cause: the difference between the
+ * penalty when the request runs now and when it takes `DELAY_FACTOR` times as
+ * long; then by deadline.
  */
 export class PenaltyOrder implements QueueOrder {
   isBefore(
