--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -340,17 +340,6 @@
   }
 }
 
-/**
- * Tells whether a pull may help. In a herd start all get the same from the
- * source, so they must not crowd the few that it answered first.
- */
-function isWorthPulling(state: ProxyState, isPeerReady: boolean): boolean {
-  const {startup, watch} = state;
-  return (
-    isPeerReady || startup.ready || startup.sourceAnswered || watch.failures > 0
-  );
-}
-
 /** Tells every zone at once when this upstream starts to leave, or is back. */
 function tellLeaving(state: ProxyState, at: number, emit: Emit): void {
   const {owner, spread, log, settings} = state;
@@ -618,7 +607,7 @@
     noteHeard(adoption, from.sequence);
   }
   mergeGossip(log, membership, from, members, at, emit);
-  if (isWorthPulling(state, from.ready)) {
+  if (from.ready) {
     pullIfBehind(spread, log, from.peerAddress, from.sequence, at, emit);
   }
   for (const suspect of message.suspects) {
