Crashes: a short hold at the owner, retries free of the budget

Also, an owner sent what waited to a process that had just crashed, over connections that still looked open. Change: a retry after upstream_down or attempt_lost is free while the next target is believed well, as each such failure happens at most once for what was running; an owner refuses for 100 ms after a crash, and what waited at once.

--- a/src/core/entry/entry.ts
+++ b/src/core/entry/entry.ts
@@ -22,6 +22,7 @@
 import {Call, Calls, createCalls, removeCall} from './calls.js';
 import {
   getLoad,
+  isBelievedWell,
   LoadView,
   noteDown,
   noteFailure,
@@ -481,6 +482,16 @@
   refuseCall(entry, call, refusal, emit, 'home');
 }
 
+/**
+ * Failures that happen at most once for each request that an upstream was
+ * running, because the upstream is avoided afterwards. They cause no retry
+ * storm, and a crash or a planned stop must not use up the budget.
+ */
+const BOUNDED_FAILURES: ReadonlySet<string> = new Set<RefusalReason>([
+  'upstream_down',
+  'attempt_lost',
+]);
+
 /** Decides whether a retry may be made, and pays for it. */
 function mayRetry(
   entry: Entry,
@@ -489,17 +500,18 @@
   reason: RefusalReason | 'upstream_shed' | 'closed',
   emit: Emit,
 ): boolean {
-  // Leaving upstreams are known after one refusal, so they cause no retry
-  // storm, and a planned stop must not use up the budget. As nothing ran, a
-  // retry by an inner layer multiplies no work.
-  const free = reason === 'upstream_leaving';
+  // As nothing ran, a retry by an inner layer multiplies no work.
+  const anyLayer = reason === 'upstream_leaving';
   const inTime = call.deadlineAt - view.at >= MIN_ATTEMPT_MS;
-  if ((call.info.retriedByOuter && !free) || !inTime) {
+  if ((call.info.retriedByOuter && !anyLayer) || !inTime) {
     return false;
   }
-  if (chooseTarget(entry, view, call) === undefined) {
+  const target = chooseTarget(entry, view, call);
+  if (target === undefined) {
     return false;
   }
+  const isWell = isBelievedWell(getLoad(entry.loads, target.id), view.at);
+  const free = anyLayer || (isWell && BOUNDED_FAILURES.has(reason));
   if (!free && !tryWithdrawRetry(entry.budgets, call.route.service)) {
     emit({kind: 'count', counter: 'call_retried', reason: 'no_budget'});
     return false;
--- a/src/core/entry/load_view.ts
+++ b/src/core/entry/load_view.ts
@@ -142,6 +142,16 @@
   return load.ejectedUntil > at || isTried;
 }
 
+/**
+ * Tells whether nothing speaks against sending an attempt to an upstream.
+ * @param load - The upstream's record.
+ * @param at - Now, in Unix milliseconds.
+ * @returns False while it is ejected or down.
+ */
+export function isBelievedWell(load: UpstreamLoad, at: number): boolean {
+  return !isEjected(load, at) && load.downUntil <= at;
+}
+
 /**
  * Gets the time that requests take at an upstream.
  * @param load - The upstream's record.
--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -41,6 +41,12 @@
 } from './owner_state.js';
 
 const LEAVING_RETRY_AFTER_MS = 100;
+/**
+ * Pause after a crash. Connections to the dead process may still look open,
+ * and what is sent over them would count as cut by another crash.
+ */
+const CRASH_HOLD_MS = 100;
+
 const DOWN_RETRY_AFTER_MS = 500;
 
 /** HTTP status by which an upstream sheds load. */
@@ -165,6 +171,9 @@
   if (service === undefined) {
     return {refusal: createRefusal('wrong_home', LEAVING_RETRY_AFTER_MS)};
   }
+  if (view.at < owner.holdUntil) {
+    return {refusal: createRefusal('upstream_down', DOWN_RETRY_AFTER_MS)};
+  }
   const suspect =
     attempt.suspect || isSuspect(view.suspects, attempt.fingerprint);
   const admitted = {attempt, deadlineAt, arrivedAt: view.at, suspect};
@@ -289,8 +298,7 @@
   }
   const {attempt} = ended;
   if (failure === 'connect') {
-    const refusal = createRefusal('upstream_down', DOWN_RETRY_AFTER_MS);
-    refuseUnrun(owner, view, attempt, refusal, emit);
+    refuseDown(owner, view, [ended], emit);
     startQueued(owner, view, emit);
     return;
   }
@@ -305,6 +313,18 @@
   startQueued(owner, view, emit);
 }
 
+function refuseDown(
+  owner: Owner,
+  view: OwnerView,
+  unrun: readonly AdmittedAttempt[],
+  emit: Emit,
+): void {
+  const refusal = createRefusal('upstream_down', DOWN_RETRY_AFTER_MS);
+  for (const {attempt} of unrun) {
+    refuseUnrun(owner, view, attempt, refusal, emit);
+  }
+}
+
 function createLostRefusal(failure: Exclude<FailureKind, 'connect'>): Refusal {
   switch (failure) {
     case 'reset':
@@ -340,6 +360,8 @@
     owner.crashedDispatch = owner.admission.dispatchCount;
     owner.crashCount += 1;
     owner.admission.upSince = undefined;
+    owner.holdUntil = view.at + CRASH_HOLD_MS;
+    refuseDown(owner, view, owner.admission.queue.splice(0), emit);
   }
   const {id, startedAt, limits} = view.settings;
   const crash = `${id}/${startedAt}/${owner.crashCount}`;
--- a/src/core/owner/owner_state.ts
+++ b/src/core/owner/owner_state.ts
@@ -32,6 +32,8 @@
   crashCount: number;
   /** Dispatches up to this number belong to the last crash or an older one. */
   crashedDispatch: number;
+  /** Until then nothing is dispatched, in Unix milliseconds. */
+  holdUntil: number;
   handOver?: HandOver;
   drained: boolean;
 }
@@ -71,6 +73,7 @@
     draining: false,
     crashCount: 0,
     crashedDispatch: 0,
+    holdUntil: 0,
     drained: false,
   };
 }
--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -101,6 +101,7 @@
   askToJoin,
   createStartup,
   findPeerAhead,
+  getJoinedMembers,
   getRequiredSequence,
   findStartState,
   recordJoinFailure,
@@ -476,6 +477,13 @@
   if (start === undefined) {
     return;
   }
+  // Replies may have come before the state that they are compared with.
+  for (const {id, sequence, digest} of getJoinedMembers(startup)) {
+    compareDigest(log, id, sequence, digest, emit);
+  }
+  if (isHalted(log)) {
+    return;
+  }
   adoptState(log, start, at, emit);
   noteHeard(adoption, start.sequence);
   startup.ready = true;
--- a/test/owner/crashes.test.ts
+++ b/test/owner/crashes.test.ts
@@ -105,6 +105,7 @@
   it('clears bystanders that finish, but not by an answer that sheds load', () => {
     const owner = new OwnerFixture(ALONE);
     crash(owner, 'poison', 'bystander');
+    owner.at += 200;
     owner.attempt('b', {fingerprint: 'bystander'});
     owner.answer('b');
     owner.attempt('p', {fingerprint: 'poison'});
@@ -178,4 +179,15 @@
     const after = owner.attempt('b', {fingerprint: 'poison'});
     expect({during, after}).toMatchSnapshot();
   });
+
+  it('does not send what waits to a process that has just crashed', () => {
+    const owner = new OwnerFixture(ALONE, {slots: 1});
+    owner.attempt('running', {timeoutMs: 5_000});
+    owner.attempt('waiting', {timeoutMs: 5_000});
+    const cut = owner.fail('running', 'reset');
+    const atOnce = owner.attempt('next', {timeoutMs: 5_000});
+    owner.at += 200;
+    const later = owner.attempt('later', {timeoutMs: 5_000});
+    expect({cut, atOnce, later}).toMatchSnapshot();
+  });
 });
--- a/test/owner/keys.test.ts
+++ b/test/owner/keys.test.ts
@@ -87,6 +87,7 @@
     const owner = new OwnerFixture(ALONE, {slots: 1});
     owner.attempt('lost', {key: 'in-doubt'});
     owner.fail('lost', 'reset');
+    owner.at += 200;
     owner.attempt('done', {key: 'finished'});
     owner.answer('done');
     owner.attempt('runs', {key: 'running'});
