Spreading: a proxy whose zone the configuration does not name watches the source

Cause: only a zone's own proxies are ranked as its watchers; where the settings name another zone than the configuration, no proxy watched after the watches of the start had ended, and no later version came into force anywhere. Change: such a proxy counts as not listed and watches for itself.

--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -363,7 +363,9 @@
   const isWatcher = ranked
     .slice(0, settings.dissemination.watchersPerZone)
     .includes(settings.id);
-  const isListed = log.table.upstreams.has(settings.id);
+  const own = log.table.upstreams.get(settings.id);
+  // One that no zone counts among its own would otherwise wait for ever.
+  const isListed = own?.zone === settings.zone;
   // A floor that no ready peer reaches can only be met by the source.
   const peersSuffice =
     peerReady &&
