Starts: a cold start asks the source before it believes a lagging peer

Cause: where all witnesses had lost their memory, a ready peer that lagged let a proxy start without the source, which was up and further on: it went from version 3 back to 2. Change: a cold start waits until the source has answered or failed, and asks it also where a peer is ready.

--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -181,6 +181,7 @@
     case 'sourceAnswered':
       return reduceSourceAnswered(state, event, emit);
     case 'sourceFailed':
+      state.startup.sourceFailed = true;
       noteSourceFailed(state.watch, state.settings, event.at, event.entropy);
       return emit({
         kind: 'count',
@@ -371,7 +372,10 @@
     peerReady &&
     findPeerAhead(startup, getRequiredSequence(startup, settings) - 1, 0) !==
       undefined;
-  const mustWatch = startup.ready ? isWatcher || !isListed : !peersSuffice;
+  const isColdStart = startup.widerCircle.length > 0;
+  const mustWatch = startup.ready
+    ? isWatcher || !isListed
+    : isColdStart || !peersSuffice;
   if (!mustWatch) {
     watch.nextAt = at + WATCH_ROLE_CHECK_MS;
     return;
--- a/src/core/spread/startup.ts
+++ b/src/core/spread/startup.ts
@@ -31,6 +31,8 @@
 export interface Startup {
   ready: boolean;
   sourceAnswered: boolean;
+  /** The source was asked and could not be reached. */
+  sourceFailed: boolean;
   readonly replies: Map<string, JoinReply>;
   readonly failures: Map<string, number>;
   /** Times that the peers have been asked. */
@@ -53,6 +55,7 @@
   return {
     ready: false,
     sourceAnswered: false,
+    sourceFailed: false,
     replies: new Map(),
     failures: new Map(),
     rounds: 0,
@@ -209,7 +212,10 @@
   startup.widerCircle = getWiderCircle(view.settings.id, config);
   const counted = dropLost(startup.widerCircle, view);
   const answered = getAnswered(startup, counted, () => true);
+  // A ready peer may lag, so it does not stand in for a source that is up.
+  const sourceSettled = startup.sourceAnswered || startup.sourceFailed;
   return (
+    sourceSettled &&
     haveAllSettled(startup, getJoinAddresses(startup, view)) &&
     hasMajority(counted, answered)
   );
