--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -182,6 +182,7 @@
     case 'sourceAnswered':
       return reduceSourceAnswered(state, event, emit);
     case 'sourceFailed':
+      state.startup.sourceFailed = true;
       noteSourceFailed(state.watch, state.settings, event.at, event.entropy);
       return emit({
         kind: 'count',
@@ -364,13 +365,18 @@
   const isWatcher = ranked
     .slice(0, settings.dissemination.watchersPerZone)
     .includes(settings.id);
-  const isListed = log.table.upstreams.has(settings.id);
+  const own = log.table.upstreams.get(settings.id);
+  // One that no zone counts among its own would otherwise wait for ever.
+  const isListed = own?.zone === settings.zone;
   // A floor that no ready peer reaches can only be met by the source.
   const peersSuffice =
     peerReady &&
     findPeerAhead(startup, getRequiredSequence(startup, settings) - 1, 0) !==
       undefined;
-  const mustWatch = startup.ready ? isWatcher || !isListed : !peersSuffice;
+  const isColdStart = startup.widerCircle.length > 0;
+  const mustWatch = startup.ready
+    ? isWatcher || !isListed
+    : isColdStart || !peersSuffice;
   if (!mustWatch) {
     watch.nextAt = at + WATCH_ROLE_CHECK_MS;
     return;
