--- a/test/cli/operators_page.test.ts
+++ b/test/cli/operators_page.test.ts
@@ -7,6 +7,7 @@
   UpstreamSchema,
 } from '../../src/model/config.js';
 import {SettingsSchema} from '../../src/model/settings.js';
+import {ProxyMetrics} from '../../src/proxy/metrics.js';
 import {expect} from '../support/chai_setup.js';
 
 interface JsonSchema {
@@ -81,6 +82,19 @@
     });
   }
 
+  it('names every metric of a proxy', () => {
+    const page = readFileSync('docs/operators.md', 'utf8');
+    const {registry} = new ProxyMetrics(() => {
+      throw new Error('Levels are not read here.');
+    });
+    const names = registry.getMetricsAsArray().map(({name}) => name);
+    const missing = names.filter(
+      name => name.startsWith('fireflysill_') && !page.includes(`\`${name}\``),
+    );
+    expect(missing).to.deep.equal([]);
+    expect(names).to.include('fireflysill_call_refused_total');
+  });
+
   it('lists every refusal with its status, outcome and remedy', () => {
     const listed = readRows('Refusals').map(
       ([reason, status, outcome, remedy]) => [
