--- a/src/core/entry/retry_budget.ts
+++ b/src/core/entry/retry_budget.ts
@@ -5,10 +5,10 @@
  */
 
 /** First attempts whose share of retries may be saved up. */
-const SAVED_FIRST_ATTEMPTS = 100;
+const SAVED_FIRST_ATTEMPTS = 200;
 
 /** First attempts whose share a service has when it has just been seen. */
-const INITIAL_FIRST_ATTEMPTS = 20;
+const INITIAL_FIRST_ATTEMPTS = 100;
 
 export type RetryBudgets = Map<string, number>;
 
