A start compares its copy with what peers said before; watchers are all looked after

It compares once more before it serves. Cause 2: the test of watchers' replacement passed without its mechanism in a fleet of 6, where random gossip met the dead in time. With 40 proxies it fails without it, and showed that only one of two dead watchers was replaced within 10 s, because each next in line looked after one watcher; now after all in turn.

--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -7,15 +7,13 @@
   acceptFoldState,
   acceptSubmissions,
   ConfigLog,
-  compareDigest,
   createConfigLog,
   adoptState,
   getCatchUp,
   getSubmissions,
-  getDigestAt,
-  isHalted,
   restartLog,
 } from './config/config_log.js';
+import {compareDigest, getDigestAt, isHalted} from './config/digests.js';
 import {CoreSettings} from './core_settings.js';
 import {
   acceptCall,
@@ -70,6 +68,7 @@
   createGossip,
   describeSelf,
   Dissemination,
+  GOSSIPS_PER_WARD,
   mergeGossip,
   notePullEnded,
   pullIfBehind,
@@ -312,7 +311,8 @@
     const share = 0.5 + entropy / MAX_ENTROPY;
     spread.nextGossipAt = at + gossipIntervalMs * share;
     const self = describe(state, at);
-    const ward = findWard(log.table, membership, settings);
+    const turn = Math.floor(spread.gossips / GOSSIPS_PER_WARD);
+    const ward = findWard(log.table, membership, settings, turn);
     const address = chooseGossipPeer(spread, log, settings, ward, entropy);
     if (address !== undefined) {
       const news = getSuspectNews(state.suspects);
@@ -473,7 +473,7 @@
     return;
   }
   const start = findStartState(startup, viewStartup(state, at));
-  if (start === undefined) {
+  if (start === undefined || isContradicted(state, emit)) {
     return;
   }
   adoptState(log, start, at, emit);
@@ -487,6 +487,18 @@
   });
 }
 
+/**
+ * Compares this copy with what peers said before it was complete. The next
+ * try starts over where most of them hold another one.
+ */
+function isContradicted(state: ProxyState, emit: Emit): boolean {
+  const {log, membership} = state;
+  for (const {info} of membership.members.values()) {
+    compareDigest(log, info.id, info.sequence, info.digest, emit);
+  }
+  return isHalted(log);
+}
+
 function viewStartup(state: ProxyState, at: number): StartupView {
   const {log, adoption, settings, membership} = state;
   return {log, adoption, settings, membership, at};
--- a/src/core/spread/dissemination.ts
+++ b/src/core/spread/dissemination.ts
@@ -2,14 +2,15 @@
  * Spreads submissions and membership news between proxies: push along a tree
  * in each zone, gossip with one peer each interval, pull from whoever is ahead.
  */
-import {compareDigest, ConfigLog, getDigestAt} from '../config/config_log.js';
+import {ConfigLog} from '../config/config_log.js';
+import {compareDigest, getDigestAt} from '../config/digests.js';
 import {CoreSettings} from '../core_settings.js';
 import {MemberInfo, PeerRequest} from '../../model/peer.js';
 import {Emit} from '../types.js';
 import {Membership, mergeMember, takeNews} from './membership.js';
 
 /** One gossip exchange in so many goes to the watcher to look after. */
-const GOSSIPS_PER_WARD = 3;
+export const GOSSIPS_PER_WARD = 3;
 
 /** Time after which a pull that got no answer no longer holds others up. */
 const PULL_TIMEOUT_MS = 3_000;
--- a/src/core/spread/source_watch.ts
+++ b/src/core/spread/source_watch.ts
@@ -81,10 +81,11 @@
 
 /**
  * Finds the watcher that this proxy looks after: the next in line each probe
- * one watcher, because nobody else is sure to notice its death soon.
+ * the watchers in turn, because nobody else is sure to notice a death soon.
  * @param table - Names the proxies.
  * @param membership - The membership view.
  * @param settings - This proxy's settings.
+ * @param turn - Counts up with each look.
  * @returns The watcher's peer address, or undefined for all but the next in
  *     line.
  */
@@ -92,6 +93,7 @@
   table: RoutingTable,
   membership: Membership,
   settings: CoreSettings,
+  turn: number,
 ): string | undefined {
   const {watchersPerZone} = settings.dissemination;
   // Unreachable ones stay in the line, or their return would go unnoticed.
@@ -102,7 +104,7 @@
   if (own < watchersPerZone || own >= 2 * watchersPerZone) {
     return undefined;
   }
-  return table.upstreams.get(line[own - watchersPerZone])?.peerAddress;
+  return table.upstreams.get(line[(own + turn) % watchersPerZone])?.peerAddress;
 }
 
 /**
--- a/test/config/digests.test.ts
+++ b/test/config/digests.test.ts
@@ -1,5 +1,5 @@
 /** Proxies that disagree, and states that cannot be trusted. */
-import {isHalted} from '../../src/core/config/config_log.js';
+import {isHalted} from '../../src/core/config/digests.js';
 import {FoldState} from '../../src/model/fold_state.js';
 import {PeerReply} from '../../src/model/peer.js';
 import {
--- a/test/spread/spreading.test.ts
+++ b/test/spread/spreading.test.ts
@@ -51,7 +51,8 @@
 
 describe('spreading', () => {
   it('replaces watchers that die or leave, without a change to spread', () => {
-    const fleet = bootZonedFleet(6, 1, {watchersPerZone: 2});
+    // So many that random gossip alone would rarely meet the dead in time.
+    const fleet = bootZonedFleet(40, 1, {watchersPerZone: 2});
     fleet.run(40_000);
     const first = fleet.getWatchers();
     fleet.kill(...first);
