--- a/src/bench/plan.ts
+++ b/src/bench/plan.ts
@@ -59,6 +59,8 @@
   readonly restMs: number;
   /** Single restarts where each proxy has a process of its own. */
   readonly starts: number;
+  /** Whether all processes restart at once at the end. */
+  readonly restart: boolean;
 }
 
 /** The default settings. */
@@ -119,6 +121,7 @@
         burst: 5,
         restMs: 1_500,
         starts: 1,
+        restart: false,
       },
       core: {sizes: [126, 630], repetitions: 3},
     };
@@ -137,6 +140,7 @@
       burst: 20,
       restMs: 6_000,
       starts: 3,
+      restart: true,
     },
     core: {sizes: [63, 126, 315, 630, 1_260], repetitions: 15},
   };
--- a/src/bench/run_bench.ts
+++ b/src/bench/run_bench.ts
@@ -135,7 +135,7 @@
   children: Children,
   folder: SettingsFolder,
 ): Promise<FleetResult | FleetFailure> {
-  const {zones, maxProcesses, changes, burst, restMs, starts} = fleet;
+  const {zones, maxProcesses, changes, burst, restMs, starts, restart} = fleet;
   const perProcess = Math.ceil(size / maxProcesses);
   const plan: ConvergencePlan = {
     fleet: {
@@ -148,7 +148,7 @@
     burst,
     restMs,
     starts: perProcess === 1 ? starts : 0,
-    restart: true,
+    restart,
   };
   try {
     const report = await measureConvergence(children, folder, plan);
