--- a/test/spread/spreading.test.ts
+++ b/test/spread/spreading.test.ts
@@ -90,6 +90,14 @@
     expect(outcomes).to.deep.equal(others.map(() => true));
   });
 
+  it('tries a lost push once more', () => {
+    const fleet = bootZonedFleet(9, 1, {gossipIntervalMs: NO_GOSSIP_MS});
+    fleet.run(30_000);
+    fleet.isLost = request =>
+      request.kind === 'push' && request.isRetry !== true;
+    expect(publishAndWait(fleet, 1)).to.be.at.most(IN_FORCE_MS);
+  });
+
   it('repairs by gossip what no push delivered', () => {
     const fleet = bootZonedFleet(9, 3);
     fleet.isLost = ({kind}) => kind === 'push';
