Source: the first call of a process does not wait

Cause: a cold start now waits for the source's answer, and a long poll with nothing new is held for watchWaitMs (20 s), so a proxy that a peer had brought up to date would have stayed unready for as long. Change: the first call asks for what there is (waitMs 0).

--- a/src/core/spread/source_watch.ts
+++ b/src/core/spread/source_watch.ts
@@ -168,7 +168,8 @@
     kind: 'watchSource',
     afterSequence: log.latest.sequence,
     vmRevision: membership.vmList.revision,
-    waitMs: settings.dissemination.watchWaitMs,
+    // The first call asks what there is; a start may depend on the answer.
+    waitMs: watch.answeredAt === 0 ? 0 : settings.dissemination.watchWaitMs,
   });
 }
 
