--- a/src/core/proxy_core.ts
+++ b/src/core/proxy_core.ts
@@ -7,15 +7,13 @@
   acceptFoldState,
   acceptSubmissions,
   ConfigLog,
-  compareDigest,
   createConfigLog,
   adoptState,
   getCatchUp,
   getSubmissions,
-  getDigestAt,
-  isHalted,
   restartLog,
 } from './config/config_log.js';
+import {compareDigest, getDigestAt, isHalted} from './config/digests.js';
 import {CoreSettings} from './core_settings.js';
 import {
   acceptCall,
@@ -70,6 +68,7 @@
   createGossip,
   describeSelf,
   Dissemination,
+  GOSSIPS_PER_WARD,
   mergeGossip,
   notePullEnded,
   pullIfBehind,
@@ -101,6 +100,7 @@
   askToJoin,
   createStartup,
   findPeerAhead,
+  getJoinedMembers,
   getRequiredSequence,
   findStartState,
   recordJoinFailure,
@@ -313,7 +313,8 @@
     const share = 0.5 + entropy / MAX_ENTROPY;
     spread.nextGossipAt = at + gossipIntervalMs * share;
     const self = describe(state, at);
-    const ward = findWard(log.table, membership, settings);
+    const turn = Math.floor(spread.gossips / GOSSIPS_PER_WARD);
+    const ward = findWard(log.table, membership, settings, turn);
     const address = chooseGossipPeer(spread, log, settings, ward, entropy);
     if (address !== undefined) {
       const news = getSuspectNews(state.suspects);
@@ -479,7 +480,14 @@
     return;
   }
   const start = findStartState(startup, viewStartup(state, at));
-  if (start === undefined) {
+  if (start === undefined || isContradicted(state, emit)) {
+    return;
+  }
+  // Replies may have come before the state that they are compared with.
+  for (const {id, sequence, digest} of getJoinedMembers(startup)) {
+    compareDigest(log, id, sequence, digest, emit);
+  }
+  if (isHalted(log)) {
     return;
   }
   adoptState(log, start, at, emit);
@@ -493,6 +501,18 @@
   });
 }
 
+/**
+ * Compares this copy with what peers said before it was complete. The next
+ * try starts over where most of them hold another one.
+ */
+function isContradicted(state: ProxyState, emit: Emit): boolean {
+  const {log, membership} = state;
+  for (const {info} of membership.members.values()) {
+    compareDigest(log, info.id, info.sequence, info.digest, emit);
+  }
+  return isHalted(log);
+}
+
 function viewStartup(state: ProxyState, at: number): StartupView {
   const {log, adoption, settings, membership} = state;
   return {log, adoption, settings, membership, at};
@@ -612,7 +632,10 @@
   if (from.ready) {
     noteHeard(adoption, from.sequence);
   }
-  mergeGossip(spread, log, membership, from, members, at, emit);
+  mergeGossip(log, membership, from, members, at, emit);
+  if (from.ready) {
+    pullIfBehind(spread, log, from.peerAddress, from.sequence, at, emit);
+  }
   for (const suspect of message.suspects) {
     mergeSuspect(suspects, suspect);
   }
--- a/test/config/digests.test.ts
+++ b/test/config/digests.test.ts
@@ -1,5 +1,5 @@
 /** Proxies that disagree, and states that cannot be trusted. */
-import {isHalted} from '../../src/core/config/config_log.js';
+import {isHalted} from '../../src/core/config/digests.js';
 import {FoldState} from '../../src/model/fold_state.js';
 import {PeerReply} from '../../src/model/peer.js';
 import {
@@ -23,6 +23,11 @@
     log.latest = {...log.latest, digest: `bad ${log.latest.digest}`};
     log.active = log.latest;
     log.digests.set(log.latest.sequence, log.latest.digest);
+    // Others are given its whole state, whose digest they cannot check.
+    log.recent.length = 0;
+  }
+  for (const {state} of fleet.nodes.values()) {
+    state.log.agreement.clear();
   }
 }
 
