Split the root, the entry and the owner into modules with one job

Change: moved functions only: the root keeps the switch over events; state and views, the flow of configuration, of peers' messages and of news have modules of their own; the entry and the owner are split by what they take in.

--- a/src/bench/core_driver.ts
+++ b/src/bench/core_driver.ts
@@ -1,6 +1,7 @@
 /** One decision core in this process, whose peers all answer at once. */
 import {createCoreSettings} from '../core/core_settings.js';
-import {createProxyState, ProxyState, reduceProxy} from '../core/proxy_core.js';
+import {reduceProxy} from '../core/proxy_core.js';
+import {createProxyState, ProxyState} from '../core/proxy_state.js';
 import {Effect, EventBody} from '../core/types.js';
 import {Patch, PatchSchema, Submission} from '../model/config.js';
 import {MemberInfo, PeerReply, PeerRequest} from '../model/peer.js';
--- /dev/null
+++ b/src/core/entry/attempt_results.ts
@@ -0,0 +1,201 @@
+/** Takes the results and failures of attempts: answers, retries or refuses. */
+import {LoadReport} from '../../model/peer.js';
+import {Refusal, createRefusal} from '../refusals.js';
+import {Answer, Emit, FailureKind} from '../types.js';
+import {
+  endAttempt,
+  hasSharedKey,
+  refuseCall,
+  sendNextAttempt,
+} from './attempts.js';
+import {Call, removeCall} from './calls.js';
+import {HOME_RETRY_MS} from './entry.js';
+import {DEFAULT_RETRY_AFTER_MS, Entry, EntryView} from './entry_state.js';
+import {askToClose} from './giving_up.js';
+import {
+  UpstreamLoad,
+  getLoad,
+  noteDown,
+  noteFailure,
+  noteReport,
+  noteSuccess,
+  noteTimeout,
+} from './load_view.js';
+import {mayRetry} from './retries.js';
+
+/**
+ * Takes an owner's result for an attempt.
+ * @param entry - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param attemptId - The attempt.
+ * @param result - The upstream's answer or the owner's refusal.
+ * @param load - The upstream's load, where reported.
+ * @param emit - Takes effects.
+ */
+export function takeResult(
+  entry: Entry,
+  view: EntryView,
+  attemptId: string,
+  result: Answer | Refusal,
+  load: LoadReport | undefined,
+  emit: Emit,
+): void {
+  const call = endAttempt(entry, attemptId);
+  if (call === undefined) {
+    return;
+  }
+  const upstreamId = call.currentAttempt?.upstreamId ?? '';
+  const upstream = getLoad(entry.loads, upstreamId);
+  noteReport(upstream, load, view.at);
+  noteOutcome(upstream, result, view.at);
+  if (result.kind === 'answer') {
+    takeAnswer(entry, view, call, result, emit);
+    return;
+  }
+  takeRefusal(entry, view, call, result, emit);
+}
+
+/** Learns from a result whether the upstream is well. */
+function noteOutcome(
+  load: UpstreamLoad,
+  result: Answer | Refusal,
+  at: number,
+): void {
+  if (result.kind === 'answer') {
+    noteSuccess(load);
+    return;
+  }
+  switch (result.reason) {
+    case 'upstream_down':
+      noteDown(load, at);
+      return;
+    case 'proxy_not_ready':
+    case 'attempt_lost':
+    case 'answer_truncated':
+      noteFailure(load, at);
+      return;
+    case 'attempt_timeout':
+      noteTimeout(load, at);
+      return;
+    default:
+      // The owner is well, which says nothing of the upstream behind it.
+      return;
+  }
+}
+
+function takeAnswer(
+  entry: Entry,
+  view: EntryView,
+  call: Call,
+  answer: Answer,
+  emit: Emit,
+): void {
+  const shed = answer.status === 503 && call.idempotent;
+  if (shed && mayRetry(entry, view, call, 'upstream_shed', emit)) {
+    call.mayHaveRun = true;
+    sendNextAttempt(entry, view, call, createRefusal('no_upstream'), emit);
+    return;
+  }
+  removeCall(entry.calls, call);
+  emit({kind: 'answerCall', callId: call.callId, result: answer});
+}
+
+function takeRefusal(
+  entry: Entry,
+  view: EntryView,
+  call: Call,
+  refusal: Refusal,
+  emit: Emit,
+): void {
+  if (refusal.outcome === 'unknown') {
+    call.mayHaveRun = true;
+  }
+  // It crashed an upstream where no other suspect ran, so it is the cause.
+  const isCulprit = refusal.reason === 'attempt_lost' && call.suspect;
+  if (refusal.reason === 'attempt_lost') {
+    call.suspect = true;
+  }
+  if (hasSharedKey(call)) {
+    const behind = refusal.reason === 'wrong_home';
+    if (behind && view.at + HOME_RETRY_MS < call.deadlineAt) {
+      call.retryAt = view.at + HOME_RETRY_MS;
+      entry.calls.delayed.add(call);
+      emit({kind: 'count', counter: 'call_retried', reason: 'wrong_home'});
+      return;
+    }
+    refuseCall(entry, call, refusal, emit, 'home');
+    return;
+  }
+  const safe = call.idempotent || refusal.outcome === 'not-run';
+  const final = refusal.reason === 'quarantined' || isCulprit;
+  if (safe && !final && mayRetry(entry, view, call, refusal.reason, emit)) {
+    sendNextAttempt(entry, view, call, refusal, emit);
+    return;
+  }
+  refuseCall(entry, call, refusal, emit);
+}
+
+/**
+ * Takes the failure of an attempt on its way to or from the owner.
+ * @param entry - This part's state.
+ * @param view - Read-only views of the other parts.
+ * @param attemptId - The attempt.
+ * @param failure - How it failed.
+ * @param emit - Takes effects.
+ */
+export function takeFailure(
+  entry: Entry,
+  view: EntryView,
+  attemptId: string,
+  failure: FailureKind,
+  emit: Emit,
+): void {
+  const call = endAttempt(entry, attemptId);
+  const current = call?.currentAttempt;
+  if (call === undefined || current === undefined) {
+    return;
+  }
+  const load = getLoad(entry.loads, current.upstreamId);
+  if (failure === 'timeout') {
+    noteTimeout(load, view.at);
+  } else if (failure === 'connect') {
+    noteDown(load, view.at);
+  } else {
+    noteFailure(load, view.at);
+  }
+  const refusal = createFailureRefusal(failure, hasSharedKey(call));
+  if (failure !== 'connect') {
+    call.mayHaveRun = true;
+  }
+  if (call.key !== undefined && failure !== 'connect') {
+    askToClose(entry, view, call, emit);
+    return;
+  }
+  const safe = call.idempotent || !hasSharedKey(call);
+  if (safe && mayRetry(entry, view, call, refusal.reason, emit)) {
+    sendNextAttempt(entry, view, call, refusal, emit);
+    return;
+  }
+  refuseCall(entry, call, refusal, emit);
+}
+
+function createFailureRefusal(
+  failure: FailureKind,
+  sharedKey: boolean,
+): Refusal {
+  switch (failure) {
+    case 'connect':
+      return createRefusal(
+        sharedKey ? 'home_unreachable' : 'upstream_down',
+        DEFAULT_RETRY_AFTER_MS,
+      );
+    case 'reset':
+      return createRefusal('attempt_lost');
+    case 'timeout':
+      return createRefusal('attempt_timeout');
+    case 'truncated':
+      return createRefusal('answer_truncated');
+    case 'too-large':
+      return createRefusal('answer_too_large');
+  }
+}
--- /dev/null
+++ b/src/core/entry/attempts.ts
@@ -0,0 +1,152 @@
+/** Sends a call's attempts, and gives the call its refusal at the end. */
+import {Attempt} from '../../model/peer.js';
+import {UpstreamTarget} from '../config/routing_table.js';
+import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
+import {Emit} from '../types.js';
+import {chooseUpstream, getHome} from './balancer.js';
+import {Call, removeCall} from './calls.js';
+import {Entry, EntryView, MIN_ATTEMPT_MS} from './entry_state.js';
+import {getLoad} from './load_view.js';
+
+/** Share of the remaining time kept for closing a key after a timeout. */
+const CLOSE_RESERVE_SHARE = 0.1;
+
+const CLOSE_RESERVE_MAX_MS = 50;
+
+export function hasSharedKey(call: Call): boolean {
+  return call.key !== undefined && !call.privateKey;
+}
+
+/** Sends an attempt, or gives the call the refusal of the last one. */
+export function sendNextAttempt(
+  entry: Entry,
+  view: EntryView,
+  call: Call,
+  lastRefusal: Refusal,
+  emit: Emit,
+): void {
+  const remainingMs = call.deadlineAt - view.at;
+  if (remainingMs < MIN_ATTEMPT_MS) {
+    refuseCall(entry, call, createRefusal('deadline_too_short'), emit);
+    return;
+  }
+  const upstream = chooseTarget(entry, view, call);
+  if (upstream === undefined) {
+    refuseCall(entry, call, lastRefusal, emit);
+    return;
+  }
+  call.attemptCount += 1;
+  call.triedUpstreams.add(upstream.id);
+  const timeoutMs = getAttemptMs(entry, view, call, remainingMs);
+  const attempt = createAttempt(view, call, upstream.id, timeoutMs);
+  call.currentAttempt = {
+    attemptId: attempt.attemptId,
+    upstreamId: upstream.id,
+    address: upstream.peerAddress,
+    closing: false,
+  };
+  entry.calls.byAttempt.set(attempt.attemptId, call);
+  getLoad(entry.loads, upstream.id).ownAttempts += 1;
+  emit({
+    kind: 'sendAttempt',
+    callId: call.callId,
+    address: upstream.peerAddress,
+    attempt,
+  });
+}
+
+/** Chooses by the version in force now, which may be newer than the call. */
+export function chooseTarget(
+  entry: Entry,
+  view: EntryView,
+  call: Call,
+): UpstreamTarget | undefined {
+  const service = view.table.services.get(call.route.service);
+  if (service === undefined) {
+    return undefined;
+  }
+  if (call.key !== undefined && !call.privateKey) {
+    return getHome(view.table, service, call.key);
+  }
+  const {loads} = entry;
+  return chooseUpstream(service, call.triedUpstreams, {...view, loads});
+}
+
+/** Keeps time for closing a key, or for another attempt. */
+function getAttemptMs(
+  entry: Entry,
+  view: EntryView,
+  call: Call,
+  remainingMs: number,
+): number {
+  if (!call.idempotent) {
+    const reserveMs = remainingMs * CLOSE_RESERVE_SHARE;
+    return remainingMs - Math.min(CLOSE_RESERVE_MAX_MS, reserveMs);
+  }
+  const {firstAttemptShare} = view.settings.policy;
+  const hasOther =
+    firstAttemptShare < 1 &&
+    call.attemptCount === 1 &&
+    !call.info.retriedByOuter &&
+    chooseTarget(entry, view, call) !== undefined;
+  return hasOther ? remainingMs * firstAttemptShare : remainingMs;
+}
+
+function createAttempt(
+  view: EntryView,
+  call: Call,
+  upstreamId: string,
+  timeoutMs: number,
+): Attempt {
+  return {
+    attemptId: `${call.callId}.${call.attemptCount}`,
+    service: call.route.service,
+    upstreamId,
+    version: view.table.version,
+    idempotent: call.idempotent,
+    key: call.key,
+    privateKey: call.privateKey,
+    timeoutMs,
+    fingerprint: call.info.fingerprint,
+    suspect: call.suspect,
+    priority: call.route.priority,
+  };
+}
+
+/** Detaches an attempt from its call; undefined where it is not current. */
+export function endAttempt(entry: Entry, attemptId: string): Call | undefined {
+  const call = entry.calls.byAttempt.get(attemptId);
+  const current = call?.currentAttempt;
+  if (call === undefined || current === undefined || current.closing) {
+    return undefined;
+  }
+  entry.calls.byAttempt.delete(attemptId);
+  getLoad(entry.loads, current.upstreamId).ownAttempts -= 1;
+  return call;
+}
+
+/**
+ * Gives a call its refusal. Of a shared key only its home may say `not-run`:
+ * an entry does not know what became of other tries under the same key.
+ */
+export function refuseCall(
+  entry: Entry,
+  call: Call,
+  refusal: Refusal,
+  emit: Emit,
+  decidedBy: 'entry' | 'home' = 'entry',
+): void {
+  removeCall(entry.calls, call);
+  const doubtful =
+    call.mayHaveRun || (hasSharedKey(call) && decidedBy === 'entry');
+  emitRefusal(call.callId, doubtful ? weakenToUnknown(refusal) : refusal, emit);
+}
+
+export function emitRefusal(
+  callId: string,
+  refusal: Refusal,
+  emit: Emit,
+): void {
+  emit({kind: 'count', counter: 'call_refused', reason: refusal.reason});
+  emit({kind: 'answerCall', callId, result: refusal});
+}
--- /dev/null
+++ b/src/core/entry/retries.ts
@@ -0,0 +1,46 @@
+/** Decides which failed attempts are followed by another one. */
+import {RefusalReason} from '../refusals.js';
+import {Emit} from '../types.js';
+import {chooseTarget} from './attempts.js';
+import {Call} from './calls.js';
+import {Entry, EntryView, MIN_ATTEMPT_MS} from './entry_state.js';
+import {getLoad, isBelievedWell} from './load_view.js';
+import {tryWithdrawRetry} from './retry_budget.js';
+
+/**
+ * Failures that happen at most once for each request that an upstream was
+ * running, because the upstream is avoided afterwards. They cause no retry
+ * storm, and a crash or a planned stop must not use up the budget.
+ */
+const BOUNDED_FAILURES: ReadonlySet<string> = new Set<RefusalReason>([
+  'upstream_down',
+  'attempt_lost',
+]);
+
+/** Decides whether a retry may be made, and pays for it. */
+export function mayRetry(
+  entry: Entry,
+  view: EntryView,
+  call: Call,
+  reason: RefusalReason | 'upstream_shed' | 'closed',
+  emit: Emit,
+): boolean {
+  // As nothing ran, a retry by an inner layer multiplies no work.
+  const anyLayer = reason === 'upstream_leaving';
+  const inTime = call.deadlineAt - view.at >= MIN_ATTEMPT_MS;
+  if ((call.info.retriedByOuter && !anyLayer) || !inTime) {
+    return false;
+  }
+  const target = chooseTarget(entry, view, call);
+  if (target === undefined) {
+    return false;
+  }
+  const isWell = isBelievedWell(getLoad(entry.loads, target.id), view.at);
+  const free = anyLayer || (isWell && BOUNDED_FAILURES.has(reason));
+  if (!free && !tryWithdrawRetry(entry.budgets, call.route.service)) {
+    emit({kind: 'count', counter: 'call_retried', reason: 'no_budget'});
+    return false;
+  }
+  emit({kind: 'count', counter: 'call_retried', reason});
+  return true;
+}
--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -2,56 +2,34 @@
  * The owner role: alone decides what the upstream beside it runs, and never
  * runs a key twice.
  */
-import {createRefusal, Refusal, weakenToUnknown} from '../refusals.js';
-import {getHome} from '../entry/balancer.js';
 import {Attempt, KeyVerdict, PeerReply, PeerRequest} from '../../model/peer.js';
-import {Answer, Emit, FailureKind} from '../types.js';
-import {
-  AdmittedAttempt,
-  endRunning,
-  EnqueueResult,
-  removeExpired,
-  removeQueued,
-  tryEnqueue,
-  tryStartNext,
-} from './admission.js';
+import {getHome} from '../entry/balancer.js';
+import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
+import {Emit} from '../types.js';
+import {EnqueueResult, removeQueued, tryEnqueue} from './admission.js';
+import {isQuarantined, isSuspect} from './crash_suspects.js';
 import {
-  clearSuspect,
-  isQuarantined,
-  isSuspect,
-  noteCrash,
-} from './crash_suspects.js';
-import {closeKey, createHandOvers, takeHandOver} from './key_closing.js';
+  DOWN_RETRY_AFTER_MS,
+  LEAVING_RETRY_AFTER_MS,
+  finishAttempt,
+  refuseUnrun,
+  startQueued,
+} from './dispatching.js';
+import {closeKey, takeHandOver} from './key_closing.js';
 import {
-  cancelWaiting,
   KeyDecision,
-  markKeyEnded,
-  markKeyRunning,
+  cancelWaiting,
   openKey,
   reopenKey,
   settleFormerHome,
 } from './key_protocol.js';
-import {expireRecords} from './key_records.js';
 import {
-  getLoadReport,
-  getOwnService,
-  isOwnerLeaving,
   Owner,
   OwnerView,
+  getOwnService,
+  isOwnerLeaving,
 } from './owner_state.js';
 
-const LEAVING_RETRY_AFTER_MS = 100;
-/**
- * Pause after a crash. Connections to the dead process may still look open,
- * and what is sent over them would count as cut by another crash.
- */
-const CRASH_HOLD_MS = 100;
-
-const DOWN_RETRY_AFTER_MS = 500;
-
-/** HTTP status by which an upstream sheds load. */
-const SHED_STATUS = 503;
-
 function hasSharedKey(attempt: Attempt): boolean {
   return attempt.key !== undefined && !attempt.privateKey;
 }
@@ -181,196 +159,6 @@
   return tryEnqueue(owner.admission, service, policy, admitted, view.at);
 }
 
-/** Refuses an attempt that did not run, and closes its key first. */
-function refuseUnrun(
-  owner: Owner,
-  view: OwnerView,
-  attempt: Attempt,
-  refusal: Refusal,
-  emit: Emit,
-): void {
-  const waiters = markKeyEnded(owner, view, attempt, 'never-ran');
-  if (attempt.key !== undefined) {
-    emit({kind: 'count', counter: 'key_closed', reason: refusal.reason});
-  }
-  for (const attemptId of [attempt.attemptId, ...waiters]) {
-    finishAttempt(owner, view, attemptId, refusal, emit);
-  }
-}
-
-/** Dispatches queued attempts while slots are free. */
-function startQueued(owner: Owner, view: OwnerView, emit: Emit): void {
-  const service = getOwnService(view);
-  if (service === undefined) {
-    return;
-  }
-  refuseExpired(owner, view, emit);
-  for (;;) {
-    const {policy} = view.settings;
-    const next = tryStartNext(owner.admission, service, policy, view.at);
-    if (next === undefined) {
-      return;
-    }
-    markKeyRunning(owner, next.attempt);
-    emit({
-      kind: 'dispatch',
-      attemptId: next.attempt.attemptId,
-      timeoutMs: next.deadlineAt - view.at,
-    });
-  }
-}
-
-/** A process that wakes late must not dispatch what has expired meanwhile. */
-function refuseExpired(owner: Owner, view: OwnerView, emit: Emit): void {
-  const {policy} = view.settings;
-  for (const {attempt} of removeExpired(owner.admission, policy, view.at)) {
-    const refusal = createRefusal('deadline_too_short');
-    refuseUnrun(owner, view, attempt, refusal, emit);
-  }
-}
-
-function finishAttempt(
-  owner: Owner,
-  view: OwnerView,
-  attemptId: string,
-  result: Answer | Refusal,
-  emit: Emit,
-): void {
-  if (result.kind === 'refusal') {
-    emit({kind: 'count', counter: 'attempt_refused', reason: result.reason});
-  }
-  const load = getLoadReport(owner, view);
-  emit({kind: 'finishAttempt', attemptId, result, load});
-}
-
-/**
- * Takes the upstream's whole answer.
- * @param owner - This part's state.
- * @param view - Read-only views of the other parts.
- * @param attemptId - The attempt.
- * @param answer - The answer.
- * @param emit - Takes effects.
- */
-export function takeUpstreamAnswer(
-  owner: Owner,
-  view: OwnerView,
-  attemptId: string,
-  answer: Answer,
-  emit: Emit,
-): void {
-  // An upstream that sheds load has not run the request.
-  const ran = answer.status !== SHED_STATUS;
-  const evidence = ran ? 'answered' : 'nothing';
-  const ended = endRunning(owner.admission, attemptId, evidence, view.at);
-  if (ended === undefined) {
-    return;
-  }
-  if (ran) {
-    noteUpstreamUp(owner, ended, view.at);
-    clearSuspect(view.suspects, ended.attempt.fingerprint, emit);
-  }
-  const waiters = markKeyEnded(owner, view, ended.attempt, answer);
-  for (const id of [attemptId, ...waiters]) {
-    finishAttempt(owner, view, id, answer, emit);
-  }
-  startQueued(owner, view, emit);
-}
-
-/**
- * Takes the failure of a dispatched attempt.
- * @param owner - This part's state.
- * @param view - Read-only views of the other parts.
- * @param attemptId - The attempt.
- * @param failure - How it failed.
- * @param emit - Takes effects.
- */
-export function takeUpstreamFailure(
-  owner: Owner,
-  view: OwnerView,
-  attemptId: string,
-  failure: FailureKind,
-  emit: Emit,
-): void {
-  const evidence = failure === 'timeout' ? 'cut' : 'nothing';
-  const ended = endRunning(owner.admission, attemptId, evidence, view.at);
-  if (ended === undefined) {
-    return;
-  }
-  const {attempt} = ended;
-  if (failure === 'connect') {
-    refuseDown(owner, view, [ended], emit);
-    startQueued(owner, view, emit);
-    return;
-  }
-  if (failure === 'reset') {
-    noteUpstreamCrash(owner, view, ended, emit);
-  }
-  const waiters = markKeyEnded(owner, view, attempt, 'in-doubt');
-  const refusal = createLostRefusal(failure);
-  for (const id of [attemptId, ...waiters]) {
-    finishAttempt(owner, view, id, refusal, emit);
-  }
-  startQueued(owner, view, emit);
-}
-
-function refuseDown(
-  owner: Owner,
-  view: OwnerView,
-  unrun: readonly AdmittedAttempt[],
-  emit: Emit,
-): void {
-  const refusal = createRefusal('upstream_down', DOWN_RETRY_AFTER_MS);
-  for (const {attempt} of unrun) {
-    refuseUnrun(owner, view, attempt, refusal, emit);
-  }
-}
-
-function createLostRefusal(failure: Exclude<FailureKind, 'connect'>): Refusal {
-  switch (failure) {
-    case 'reset':
-      return createRefusal('attempt_lost');
-    case 'timeout':
-      return createRefusal('attempt_timeout');
-    case 'truncated':
-      return createRefusal('answer_truncated');
-    case 'too-large':
-      return createRefusal('answer_too_large');
-  }
-}
-
-function noteUpstreamUp(
-  owner: Owner,
-  ended: AdmittedAttempt,
-  at: number,
-): void {
-  // What was dispatched before the crash says nothing of the new process.
-  if ((ended.dispatchNumber ?? 0) > owner.crashedDispatch) {
-    owner.admission.upSince ??= at;
-  }
-}
-
-function noteUpstreamCrash(
-  owner: Owner,
-  view: OwnerView,
-  ended: AdmittedAttempt,
-  emit: Emit,
-): void {
-  // All that had been dispatched when one crash was noticed belongs to it.
-  if ((ended.dispatchNumber ?? 0) > owner.crashedDispatch) {
-    owner.crashedDispatch = owner.admission.dispatchCount;
-    owner.crashCount += 1;
-    owner.admission.upSince = undefined;
-    owner.holdUntil = view.at + CRASH_HOLD_MS;
-    refuseDown(owner, view, owner.admission.queue.splice(0), emit);
-  }
-  const {id, startedAt, limits} = view.settings;
-  const crash = `${id}/${startedAt}/${owner.crashCount}`;
-  const expiresAt = view.at + limits.quarantineMs;
-  const {fingerprint} = ended.attempt;
-  const sole = ended.suspect;
-  noteCrash(view.suspects, fingerprint, {crash, sole, expiresAt}, emit);
-}
-
 /**
  * Stops an attempt whose entry went away, where that is safe.
  * @param owner - This part's state.
@@ -474,53 +262,3 @@
   const {attempt, deadlineAt, decision} = settled;
   applyDecision(owner, view, attempt, deadlineAt, decision, emit);
 }
-
-export function startDrain(owner: Owner): void {
-  owner.draining = true;
-}
-
-/**
- * Does what time has made due: expiry, and the steps of a planned stop.
- * @param owner - This part's state.
- * @param view - Read-only views of the other parts.
- * @param callsUnderWay - Calls that this proxy's entry has not answered.
- * @param emit - Takes effects.
- */
-export function tickOwner(
-  owner: Owner,
-  view: OwnerView,
-  callsUnderWay: number,
-  emit: Emit,
-): void {
-  expireRecords(owner.keys, view.at);
-  startQueued(owner, view, emit);
-  const {admission, draining, drained} = owner;
-  const idle = admission.running.size === 0 && admission.queue.length === 0;
-  if (!draining || drained || !idle || callsUnderWay > 0) {
-    return;
-  }
-  advanceHandOver(owner, view, emit);
-}
-
-function advanceHandOver(owner: Owner, view: OwnerView, emit: Emit): void {
-  if (owner.handOver === undefined) {
-    const requests = createHandOvers(owner, view);
-    owner.handOver = {
-      silentPeers: new Set(requests.keys()),
-      startedAt: view.at,
-    };
-    for (const [address, request] of requests) {
-      emit({kind: 'askPeer', address, request});
-    }
-  }
-  const {silentPeers, startedAt} = owner.handOver;
-  const {handOverTimeoutMs} = view.settings.limits;
-  if (silentPeers.size === 0 || view.at - startedAt > handOverTimeoutMs) {
-    owner.drained = true;
-    emit({kind: 'drained'});
-  }
-}
-
-export function noteHandOverSettled(owner: Owner, address: string): void {
-  owner.handOver?.silentPeers.delete(address);
-}
--- /dev/null
+++ b/src/core/peer_flow.ts
@@ -0,0 +1,277 @@
+/** Answers peers' control messages and takes in their replies. */
+import {KeyVerdict, PeerReply, PeerRequest} from '../model/peer.js';
+import {
+  acceptFoldState,
+  acceptSubmissions,
+  getCatchUp,
+} from './config/config_log.js';
+import {compareDigest, getDigestAt} from './config/digests.js';
+import {advanceConfig, pushVmChanges} from './config_flow.js';
+import {takeCloseVerdict} from './entry/giving_up.js';
+import {getSuspectNews, mergeSuspect} from './owner/crash_suspects.js';
+import {answerKeyRequest, takeFormerHomeVerdict} from './owner/owner.js';
+import {noteHandOverSettled} from './owner/planned_stop.js';
+import {ProxyState, describe, viewEntry, viewOwner} from './proxy_state.js';
+import {
+  acknowledgeAnnouncement,
+  noteHeard,
+  noteVouched,
+  recordAnnouncement,
+} from './spread/adoption.js';
+import {
+  mergeGossip,
+  notePullEnded,
+  pullIfBehind,
+} from './spread/dissemination.js';
+import {
+  mergeMember,
+  mergeVmChanges,
+  mergeVmList,
+  noteContactFailed,
+  noteContactWorked,
+  takeNews,
+} from './spread/membership.js';
+import {PushNews, pushAround, pushNews} from './spread/push.js';
+import {recordJoinFailure, recordJoinReply} from './spread/startup.js';
+import {getVmNews} from './spread/vm_list.js';
+import {Emit, Event, assertNever} from './types.js';
+
+export function reducePeerAsked(
+  state: ProxyState,
+  event: Extract<Event, {kind: 'peerAsked'}>,
+  emit: Emit,
+): void {
+  const {request, requestId, at} = event;
+  emit({kind: 'count', counter: 'peer_message', reason: request.kind});
+  const reply = createReply(state, request, at, emit);
+  emit({kind: 'replyPeer', requestId, reply});
+}
+
+function createReply(
+  state: ProxyState,
+  request: PeerRequest,
+  at: number,
+  emit: Emit,
+): PeerReply {
+  const {log, membership, settings, startup, adoption} = state;
+  switch (request.kind) {
+    case 'gossip':
+      takeGossip(state, request, at, emit);
+      if (request.vmRevision > membership.vmList.revision) {
+        state.spread.gossipWith = request.from.peerAddress;
+      }
+      return {
+        kind: 'gossip',
+        from: describe(state, at),
+        members: takeNews(membership),
+        suspects: getSuspectNews(state.suspects),
+        ...getVmNews(membership.vmList, request.vmRevision),
+      };
+    case 'push':
+      takePush(state, request, at, emit);
+      return {kind: 'ok'};
+    case 'pull':
+      return {
+        kind: 'pull',
+        catchUp: getCatchUp(log, request.afterSequence, request.digest),
+        from: settings.id,
+        digest: getDigestAt(log, request.afterSequence),
+        region: settings.region,
+        sequence: startup.ready ? log.active.sequence : 0,
+      };
+    case 'announce':
+      return recordAnnouncement(adoption, request.sequence, settings.startedAt);
+    case 'join':
+      return {
+        kind: 'join',
+        ready: startup.ready,
+        region: settings.region,
+        sequence: log.active.sequence,
+        heard: Math.max(adoption.heard, log.active.sequence),
+        members: [describe(state, at)],
+      };
+    case 'closeKey':
+    case 'handOver':
+      return answerKeyRequest(state.owner, viewOwner(state, at), request, emit);
+    default:
+      return assertNever(request);
+  }
+}
+
+function takePush(
+  state: ProxyState,
+  push: Extract<PeerRequest, {kind: 'push'}>,
+  at: number,
+  emit: Emit,
+): void {
+  const {log, membership, settings, adoption} = state;
+  const {submissions, vmChanges, members = []} = push;
+  acceptSubmissions(log, submissions, emit);
+  // Proxies push within their region, and only what they have in force.
+  noteVouched(adoption, submissions.at(-1)?.sequence ?? 0);
+  if (vmChanges !== undefined && mergeVmChanges(membership, vmChanges, at)) {
+    pushVmChanges(state, vmChanges, false, emit);
+  }
+  const changed = members.filter(info =>
+    mergeMember(membership, info, at, emit),
+  );
+  if (changed.length > 0) {
+    const news: PushNews = {kind: 'members', news: changed};
+    pushNews(log.table, settings, news, false, emit);
+  }
+  advanceConfig(state, at, emit, 'push');
+}
+
+function takeGossip(
+  state: ProxyState,
+  message: Extract<PeerReply, {kind: 'gossip'}>,
+  at: number,
+  emit: Emit,
+): void {
+  const {spread, log, membership, suspects, adoption} = state;
+  const {from, members, vmList, vmChanges = []} = message;
+  if (from.ready) {
+    noteHeard(adoption, from.sequence);
+  }
+  mergeGossip(log, membership, from, members, at, emit);
+  if (from.ready) {
+    pullIfBehind(spread, log, from.peerAddress, from.sequence, at, emit);
+  }
+  for (const suspect of message.suspects) {
+    mergeSuspect(suspects, suspect);
+  }
+  const merged = vmChanges.filter(changes =>
+    mergeVmChanges(membership, changes, at),
+  );
+  const whole =
+    vmList === undefined ? undefined : mergeVmList(membership, vmList, at);
+  for (const changes of whole === undefined ? merged : [...merged, whole]) {
+    pushVmChanges(state, changes, true, emit);
+  }
+}
+
+export function reducePeerReplied(
+  state: ProxyState,
+  event: Extract<Event, {kind: 'peerReplied'}>,
+  emit: Emit,
+): void {
+  const {address, request, reply, at} = event;
+  const {log, membership, startup, adoption, spread} = state;
+  noteContactWorked(membership, address);
+  switch (reply.kind) {
+    case 'gossip':
+      return takeGossip(state, reply, at, emit);
+    case 'ok':
+      if (request.kind === 'handOver') {
+        noteHandOverSettled(state.owner, address);
+      }
+      return;
+    case 'announce':
+      if (request.kind === 'announce') {
+        const {incarnation} = reply;
+        acknowledgeAnnouncement(adoption, address, request, incarnation);
+        advanceConfig(state, at, emit);
+      }
+      return;
+    case 'pull':
+      notePullEnded(spread, address);
+      takeCatchUp(state, request, reply, emit);
+      return advanceConfig(state, at, emit, 'pull');
+    case 'join':
+      recordJoinReply(startup, address, reply);
+      for (const info of reply.members) {
+        mergeMember(membership, info, at, emit);
+        compareDigest(log, info.id, info.sequence, info.digest, emit);
+      }
+      if (reply.ready) {
+        pullIfBehind(spread, log, address, reply.sequence, at, emit);
+      }
+      return advanceConfig(state, at, emit);
+    case 'closeKey':
+      return takeKeyVerdict(state, event, reply.verdict, emit);
+    case 'refused':
+      return giveUpAsking(state, event, emit);
+    default:
+      return assertNever(reply);
+  }
+}
+
+/** A peer whose digest differs is compared first, and believed last. */
+function takeCatchUp(
+  state: ProxyState,
+  request: PeerRequest,
+  reply: Extract<PeerReply, {kind: 'pull'}>,
+  emit: Emit,
+): void {
+  const {log, adoption, settings} = state;
+  const {catchUp, from, digest, region, sequence} = reply;
+  if (request.kind === 'pull' && from !== undefined && digest !== undefined) {
+    compareDigest(log, from, request.afterSequence, digest, emit);
+  }
+  if (catchUp.kind === 'state') {
+    acceptFoldState(log, catchUp.state, emit);
+  } else {
+    acceptSubmissions(log, catchUp.submissions, emit);
+  }
+  if (region === settings.region) {
+    noteVouched(adoption, sequence);
+  }
+}
+
+/** A key verdict concerns an entry that gave up or a home that took over. */
+function takeKeyVerdict(
+  state: ProxyState,
+  event: Extract<Event, {kind: 'peerReplied' | 'peerFailed'}>,
+  verdict: KeyVerdict | undefined,
+  emit: Emit,
+): void {
+  const {request, address, at} = event;
+  if (request.kind !== 'closeKey') {
+    return;
+  }
+  const {attemptId, cause} = request;
+  if (cause === 'give-up') {
+    const view = viewEntry(state, event);
+    takeCloseVerdict(state.entry, view, attemptId, verdict, emit);
+    return;
+  }
+  const view = viewOwner(state, at);
+  takeFormerHomeVerdict(state.owner, view, address, attemptId, verdict, emit);
+}
+
+export function reducePeerFailed(
+  state: ProxyState,
+  event: Extract<Event, {kind: 'peerFailed'}>,
+  emit: Emit,
+): void {
+  noteContactFailed(state.membership, event.address, event.at);
+  giveUpAsking(state, event, emit);
+}
+
+/** What follows where a peer was not reached, or refused the message. */
+function giveUpAsking(
+  state: ProxyState,
+  event: Extract<Event, {kind: 'peerFailed' | 'peerReplied'}>,
+  emit: Emit,
+): void {
+  const {address, request, at} = event;
+  const {log, settings, startup, spread} = state;
+  switch (request.kind) {
+    case 'gossip':
+    case 'announce':
+      return;
+    case 'push':
+      return pushAround(log.table, settings, address, request, emit);
+    case 'pull':
+      return notePullEnded(spread, address);
+    case 'join':
+      recordJoinFailure(startup, address);
+      return advanceConfig(state, at, emit);
+    case 'closeKey':
+      return takeKeyVerdict(state, event, undefined, emit);
+    case 'handOver':
+      return noteHandOverSettled(state.owner, address);
+    default:
+      return assertNever(request);
+  }
+}
--- a/src/experiments/simulated_proxy.ts
+++ b/src/experiments/simulated_proxy.ts
@@ -1,7 +1,8 @@
 /** One real decision core whose effects go to fakes on a virtual clock. */
 import {createCoreSettings} from '../core/core_settings.js';
 import {Policy} from '../core/policy.js';
-import {createProxyState, ProxyState, reduceProxy} from '../core/proxy_core.js';
+import {reduceProxy} from '../core/proxy_core.js';
+import {createProxyState, ProxyState} from '../core/proxy_state.js';
 import {Effect, EventBody} from '../core/types.js';
 import {SettingsSchema} from '../model/settings.js';
 import {Chance} from './chance.js';
--- a/src/proxy/core_loop.ts
+++ b/src/proxy/core_loop.ts
@@ -1,6 +1,7 @@
 /** Feeds events to the decision core one by one and hands out its effects. */
 import {CoreSettings} from '../core/core_settings.js';
-import {createProxyState, ProxyState, reduceProxy} from '../core/proxy_core.js';
+import {reduceProxy} from '../core/proxy_core.js';
+import {createProxyState, ProxyState} from '../core/proxy_state.js';
 import {Effect, EventBody} from '../core/types.js';
 import {Clock} from './clock.js';
 
--- a/test/differential/bag_fleet.ts
+++ b/test/differential/bag_fleet.ts
@@ -3,11 +3,8 @@
  * lose, repeat or leave lying. Ghost records check what the fleet promises.
  */
 import {createCoreSettings} from '../../src/core/core_settings.js';
-import {
-  createProxyState,
-  ProxyState,
-  reduceProxy,
-} from '../../src/core/proxy_core.js';
+import {reduceProxy} from '../../src/core/proxy_core.js';
+import {createProxyState, ProxyState} from '../../src/core/proxy_state.js';
 import {Answer, Effect, EventBody, FailureKind} from '../../src/core/types.js';
 import {Patch, Service, Submission} from '../../src/model/config.js';
 import {Attempt} from '../../src/model/peer.js';
--- a/test/proxy_core.test.ts
+++ b/test/proxy_core.test.ts
@@ -1,9 +1,6 @@
 import {createCoreSettings} from '../src/core/core_settings.js';
-import {
-  createProxyState,
-  ProxyState,
-  reduceProxy,
-} from '../src/core/proxy_core.js';
+import {reduceProxy} from '../src/core/proxy_core.js';
+import {createProxyState, ProxyState} from '../src/core/proxy_state.js';
 import {Effect, EventBody} from '../src/core/types.js';
 import {Submission} from '../src/model/config.js';
 import {SettingsSchema} from '../src/model/settings.js';
--- a/test/support/core_fixture.ts
+++ b/test/support/core_fixture.ts
@@ -1,10 +1,7 @@
 /** Builds a decision core with a configuration already in force. */
 import {createCoreSettings} from '../../src/core/core_settings.js';
-import {
-  createProxyState,
-  ProxyState,
-  reduceProxy,
-} from '../../src/core/proxy_core.js';
+import {reduceProxy} from '../../src/core/proxy_core.js';
+import {createProxyState, ProxyState} from '../../src/core/proxy_state.js';
 import {CallInfo, Effect, EventBody} from '../../src/core/types.js';
 import {Patch, Service, Submission} from '../../src/model/config.js';
 import {Settings, SettingsSchema} from '../../src/model/settings.js';
--- a/test/support/fleet_fixture.ts
+++ b/test/support/fleet_fixture.ts
@@ -3,11 +3,8 @@
  * with a hand-driven clock, a source, and faults at the links.
  */
 import {createCoreSettings} from '../../src/core/core_settings.js';
-import {
-  createProxyState,
-  ProxyState,
-  reduceProxy,
-} from '../../src/core/proxy_core.js';
+import {reduceProxy} from '../../src/core/proxy_core.js';
+import {createProxyState, ProxyState} from '../../src/core/proxy_state.js';
 import {Effect, Event, EventBody} from '../../src/core/types.js';
 import {Patch, Submission} from '../../src/model/config.js';
 import {PeerReply, PeerRequest} from '../../src/model/peer.js';
