Calls wait in the owner's queue only, not for a connection

Change: no limit on connections for calls; slots and queue of the owner bound them. Test: 'of one upstream reaches its slots' (100 calls at once) failed before, passes now.

--- a/src/proxy/connections.ts
+++ b/src/proxy/connections.ts
@@ -10,13 +10,14 @@
 export class ConnectionPools {
   private readonly pools = new Map<string, Pool>();
 
-  constructor(private readonly maxPerAddress: number) {}
+  /** @param maxPerAddress - Connections to one address; undefined: no limit. */
+  constructor(private readonly maxPerAddress: number | undefined) {}
 
   get(address: string): Pool {
     let pool = this.pools.get(address);
     if (pool === undefined) {
       pool = new Pool(`http://${address}`, {
-        connections: this.maxPerAddress,
+        connections: this.maxPerAddress ?? null,
         pipelining: 1,
         connectTimeout: CONNECT_TIMEOUT_MS,
         keepAliveTimeout: KEEP_ALIVE_MS,
--- a/src/proxy/proxy_runtime.ts
+++ b/src/proxy/proxy_runtime.ts
@@ -19,8 +19,7 @@
 
 const TICK_INTERVAL_MS = 25;
 
-/** Connections to one peer for calls, and apart from them for control. */
-const CALL_CONNECTIONS_PER_PEER = 64;
+/** Connections to one peer for control messages, apart from those for calls. */
 const CONTROL_CONNECTIONS_PER_PEER = 2;
 
 /** Connections that peers and operators may open. */
@@ -35,7 +34,9 @@
 }
 
 export class ProxyRuntime {
-  private readonly callPools = new ConnectionPools(CALL_CONNECTIONS_PER_PEER);
+  // Owners bound what runs and waits; a call that waited for a connection
+  // would do so unseen by admission.
+  private readonly callPools = new ConnectionPools(undefined);
   private readonly controlPools = new ConnectionPools(
     CONTROL_CONNECTIONS_PER_PEER,
   );
