Cold starts ask the witnesses in two rounds

Ruled out: shorter intervals between questions; they narrow the gap only. Change: a witness counts only where the same incarnation says in a second round, asked after the first majority, that it is still starting. Test: 'do not add up answers of different times' fails with the second round taken out.

--- a/src/bench/core_driver.ts
+++ b/src/bench/core_driver.ts
@@ -194,6 +194,7 @@
         const {latest} = this.state.log;
         return {
           kind: 'join',
+          incarnation: START_MS,
           // All start together, so that the source decides.
           ready: this.state.startup.ready,
           sequence: latest.sequence,
--- a/src/core/peer_flow.ts
+++ b/src/core/peer_flow.ts
@@ -85,6 +85,7 @@
       return {
         kind: 'join',
         ready: startup.ready,
+        incarnation: settings.startedAt,
         region: settings.region,
         sequence: log.active.sequence,
         heard: Math.max(adoption.heard, log.active.sequence),
@@ -178,7 +179,9 @@
       takeCatchUp(state, request, reply, emit);
       return advanceConfig(state, at, emit, 'pull');
     case 'join':
-      recordJoinReply(startup, address, reply);
+      if (request.kind === 'join') {
+        recordJoinReply(startup, address, reply, request.round);
+      }
       for (const info of reply.members) {
         mergeMember(membership, info, at, emit);
         compareDigest(log, info.id, info.sequence, info.digest, emit);
--- a/src/core/spread/startup.ts
+++ b/src/core/spread/startup.ts
@@ -26,8 +26,21 @@
 /** Failed tries after which a silent peer no longer delays the start. */
 const MAX_JOIN_FAILURES = 3;
 
+/** Rounds after which the witnesses' first answers are taken anew. */
+const MAX_COLD_ROUNDS = 3;
+
 type JoinReply = Extract<PeerReply, {kind: 'join'}>;
 
+/**
+ * Witnesses that were starting in one round. Whoever says so again, in a later
+ * round and without a restart, was starting all the time in between, so all
+ * of them were at the same time.
+ */
+interface ColdRound {
+  readonly round: number;
+  readonly incarnations: ReadonlyMap<string, number>;
+}
+
 export interface Startup {
   ready: boolean;
   sourceAnswered: boolean;
@@ -37,6 +50,10 @@
   readonly failures: Map<string, number>;
   /** Times that the peers have been asked. */
   rounds: number;
+  /** The round of each peer's latest reply. */
+  readonly replyRounds: Map<string, number>;
+  /** Set once a majority of the witnesses has said that it is starting. */
+  coldRound?: ColdRound;
   askedAt: number;
   /** Asked as well where the witnesses have lost their memory. */
   widerCircle: readonly Witness[];
@@ -59,6 +76,7 @@
     replies: new Map(),
     failures: new Map(),
     rounds: 0,
+    replyRounds: new Map(),
     askedAt: -Infinity,
     widerCircle: [],
   };
@@ -85,8 +103,9 @@
   startup.askedAt = view.at;
   startup.rounds += 1;
   const {id} = view.settings;
+  const request = {kind: 'join', id, round: startup.rounds} as const;
   for (const address of getJoinAddresses(startup, view)) {
-    emit({kind: 'askPeer', address, request: {kind: 'join', id}});
+    emit({kind: 'askPeer', address, request});
   }
 }
 
@@ -110,8 +129,13 @@
   startup: Startup,
   address: string,
   reply: JoinReply,
+  round: number,
 ): void {
+  if (round < (startup.replyRounds.get(address) ?? 0)) {
+    return;
+  }
   startup.replies.set(address, reply);
+  startup.replyRounds.set(address, round);
   startup.failures.delete(address);
 }
 
@@ -210,14 +234,7 @@
     return false;
   }
   const {config} = view.log.latest;
-  const areStarting = hasWitnessMajority(
-    startup,
-    view,
-    config,
-    reply => !reply.ready,
-    view.settings.id,
-  );
-  if (!areStarting) {
+  if (!areWitnessesStarting(startup, view, config)) {
     return false;
   }
   startup.widerCircle = getWiderCircle(view.settings.id, config);
@@ -232,11 +249,45 @@
   );
 }
 
+/** Asks in two rounds, so that answers of different times do not add up. */
+function areWitnessesStarting(
+  startup: Startup,
+  view: StartupView,
+  config: Config,
+): boolean {
+  const own = view.settings.id;
+  const isStarting = (reply: JoinReply) => !reply.ready;
+  if (!hasWitnessMajority(startup, view, config, isStarting, own)) {
+    startup.coldRound = undefined;
+    return false;
+  }
+  const first = startup.coldRound;
+  if (first === undefined || startup.rounds > first.round + MAX_COLD_ROUNDS) {
+    startup.coldRound = createColdRound(startup);
+    return false;
+  }
+  const isStillStarting = (reply: JoinReply, address: string) =>
+    !reply.ready &&
+    (startup.replyRounds.get(address) ?? 0) > first.round &&
+    first.incarnations.get(address) === reply.incarnation;
+  return hasWitnessMajority(startup, view, config, isStillStarting, own);
+}
+
+function createColdRound(startup: Startup): ColdRound {
+  const starting = [...startup.replies].filter(([, reply]) => !reply.ready);
+  return {
+    round: startup.rounds,
+    incarnations: new Map(
+      starting.map(([address, {incarnation}]) => [address, incarnation]),
+    ),
+  };
+}
+
 function hasWitnessMajority(
   startup: Startup,
   view: StartupView,
   config: Config,
-  counts: (reply: JoinReply) => boolean,
+  counts: (reply: JoinReply, address: string) => boolean,
   ...alsoCounted: readonly string[]
 ): boolean {
   const witnesses = getWitnesses(view.settings.region, config.upstreams);
@@ -266,11 +317,11 @@
 function getAnswered(
   startup: Startup,
   peers: readonly Witness[],
-  counts: (reply: JoinReply) => boolean,
+  counts: (reply: JoinReply, address: string) => boolean,
 ): Set<string> {
   const answered = peers.filter(({peerAddress}) => {
     const reply = startup.replies.get(peerAddress);
-    return reply !== undefined && counts(reply);
+    return reply !== undefined && counts(reply, peerAddress);
   });
   return new Set(answered.map(({id}) => id));
 }
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -133,7 +133,12 @@
     /** The second round finds out which witnesses restarted meanwhile. */
     round: z.literal([1, 2]),
   }),
-  z.strictObject({kind: z.literal('join'), id: NameSchema}),
+  z.strictObject({
+    kind: z.literal('join'),
+    id: NameSchema,
+    /** Counts the times that the asker has asked. */
+    round: z.int().min(1),
+  }),
   z.strictObject({
     kind: z.literal('closeKey'),
     service: NameSchema,
@@ -176,6 +181,8 @@
   z.strictObject({
     kind: z.literal('join'),
     ready: z.boolean(),
+    /** Start time of the sender, in Unix milliseconds. */
+    incarnation: z.number(),
     region: NameSchema,
     /** Sequence that the sender has in force. */
     sequence: SequenceSchema,
--- a/test/proxy_core.test.ts
+++ b/test/proxy_core.test.ts
@@ -68,6 +68,8 @@
         head: 1,
         submissions: [SUBMISSION],
       }),
+      // Witnesses are asked twice; this proxy is the only one.
+      ready: reduce(state, {kind: 'tick'}),
       accepted: reduce(state, {kind: 'callArrived', callId: 'c1', call}),
     }).toMatchSnapshot();
   });
--- a/test/spread/cold_start.test.ts
+++ b/test/spread/cold_start.test.ts
@@ -1,4 +1,10 @@
 /** Starts of proxies whose witnesses have all lost their memory. */
+import {
+  CoreFixture,
+  createServicePatch,
+  createSubmission,
+  getPeerAddress,
+} from '../support/core_fixture.js';
 import {FleetFixture} from '../support/fleet_fixture.js';
 import {changeTimeout, createIds} from '../support/fleet_patches.js';
 import {expect} from '../support/chai_setup.js';
@@ -29,4 +35,61 @@
     }, 9_000);
     expect([...served]).to.deep.equal([3]);
   });
+
+  it('do not add up answers of different times', () => {
+    const core = new CoreFixture('desk-9');
+    const ids = createIds(5);
+    const answer = (id: string, ready: boolean, round: number) =>
+      core.reduce({
+        kind: 'peerReplied',
+        address: getPeerAddress(id),
+        request: {kind: 'join', id: 'desk-9', round},
+        reply: {
+          kind: 'join',
+          incarnation: ready ? 1 : 2,
+          ready,
+          region: 'centre',
+          sequence: 0,
+          heard: 0,
+          members: [],
+        },
+      });
+    const ask = () => {
+      core.at += 2_000;
+      core.reduce({kind: 'tick'});
+      return core.state.startup.rounds;
+    };
+    const patch = createServicePatch(ids);
+    core.reduce({
+      kind: 'sourceAnswered',
+      head: 1,
+      submissions: [createSubmission(1, 0, patch)],
+    });
+    const first = ask();
+    ids.forEach((id, n) => answer(id, n > 1, first));
+    // The third restarts; the first two have become ready, not yet heard of.
+    const second = ask();
+    answer(ids[2], false, second);
+    const onMixedAnswers = core.state.startup.ready;
+    ids.forEach((id, n) => answer(id, n !== 2, second));
+    const third = ask();
+    ids.forEach((id, n) => answer(id, n !== 2, third));
+    const onFreshAnswers = core.state.startup.ready;
+    // Now most of them restart, and say so twice.
+    const [fourth, fifth] = [ask(), ask()];
+    ids.forEach(id => answer(id, false, fourth));
+    const afterOneRound = core.state.startup.ready;
+    ids.forEach(id => answer(id, false, fifth + 1));
+    expect({
+      onMixedAnswers,
+      onFreshAnswers,
+      afterOneRound,
+      afterTwoRounds: core.state.startup.ready,
+    }).to.deep.equal({
+      onMixedAnswers: false,
+      onFreshAnswers: false,
+      afterOneRound: false,
+      afterTwoRounds: true,
+    });
+  });
 });
--- a/test/spread/control_bytes.test.ts
+++ b/test/spread/control_bytes.test.ts
@@ -129,7 +129,7 @@
       ),
     );
     const [push] = getAsks(pushed, 'push');
-    const join = {kind: 'join', id: 'desk-9'} as const;
+    const join = {kind: 'join', id: 'desk-9', round: 1} as const;
     expect({
       gossip: sizeOf(gossip),
       gossipReply: sizeOf(quiet),
@@ -216,13 +216,14 @@
     core.reduce({kind: 'started'});
     const reply: PeerReply = {
       kind: 'join',
+      incarnation: START_MS,
       ready: true,
       sequence: 4,
       region: 'centre',
       heard: 0,
       members: [],
     };
-    const request = {kind: 'join', id: 'desk-1'} as const;
+    const request = {kind: 'join', id: 'desk-1', round: 1} as const;
     const effects = [1, 2].flatMap(n =>
       core.reduce({
         kind: 'peerReplied',
--- a/test/support/core_fixture.ts
+++ b/test/support/core_fixture.ts
@@ -131,25 +131,32 @@
   adopt(patch: Patch): void {
     const submissions = [createSubmission(1, 0, patch)];
     this.reduce({kind: 'sourceAnswered', head: 1, submissions});
-    const {id} = this.state.settings;
-    for (const other of Object.keys(patch.upstreams ?? {})) {
-      const address = getPeerAddress(other);
-      this.reduce({
-        kind: 'peerReplied',
-        address,
-        request: {kind: 'join', id},
-        reply: {
-          kind: 'join',
-          ready: false,
-          sequence: 0,
-          region: 'centre',
-          heard: 0,
-          members: [],
-        },
-      });
+    for (const round of [1, 2]) {
+      for (const other of Object.keys(patch.upstreams ?? {})) {
+        this.joinStarting(other, round);
+      }
     }
   }
 
+  /** A peer that is starting answers the join. */
+  private joinStarting(other: string, round: number): void {
+    const {id} = this.state.settings;
+    this.reduce({
+      kind: 'peerReplied',
+      address: getPeerAddress(other),
+      request: {kind: 'join', id, round},
+      reply: {
+        kind: 'join',
+        incarnation: START_MS,
+        ready: false,
+        sequence: 0,
+        region: 'centre',
+        heard: 0,
+        members: [],
+      },
+    });
+  }
+
   /**
    * Sends a call to the entry.
    * @param callId - Identifies it.
