--- a/src/core/entry/attempt_results.ts
+++ b/src/core/entry/attempt_results.ts
@@ -1,4 +1,5 @@
 /** Takes the results and failures of attempts: answers, retries or refuses. */
+import {createLostRefusal} from '../failures.js';
 import {LoadReport} from '../../model/peer.js';
 import {Refusal, createRefusal} from '../refusals.js';
 import {Answer, Emit, FailureKind} from '../types.js';
@@ -183,19 +184,9 @@
   failure: FailureKind,
   sharedKey: boolean,
 ): Refusal {
-  switch (failure) {
-    case 'connect':
-      return createRefusal(
-        sharedKey ? 'home_unreachable' : 'upstream_down',
-        DEFAULT_RETRY_AFTER_MS,
-      );
-    case 'reset':
-      return createRefusal('attempt_lost');
-    case 'timeout':
-      return createRefusal('attempt_timeout');
-    case 'truncated':
-      return createRefusal('answer_truncated');
-    case 'too-large':
-      return createRefusal('answer_too_large');
+  if (failure !== 'connect') {
+    return createLostRefusal(failure);
   }
+  const reason = sharedKey ? 'home_unreachable' : 'upstream_down';
+  return createRefusal(reason, DEFAULT_RETRY_AFTER_MS);
 }
--- a/src/core/owner/upstream_results.ts
+++ b/src/core/owner/upstream_results.ts
@@ -1,4 +1,5 @@
 /** Takes what the upstream made of dispatched attempts. */
+import {createLostRefusal} from '../failures.js';
 import {Refusal, createRefusal} from '../refusals.js';
 import {Answer, Emit, FailureKind} from '../types.js';
 import {AdmittedAttempt, endRunning} from './admission.js';
@@ -103,19 +104,6 @@
   }
 }
 
-function createLostRefusal(failure: Exclude<FailureKind, 'connect'>): Refusal {
-  switch (failure) {
-    case 'reset':
-      return createRefusal('attempt_lost');
-    case 'timeout':
-      return createRefusal('attempt_timeout');
-    case 'truncated':
-      return createRefusal('answer_truncated');
-    case 'too-large':
-      return createRefusal('answer_too_large');
-  }
-}
-
 function noteUpstreamUp(
   owner: Owner,
   ended: AdmittedAttempt,
