--- a/src/core/owner/upstream_results.ts
+++ b/src/core/owner/upstream_results.ts
@@ -1,6 +1,6 @@
 /** Takes what the upstream made of dispatched attempts. */
 import {createLostRefusal} from '../failures.js';
-import {Refusal, createRefusal} from '../refusals.js';
+import {createRefusal} from '../refusals.js';
 import {Answer, Emit, FailureKind} from '../types.js';
 import {AdmittedAttempt, endRunning} from './admission.js';
 import {clearSuspect, noteCrash} from './crash_suspects.js';
