Start compares digests once; bench and a test use the shared fixtures

Cause: reading the whole change: two fixes of one fault had landed side by side. The start compared its copy with the join replies and, by isContradicted, with the members that the same replies had been merged into. The bench built the first patch twice, and a core test its settings. Change: isContradicted alone compares; createLargePatch calls createFirstPatch; the test takes its settings from the shared fixture.

--- a/src/bench/core_driver.ts
+++ b/src/bench/core_driver.ts
@@ -3,9 +3,9 @@
 import {reduceProxy} from '../core/proxy_core.js';
 import {createProxyState, ProxyState} from '../core/proxy_state.js';
 import {Effect, EventBody} from '../core/types.js';
-import {Patch, PatchSchema, Submission} from '../model/config.js';
+import {Patch, Submission} from '../model/config.js';
 import {MemberInfo, PeerReply, PeerRequest} from '../model/peer.js';
-import {createSettings, ProxyPlan, WIDE_SERVICE} from './proxies.js';
+import {createFirstPatch, createSettings, ProxyPlan} from './proxies.js';
 
 const START_MS = 1_700_000_000_000;
 const TICK_MS = 25;
@@ -42,19 +42,7 @@
  */
 export function createLargePatch(size: number): Patch {
   const plans = Array.from({length: size}, (_, index) => getPlan(index));
-  const names = [...new Set(plans.map(({service}) => service))];
-  return PatchSchema.parse({
-    services: Object.fromEntries(names.map(name => [name, WIDE_SERVICE])),
-    upstreams: Object.fromEntries(
-      plans.map(({id, service, region, zone, peers}) => [
-        id,
-        {service, region, zone, peerAddress: peers},
-      ]),
-    ),
-    routes: Object.fromEntries(
-      names.map(name => [name, {pathPrefix: `/${name}`, service: name}]),
-    ),
-  });
+  return createFirstPatch(plans);
 }
 
 export class CoreDriver {
--- a/src/core/config_flow.ts
+++ b/src/core/config_flow.ts
@@ -20,7 +20,6 @@
 import {
   findPeerAhead,
   findStartState,
-  getJoinedMembers,
   getRequiredSequence,
 } from './spread/startup.js';
 import {Emit, Event} from './types.js';
@@ -171,13 +170,6 @@
   if (start === undefined || isContradicted(state, emit)) {
     return;
   }
-  // Replies may have come before the state that they are compared with.
-  for (const {id, sequence, digest} of getJoinedMembers(startup)) {
-    compareDigest(log, id, sequence, digest, emit);
-  }
-  if (isHalted(log)) {
-    return;
-  }
   adoptState(log, start, at, emit);
   noteHeard(adoption, start.sequence);
   startup.ready = true;
--- a/src/core/spread/startup.ts
+++ b/src/core/spread/startup.ts
@@ -5,7 +5,7 @@
  */
 import {Config} from '../../model/config.js';
 import {FoldState} from '../../model/fold_state.js';
-import {MemberInfo, PeerReply} from '../../model/peer.js';
+import {PeerReply} from '../../model/peer.js';
 import {ConfigLog} from '../config/config_log.js';
 import {CoreSettings} from '../core_settings.js';
 import {Emit} from '../types.js';
@@ -165,17 +165,6 @@
   return required;
 }
 
-/**
- * Lists the ready peers that answered the join, as they described themselves.
- * @param startup - Progress of the start.
- * @returns Their descriptions.
- */
-export function getJoinedMembers(startup: Startup): MemberInfo[] {
-  return [...startup.replies.values()]
-    .filter(({ready}) => ready)
-    .flatMap(({members}) => members);
-}
-
 /**
  * Finds a peer that is ahead, so that a starting proxy can pull from it.
  * @param startup - Progress of the start.
--- a/test/proxy_core.test.ts
+++ b/test/proxy_core.test.ts
@@ -3,26 +3,12 @@
 import {createProxyState, ProxyState} from '../src/core/proxy_state.js';
 import {Effect, EventBody} from '../src/core/types.js';
 import {Submission} from '../src/model/config.js';
-import {SettingsSchema} from '../src/model/settings.js';
 import {expect} from './support/chai_setup.js';
-
-const START_MS = 1_700_000_000_000;
+import {createSettings, START_MS} from './support/core_fixture.js';
 
 function createState(): ProxyState {
-  const settings = SettingsSchema.parse({
-    upstreamId: 'desk-1',
-    region: 'centre',
-    zone: 'zilina-a',
-    listen: {
-      callers: '127.0.0.1:1',
-      peers: '127.0.0.1:2',
-      operators: '127.0.0.1:3',
-    },
-    upstream: {address: '127.0.0.1:4'},
-    source: '127.0.0.1:5',
-  });
   return createProxyState(
-    createCoreSettings(settings, '127.0.0.1:2', START_MS),
+    createCoreSettings(createSettings('desk-1'), '127.0.0.1:2', START_MS),
   );
 }
 
