--- a/src/core/entry/chooser.ts
+++ b/src/core/entry/chooser.ts
@@ -1,6 +1,4 @@
 /** Chooses one of the upstreams that may take an attempt. */
-import {UpstreamTarget} from '../config/routing_table.js';
-
 export interface Chooser {
   /**
    * Chooses an upstream.
@@ -9,11 +7,11 @@
    * @param entropy - Random unsigned 32-bit integer.
    * @returns One of the candidates.
    */
-  choose(
-    candidates: readonly UpstreamTarget[],
-    getCost: (upstream: UpstreamTarget) => number,
+  choose<T>(
+    candidates: readonly T[],
+    getCost: (upstream: T) => number,
     entropy: number,
-  ): UpstreamTarget;
+  ): T;
 }
 
 /**
@@ -24,15 +22,15 @@
   /** @param count - How many are compared; Infinity compares all. */
   constructor(private readonly count: number) {}
 
-  choose(
-    candidates: readonly UpstreamTarget[],
-    getCost: (upstream: UpstreamTarget) => number,
+  choose<T>(
+    candidates: readonly T[],
+    getCost: (upstream: T) => number,
     entropy: number,
-  ): UpstreamTarget {
+  ): T {
     const left = [...candidates];
     const compared = Math.min(this.count, left.length);
     let chance = entropy;
-    let best: UpstreamTarget | undefined;
+    let best: T | undefined;
     let bestCost = Infinity;
     for (let n = 0; n < compared; n += 1) {
       const index = chance % left.length;
--- a/src/core/entry/load_view.ts
+++ b/src/core/entry/load_view.ts
@@ -161,6 +161,23 @@
   return load.report?.serviceTimeMs;
 }
 
+/**
+ * Estimates the requests that an upstream has, running or waiting.
+ * @param load - Its record.
+ * @param at - Now, in Unix milliseconds.
+ * @returns Requests by the last report and by what was sent since.
+ */
+export function getInFlight(load: UpstreamLoad, at: number): number {
+  const fresh = at - load.reportedAt < REPORT_LIFETIME_MS;
+  const report = fresh ? load.report : undefined;
+  if (report === undefined) {
+    return load.ownAttempts;
+  }
+  const sentSince = Math.max(0, load.ownAttempts - load.reportedAttempts);
+  const {running, queued} = report;
+  return Math.max(running + queued + sentSince, load.ownAttempts);
+}
+
 /**
  * Estimates how busy an upstream is.
  * @param load - Its record.
@@ -178,9 +195,6 @@
   if (report === undefined) {
     return (load.ownAttempts + 1) / slots;
   }
-  const {running, queued} = report;
-  const sentSince = Math.max(0, load.ownAttempts - load.reportedAttempts);
-  const requests = Math.max(running + queued + sentSince, load.ownAttempts);
   // A cold upstream offers fewer slots than the configuration says.
-  return (requests + 1) / Math.max(1, report.slots);
+  return (getInFlight(load, at) + 1) / Math.max(1, report.slots);
 }
--- /dev/null
+++ b/src/core/mesh/call_flow.ts
@@ -0,0 +1,302 @@
+/** The entry role: takes calls, sends attempts, and gives each its answer. */
+import {MeshAttempt} from '../../model/mesh.js';
+import {getLoad} from '../entry/load_view.js';
+import {isQuarantined} from '../owner/crash_suspects.js';
+import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
+import {Answer} from '../types.js';
+import {chooseInstance} from './choose_instance.js';
+import {MeshCall, SentAttempt} from './mesh_calls.js';
+import {MeshState, getLinkAddress} from './mesh_state.js';
+import {MeshCallInfo, MeshEmit, MeshEvent} from './mesh_types.js';
+import {earnRetry} from './retry_tokens.js';
+import {chooseBackend, findMeshRoute} from './route_table.js';
+import {getAgeMs} from './spreading.js';
+
+/** Owners that one call may ask; a refusal costs a round trip, no work. */
+export const MAX_ASKED = 4;
+
+/** Least time in which an attempt has a chance to finish, in milliseconds. */
+export const MIN_ATTEMPT_MS = 4;
+
+/** Wait that a caller is advised where nothing better is known. */
+const DEFAULT_RETRY_AFTER_MS = 400;
+
+/** Part of a wait that is drawn at random, so that callers do not return together. */
+const RETRY_AFTER_SPREAD = 0.5;
+
+type Stamp = Pick<MeshEvent, 'at' | 'entropy'>;
+
+/** Accepts a caller's request, or refuses it at once. */
+export function acceptMeshCall(
+  state: MeshState,
+  stamp: Stamp,
+  callId: string,
+  info: MeshCallInfo,
+  emit: MeshEmit,
+): void {
+  const {at} = stamp;
+  state.lastWorkAt = at;
+  const call = tryCreateCall(state, stamp, callId, info);
+  if ('reason' in call) {
+    answerUnrouted(state, callId, info, call, at, emit);
+    return;
+  }
+  state.calls.set(callId, call);
+  const proxies = state.fleet.instances.size;
+  earnRetry(state.retries, state.settings, proxies, call.service, at);
+  if (!trySend(state, stamp, call, emit)) {
+    const refusal = createRefusal('no_upstream', DEFAULT_RETRY_AFTER_MS);
+    refuseCall(state, call, refusal, stamp, emit);
+  }
+}
+
+function tryCreateCall(
+  state: MeshState,
+  {at, entropy}: Stamp,
+  callId: string,
+  info: MeshCallInfo,
+): MeshCall | Refusal {
+  const {table} = state;
+  if (table === undefined || state.fleet.revision === 0) {
+    return createRefusal('config_unknown', DEFAULT_RETRY_AFTER_MS);
+  }
+  const route = findMeshRoute(table, info.host, info.path);
+  if (route === undefined) {
+    return createRefusal('no_route');
+  }
+  if (isQuarantined(state.suspects, info.fingerprint, at)) {
+    return createRefusal('crash_suspected', state.settings.quarantineMs);
+  }
+  const timeoutMs = Math.min(route.timeoutMs, info.timeoutMs ?? Infinity);
+  return {
+    callId,
+    info,
+    route,
+    service: chooseBackend(route, entropy),
+    version: table.version,
+    arrivedAt: at,
+    deadlineAt: at + timeoutMs,
+    tried: new Set(),
+    underWay: new Map(),
+    asked: 0,
+    reached: 0,
+    mayHaveRun: false,
+  };
+}
+
+function answerUnrouted(
+  state: MeshState,
+  callId: string,
+  info: MeshCallInfo,
+  refusal: Refusal,
+  at: number,
+  emit: MeshEmit,
+): void {
+  emit({kind: 'count', counter: 'call_refused', reason: refusal.reason});
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'entry',
+    message: 'Call refused.',
+    fields: {
+      requestId: info.requestId,
+      reason: refusal.reason,
+      version: state.table?.version,
+      knowledgeAgeMs: getAgeMs(state, at),
+    },
+  });
+  emit({kind: 'answerCall', callId, result: refusal});
+}
+
+/**
+ * Sends an attempt to the best upstream that has not been tried.
+ * @returns False where none is left, or no time.
+ */
+export function trySend(
+  state: MeshState,
+  {at, entropy}: Stamp,
+  call: MeshCall,
+  emit: MeshEmit,
+): boolean {
+  const {route, service, tried} = call;
+  if (call.deadlineAt - at < MIN_ATTEMPT_MS || call.asked >= MAX_ASKED) {
+    return false;
+  }
+  const instance = chooseInstance(state, service, route, tried, at, entropy);
+  if (instance === undefined) {
+    return false;
+  }
+  call.asked += 1;
+  tried.add(instance.id);
+  const address = getLinkAddress(state, instance);
+  const to = address === state.settings.address ? undefined : address;
+  const attempt = createAttempt(state, call, instance.id, at);
+  const {attemptId} = attempt;
+  const sent = {attemptId, instanceId: instance.id, to, sentAt: at};
+  call.underWay.set(attemptId, sent);
+  state.callByAttempt.set(attemptId, call);
+  getLoad(state.loads, instance.id).ownAttempts += 1;
+  emit({kind: 'sendAttempt', callId: call.callId, to, attempt});
+  return true;
+}
+
+function createAttempt(
+  state: MeshState,
+  call: MeshCall,
+  instanceId: string,
+  at: number,
+): MeshAttempt {
+  const {route, info} = call;
+  return {
+    attemptId: `${call.callId}.${call.tried.size}`,
+    requestId: info.requestId,
+    service: call.service,
+    instanceId,
+    route: route.name,
+    callerService: state.settings.service,
+    idempotent: route.idempotent,
+    priority: route.priority,
+    aimMs: call.arrivedAt + route.aimMs - at,
+    timeoutMs: call.deadlineAt - at,
+    routeAimMs: route.aimMs,
+    fingerprint: info.fingerprint,
+  };
+}
+
+/** Detaches an attempt from its call. */
+export function endSent(
+  state: MeshState,
+  attemptId: string,
+): {readonly call: MeshCall; readonly sent: SentAttempt} | undefined {
+  const call = state.callByAttempt.get(attemptId);
+  const sent = call?.underWay.get(attemptId);
+  if (call === undefined || sent === undefined) {
+    return undefined;
+  }
+  state.callByAttempt.delete(attemptId);
+  call.underWay.delete(attemptId);
+  const load = getLoad(state.loads, sent.instanceId);
+  load.ownAttempts = Math.max(0, load.ownAttempts - 1);
+  return {call, sent};
+}
+
+/** Breaks off what is still under way for a call. */
+export function cancelUnderWay(
+  state: MeshState,
+  call: MeshCall,
+  emit: MeshEmit,
+): void {
+  for (const attemptId of [...call.underWay.keys()]) {
+    endSent(state, attemptId);
+    emit({kind: 'cancelAttempt', attemptId});
+  }
+}
+
+/** Gives a call the upstream's answer. */
+export function answerMeshCall(
+  state: MeshState,
+  call: MeshCall,
+  answer: Answer,
+  sent: SentAttempt,
+  at: number,
+  emit: MeshEmit,
+): void {
+  cancelUnderWay(state, call, emit);
+  state.calls.delete(call.callId);
+  state.lastWorkAt = at;
+  emit({kind: 'answerCall', callId: call.callId, result: answer});
+  emit({
+    kind: 'count',
+    counter: 'call_answered',
+    reason: `${Math.floor(answer.status / 100)}xx`,
+  });
+  const tookMs = at - call.arrivedAt;
+  emit({kind: 'observe', histogram: 'call_seconds', seconds: tookMs / 1_000});
+  logCall(state, call, 'Call answered.', at, emit, {
+    status: answer.status,
+    instance: sent.instanceId,
+  });
+}
+
+/** Gives a call its refusal. */
+export function refuseCall(
+  state: MeshState,
+  call: MeshCall,
+  refusal: Refusal,
+  {at, entropy}: Stamp,
+  emit: MeshEmit,
+): void {
+  cancelUnderWay(state, call, emit);
+  state.calls.delete(call.callId);
+  state.lastWorkAt = at;
+  const honest = call.mayHaveRun ? weakenLost(refusal) : refusal;
+  const result = spreadRetryAfter(honest, entropy);
+  emit({kind: 'answerCall', callId: call.callId, result});
+  emit({kind: 'count', counter: 'call_refused', reason: result.reason});
+  logCall(state, call, 'Call refused.', at, emit, {
+    reason: result.reason,
+    outcome: result.outcome,
+    retryAfterMs: result.retryAfterMs,
+  });
+}
+
+/** A status that promises `not run` must not be given to what may have run. */
+function weakenLost(refusal: Refusal): Refusal {
+  if (refusal.outcome === 'unknown') {
+    return refusal;
+  }
+  return weakenToUnknown(createRefusal('attempt_lost'));
+}
+
+function spreadRetryAfter(refusal: Refusal, entropy: number): Refusal {
+  const {retryAfterMs} = refusal;
+  if (retryAfterMs === undefined) {
+    return refusal;
+  }
+  const factor = 1 + RETRY_AFTER_SPREAD * (entropy / 2 ** 32);
+  return {...refusal, retryAfterMs: Math.round(retryAfterMs * factor)};
+}
+
+function logCall(
+  state: MeshState,
+  call: MeshCall,
+  message: string,
+  at: number,
+  emit: MeshEmit,
+  fields: Readonly<Record<string, string | number | undefined>>,
+): void {
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'entry',
+    message,
+    fields: {
+      requestId: call.info.requestId,
+      route: call.route.name,
+      service: call.service,
+      version: call.version,
+      asked: call.asked,
+      reached: call.reached,
+      tookMs: Math.round(at - call.arrivedAt),
+      knowledgeAgeMs: getAgeMs(state, at),
+      ...fields,
+    },
+  });
+}
+
+/** Forgets a call whose caller went away, and stops its work. */
+export function dropMeshCall(
+  state: MeshState,
+  callId: string,
+  at: number,
+  emit: MeshEmit,
+): void {
+  const call = state.calls.get(callId);
+  if (call === undefined) {
+    return;
+  }
+  cancelUnderWay(state, call, emit);
+  state.calls.delete(callId);
+  emit({kind: 'count', counter: 'call_refused', reason: 'call_cancelled'});
+  logCall(state, call, 'Caller left before its answer.', at, emit, {});
+}
--- /dev/null
+++ b/src/core/mesh/call_results.ts
@@ -0,0 +1,260 @@
+/** Takes the ends of attempts: answers, asks another owner, or refuses. */
+import {
+  getLoad,
+  noteDown,
+  noteFailure,
+  noteReport,
+  noteSuccess,
+} from '../entry/load_view.js';
+import {Refusal, createRefusal} from '../refusals.js';
+import {Answer} from '../types.js';
+import {
+  answerMeshCall,
+  MAX_ASKED,
+  cancelUnderWay,
+  endSent,
+  refuseCall,
+  trySend,
+} from './call_flow.js';
+import {MeshCall, SentAttempt} from './mesh_calls.js';
+import {MeshState} from './mesh_state.js';
+import {AttemptOutcome, MeshEmit, MeshEvent} from './mesh_types.js';
+import {trySpendRetry} from './retry_tokens.js';
+
+type Stamp = Pick<MeshEvent, 'at' | 'entropy'>;
+
+/** First status by which an upstream says that it failed. */
+const SERVER_ERROR = 500;
+
+/** Weight of one answer in the moving average of a route's time to answer. */
+const ANSWER_WEIGHT = 0.1;
+
+/**
+ * A call that may run twice is sent to a second upstream when its first has
+ * taken this multiple of the route's usual time: its answer may be lost.
+ */
+const HEDGE_FACTOR = 2.2;
+const HEDGE_MIN_MS = 60;
+
+/** Share of the retry budget that hedging leaves for known failures. */
+const HEDGE_RESERVE_TOKENS = 2;
+
+/** Takes an owner's result for an attempt. */
+export function takeOutcome(
+  state: MeshState,
+  stamp: Stamp,
+  attemptId: string,
+  outcome: AttemptOutcome,
+  emit: MeshEmit,
+): void {
+  const ended = endSent(state, attemptId);
+  if (ended === undefined) {
+    return;
+  }
+  const {call, sent} = ended;
+  const {result, reachedUpstream} = outcome;
+  const load = getLoad(state.loads, sent.instanceId);
+  noteReport(load, outcome.load, stamp.at);
+  if (reachedUpstream) {
+    call.reached += 1;
+  }
+  if (result.kind === 'answer') {
+    noteSuccess(load);
+    takeAnswer(state, stamp, call, sent, result, emit);
+    return;
+  }
+  if (result.reason === 'upstream_down') {
+    noteDown(load, stamp.at);
+  }
+  takeRefusal(state, stamp, call, result, reachedUpstream, emit);
+}
+
+function takeAnswer(
+  state: MeshState,
+  stamp: Stamp,
+  call: MeshCall,
+  sent: SentAttempt,
+  answer: Answer,
+  emit: MeshEmit,
+): void {
+  const {at} = stamp;
+  const failed = answer.status >= SERVER_ERROR;
+  if (failed && call.route.idempotent) {
+    call.mayHaveRun = true;
+    if (call.underWay.size > 0) {
+      return;
+    }
+    if (trySecond(state, stamp, call, 'upstream_error', 0, emit)) {
+      return;
+    }
+  }
+  if (!failed) {
+    learnAnswerMs(state, call.route.name, at - sent.sentAt);
+  }
+  answerMeshCall(state, call, answer, sent, at, emit);
+}
+
+function learnAnswerMs(state: MeshState, route: string, tookMs: number): void {
+  const known = state.answerMs.get(route) ?? tookMs;
+  state.answerMs.set(route, known + ANSWER_WEIGHT * (tookMs - known));
+}
+
+function takeRefusal(
+  state: MeshState,
+  stamp: Stamp,
+  call: MeshCall,
+  refusal: Refusal,
+  reachedUpstream: boolean,
+  emit: MeshEmit,
+): void {
+  const unknown = refusal.outcome === 'unknown';
+  if (unknown) {
+    call.mayHaveRun = true;
+  }
+  if (call.underWay.size > 0) {
+    return;
+  }
+  const mayRepeat = call.route.idempotent || !call.mayHaveRun;
+  if (!mayRepeat || refusal.reason === 'crash_suspected') {
+    refuseCall(state, call, refusal, stamp, emit);
+    return;
+  }
+  if (!reachedUpstream && !unknown) {
+    takeUnreached(state, stamp, call, refusal, emit);
+    return;
+  }
+  if (!trySecond(state, stamp, call, refusal.reason, 0, emit)) {
+    refuseCall(state, call, refusal, stamp, emit);
+  }
+}
+
+/** No upstream has seen it, so asking the next owner costs no budget. */
+function takeUnreached(
+  state: MeshState,
+  stamp: Stamp,
+  call: MeshCall,
+  refusal: Refusal,
+  emit: MeshEmit,
+): void {
+  call.lastRefusal = pickRefusal(call, refusal);
+  if (trySend(state, stamp, call, emit)) {
+    emit({kind: 'count', counter: 'call_retried', reason: refusal.reason});
+    return;
+  }
+  refuseCall(state, call, call.lastRefusal, stamp, emit);
+}
+
+/** Of several full owners, the one that has room first tells the wait. */
+function pickRefusal(call: MeshCall, refusal: Refusal): Refusal {
+  const before = call.lastRefusal?.retryAfterMs;
+  const {retryAfterMs} = refusal;
+  if (call.asked <= 1 || before === undefined || retryAfterMs === undefined) {
+    return refusal;
+  }
+  return {...refusal, retryAfterMs: Math.min(before, retryAfterMs)};
+}
+
+/** Sends a call to a second upstream where its route and the budget allow. */
+function trySecond(
+  state: MeshState,
+  stamp: Stamp,
+  call: MeshCall,
+  reason: string,
+  reserve: number,
+  emit: MeshEmit,
+): boolean {
+  const {retries, settings, fleet} = state;
+  const reached = Math.max(call.reached, call.underWay.size);
+  if (reached >= call.route.attempts) {
+    emit({kind: 'count', counter: 'call_retried', reason: 'no_attempts_left'});
+    return false;
+  }
+  const proxies = fleet.instances.size;
+  const {at} = stamp;
+  if (!trySpendRetry(retries, settings, proxies, call.service, at, reserve)) {
+    emit({kind: 'count', counter: 'call_retried', reason: 'no_budget'});
+    return false;
+  }
+  // The owners that were asked in vain before leave room for this one.
+  call.asked = Math.min(call.asked, MAX_ASKED - 1);
+  const sent = trySend(state, stamp, call, emit);
+  emit({
+    kind: 'count',
+    counter: 'call_retried',
+    reason: sent ? reason : 'no_upstream',
+  });
+  return sent;
+}
+
+/** Takes the loss of an attempt on its way to or from the owner. */
+export function takeLoss(
+  state: MeshState,
+  stamp: Stamp,
+  attemptId: string,
+  wasSent: boolean,
+  emit: MeshEmit,
+): void {
+  const ended = endSent(state, attemptId);
+  if (ended === undefined) {
+    return;
+  }
+  const {call, sent} = ended;
+  const load = getLoad(state.loads, sent.instanceId);
+  if (!wasSent) {
+    noteDown(load, stamp.at);
+    const refusal = createRefusal('upstream_down');
+    takeRefusal(state, stamp, call, refusal, false, emit);
+    return;
+  }
+  noteFailure(load, stamp.at);
+  call.reached += 1;
+  takeRefusal(state, stamp, call, createRefusal('attempt_lost'), true, emit);
+}
+
+/** Ends calls whose time is up, and hedges those whose answer seems lost. */
+export function tickCalls(
+  state: MeshState,
+  stamp: Stamp,
+  emit: MeshEmit,
+): void {
+  for (const call of [...state.calls.values()]) {
+    if (stamp.at >= call.deadlineAt) {
+      endLate(state, stamp, call, emit);
+    } else {
+      hedgeIfSlow(state, stamp, call, emit);
+    }
+  }
+}
+
+function endLate(
+  state: MeshState,
+  stamp: Stamp,
+  call: MeshCall,
+  emit: MeshEmit,
+): void {
+  const mayRun = call.mayHaveRun || call.underWay.size > 0;
+  cancelUnderWay(state, call, emit);
+  const refusal = createRefusal(
+    mayRun ? 'attempt_timeout' : 'deadline_too_short',
+  );
+  refuseCall(state, call, refusal, stamp, emit);
+}
+
+function hedgeIfSlow(
+  state: MeshState,
+  stamp: Stamp,
+  call: MeshCall,
+  emit: MeshEmit,
+): void {
+  const [sent] = call.underWay.values();
+  if (!call.route.idempotent || call.underWay.size !== 1) {
+    return;
+  }
+  const usualMs = state.answerMs.get(call.route.name);
+  const waitMs = Math.max(HEDGE_MIN_MS, (usualMs ?? Infinity) * HEDGE_FACTOR);
+  const mayRepeat = call.reached + 1 < call.route.attempts;
+  if (stamp.at - sent.sentAt < waitMs || !mayRepeat) {
+    return;
+  }
+  trySecond(state, stamp, call, 'slow', HEDGE_RESERVE_TOKENS, emit);
+}
--- /dev/null
+++ b/src/core/mesh/choose_instance.ts
@@ -0,0 +1,152 @@
+/** Chooses the upstream of an attempt by the time until its answer. */
+import {Instance, MeshRoute} from '../../model/mesh.js';
+import {
+  UpstreamLoad,
+  getInFlight,
+  getLoad,
+  isEjected,
+} from '../entry/load_view.js';
+import {MeshState, getLinkAddress} from './mesh_state.js';
+import {getUsualRunMs} from './run_estimates.js';
+
+/**
+ * Time by which an upstream of another zone must be faster, as a share of the
+ * usual time to run: its bytes are paid for, and the way is longer.
+ */
+const OTHER_ZONE_SHARE = 0.35;
+
+/** Largest share of a service that evidence alone may exclude. */
+const MAX_EJECTED_SHARE = 0.5;
+
+/** How much slower an upstream gets from empty to full, by experience. */
+const FULL_SLOWDOWN = 0.25;
+
+/** Slowness that is assumed of an upstream that has just started. */
+const COLD_SLOWNESS = 2;
+
+/**
+ * Share of calls that go to an upstream of which nothing recent is known.
+ * Without them, one that looks slow at first would never get work again.
+ */
+const EXPLORE_SHARE = 0.03;
+
+/** Age of a load report from which an upstream counts as unknown. */
+const REPORT_STALE_MS = 3_000;
+
+/** Failure rates above this count like this one, to keep costs finite. */
+const MAX_FAILING = 0.9;
+
+/**
+ * Chooses an upstream.
+ * @param state - This proxy's state.
+ * @param service - The service.
+ * @param route - The call's route.
+ * @param tried - Instances that are not to be asked.
+ * @param at - Now, in milliseconds.
+ * @param entropy - A random unsigned 32-bit integer.
+ * @returns The instance, or undefined where none takes new work.
+ */
+export function chooseInstance(
+  state: MeshState,
+  service: string,
+  route: MeshRoute,
+  tried: ReadonlySet<string>,
+  at: number,
+  entropy: number,
+): Instance | undefined {
+  const all = state.fleet.takingByService.get(service) ?? [];
+  const candidates = getCandidates(state, all, tried, at);
+  if (candidates.length === 0) {
+    return undefined;
+  }
+  const unknown = findUnknown(state, candidates, at, entropy);
+  if (unknown !== undefined) {
+    return unknown;
+  }
+  const getCost = (instance: Instance) =>
+    getExpectedMs(state, instance, route, at);
+  const {chooser} = state.settings.policy;
+  const near = candidates.filter(({zone}) => zone === state.settings.zone);
+  const far = candidates.filter(({zone}) => zone !== state.settings.zone);
+  if (near.length === 0 || far.length === 0) {
+    return chooser.choose(candidates, getCost, entropy);
+  }
+  const best = chooser.choose(near, getCost, entropy);
+  const other = chooser.choose(far, getCost, entropy);
+  return getCost(other) < getCost(best) ? other : best;
+}
+
+/** Picks an upstream that is to be got to know, for a few of the calls. */
+function findUnknown(
+  state: MeshState,
+  candidates: readonly Instance[],
+  at: number,
+  entropy: number,
+): Instance | undefined {
+  if (entropy / 2 ** 32 >= EXPLORE_SHARE) {
+    return undefined;
+  }
+  const unknown = candidates.filter(
+    ({id}) => at - (state.loads.get(id)?.reportedAt ?? 0) > REPORT_STALE_MS,
+  );
+  return unknown[entropy % Math.max(1, unknown.length)];
+}
+
+function getCandidates(
+  state: MeshState,
+  all: readonly Instance[],
+  tried: ReadonlySet<string>,
+  at: number,
+): Instance[] {
+  const untried = all.filter(({id}) => !tried.has(id));
+  const staying = untried.filter(instance => !isStopping(state, instance, at));
+  const taking = staying.length > 0 ? staying : untried;
+  const up = taking.filter(
+    ({id}) => (state.loads.get(id)?.downUntil ?? 0) <= at,
+  );
+  const possible = up.length > 0 ? up : taking;
+  const isAvoided = ({id}: Instance) => {
+    const load = state.loads.get(id);
+    return load !== undefined && isEjected(load, at);
+  };
+  const healthy = possible.filter(instance => !isAvoided(instance));
+  // Evidence that condemns most of a service is more likely to be wrong.
+  const tooMany = healthy.length < all.length * (1 - MAX_EJECTED_SHARE);
+  return healthy.length > 0 && !tooMany ? healthy : possible;
+}
+
+/** Its proxy ends soon, although the upstream may live on. */
+function isStopping(state: MeshState, instance: Instance, at: number): boolean {
+  const address = getLinkAddress(state, instance);
+  if (address === state.settings.address) {
+    return state.stopRequestedAt !== undefined;
+  }
+  const leavingUntil = state.loads.get(instance.id)?.leavingUntil ?? 0;
+  return state.peers.get(address)?.leaving === true || leavingUntil > at;
+}
+
+/** Estimates the time until an answer, failures and distance included. */
+function getExpectedMs(
+  state: MeshState,
+  instance: Instance,
+  route: MeshRoute,
+  at: number,
+): number {
+  const load = getLoad(state.loads, instance.id);
+  const usualMs = getUsualRunMs(route.aimMs);
+  const runMs = usualMs * getSlowness(load, instance);
+  const requests = getInFlight(load, at);
+  const waiting = Math.max(0, requests + 1 - instance.slots);
+  const waitMs = (waiting / instance.slots) * runMs;
+  const fullness = Math.min(1, requests / instance.slots);
+  const failing = Math.min(MAX_FAILING, load.report?.failing ?? 0);
+  const answerMs =
+    (runMs * (1 + FULL_SLOWDOWN * fullness) + waitMs) / (1 - failing);
+  const isNear = instance.zone === state.settings.zone;
+  return answerMs + (isNear ? 0 : usualMs * OTHER_ZONE_SHARE);
+}
+
+function getSlowness(load: UpstreamLoad, instance: Instance): number {
+  const unknown = instance.coldMs > 0 ? COLD_SLOWNESS : 1;
+  return load.report?.slowness ?? unknown;
+}
--- /dev/null
+++ b/src/core/mesh/mesh_core.ts
@@ -0,0 +1,325 @@
+/**
+ * The root reducer of a proxy whose upstreams register themselves: hands each
+ * event to the parts that it concerns and collects their effects. The state
+ * is owned: the object passed in is changed and returned.
+ */
+import {getLoad, noteDown, noteSuccess} from '../entry/load_view.js';
+import {expireSuspects, mergeSuspect} from '../owner/crash_suspects.js';
+import {createRefusal} from '../refusals.js';
+import {assertNever} from '../types.js';
+import {acceptMeshCall, dropMeshCall, refuseCall} from './call_flow.js';
+import {takeLoss, takeOutcome, tickCalls} from './call_results.js';
+import {MeshState, getLinkAddress, getOwnInstance} from './mesh_state.js';
+import {MeshEffect, MeshEmit, MeshEvent} from './mesh_types.js';
+import {
+  acceptMeshAttempt,
+  cancelMeshAttempt,
+  tickMeshOwner,
+} from './owner_flow.js';
+import {
+  takeConnectProbe,
+  takeRunAnswer,
+  takeRunFailure,
+} from './owner_results.js';
+import {getZonePeers} from './news_tree.js';
+import {
+  answerPull,
+  pullFrom,
+  readConfigIfMissing,
+  readSourceIfDue,
+  removeLapsed,
+  takePeerNews,
+  takePeerState,
+  takeSourceAnswer,
+  takeSourceFailure,
+} from './spreading.js';
+
+/**
+ * Time that a stopping proxy goes on taking work: the platform asks every
+ * second whether it is ready and stops sending callers after two misses.
+ */
+const STOP_SERVE_MS = 2_600;
+
+/** Quiet time after which a stopping proxy may end, in milliseconds. */
+const STOP_QUIET_MS = 500;
+
+/** Time before the end of the grace period at which calls are given up. */
+const STOP_RESERVE_MS = 350;
+
+/**
+ * Reduces one event.
+ * @param state - The proxy's state; only the returned one may be used again.
+ * @param event - The event.
+ * @returns The next state and the effects to carry out, in order.
+ */
+export function reduceMesh(
+  state: MeshState,
+  event: MeshEvent,
+): readonly [MeshState, readonly MeshEffect[]] {
+  const effects: MeshEffect[] = [];
+  reduceEvent(state, event, effect => {
+    effects.push(effect);
+  });
+  return [state, effects];
+}
+
+function reduceEvent(state: MeshState, event: MeshEvent, emit: MeshEmit): void {
+  const {at, entropy} = event;
+  switch (event.kind) {
+    case 'started':
+      return readSourceIfDue(state, at, entropy, emit);
+    case 'tick':
+      return reduceTick(state, event, emit);
+    case 'sourceAnswered':
+      return reduceSourceAnswered(state, event, emit);
+    case 'sourceFailed':
+      return takeSourceFailure(state, event, emit);
+    case 'linkOpened':
+      return greet(state, event.address, emit);
+    case 'linkClosed':
+      return reduceLinkClosed(state, event.address, emit);
+    case 'messageReceived':
+      return reduceMessage(state, event, emit);
+    case 'callArrived':
+      return acceptMeshCall(state, event, event.callId, event.call, emit);
+    case 'callerGone':
+      return dropMeshCall(state, event.callId, at, emit);
+    case 'attemptEnded':
+      return takeOutcome(state, event, event.attemptId, event.outcome, emit);
+    case 'attemptLost':
+      return takeLoss(state, event, event.attemptId, event.sent, emit);
+    case 'attemptArrived':
+      return acceptMeshAttempt(state, at, event.attempt, emit);
+    case 'attemptCancelled':
+      return cancelMeshAttempt(state, at, event.attemptId, emit);
+    case 'upstreamAnswered':
+      return takeRunAnswer(
+        state,
+        at,
+        event.attemptId,
+        event.answer,
+        event.facts,
+        emit,
+      );
+    case 'upstreamFailed':
+      return takeRunFailure(state, at, event.attemptId, event.failure, emit);
+    case 'connectProbed':
+      return takeConnectProbe(state, at, event.accepted, emit);
+    case 'stopRequested':
+      return reduceStop(state, at, emit);
+    default:
+      return assertNever(event);
+  }
+}
+
+function reduceTick(state: MeshState, event: MeshEvent, emit: MeshEmit): void {
+  const {at, entropy} = event;
+  readSourceIfDue(state, at, entropy, emit);
+  readConfigIfMissing(state, at, emit);
+  removeLapsed(state, at, emit);
+  expireSuspects(state.suspects, at);
+  tickMeshOwner(state, at, emit);
+  tickCalls(state, event, emit);
+  endStopIfDue(state, event, emit);
+}
+
+function reduceSourceAnswered(
+  state: MeshState,
+  event: Extract<MeshEvent, {kind: 'sourceAnswered'}>,
+  emit: MeshEmit,
+): void {
+  const wasUnknown = state.fleet.revision === 0;
+  takeSourceAnswer(state, event, emit);
+  if (wasUnknown && state.fleet.revision > 0) {
+    // An open link lets peers tell this proxy what they learn, also where no
+    // upstream is registered beside it.
+    getZonePeers(state).forEach(address => greet(state, address, emit));
+  }
+}
+
+function greet(state: MeshState, to: string, emit: MeshEmit): void {
+  const {address, zone, startedAt: incarnation} = state.settings;
+  emit({
+    kind: 'sendMessage',
+    to,
+    message: {
+      kind: 'hello',
+      address,
+      zone,
+      incarnation,
+      version: state.config?.version ?? 0,
+      revision: state.fleet.revision,
+      leaving: state.stopRequestedAt !== undefined,
+    },
+  });
+}
+
+function reduceLinkClosed(
+  state: MeshState,
+  address: string,
+  emit: MeshEmit,
+): void {
+  const known = state.peers.delete(address);
+  emit({kind: 'count', counter: 'link_changed', reason: 'closed'});
+  if (known) {
+    emit({
+      kind: 'log',
+      level: 'info',
+      part: 'daemon',
+      message: 'Link to peer closed.',
+      fields: {address},
+    });
+  }
+}
+
+function reduceMessage(
+  state: MeshState,
+  event: Extract<MeshEvent, {kind: 'messageReceived'}>,
+  emit: MeshEmit,
+): void {
+  const {at, from, message} = event;
+  emit({kind: 'count', counter: 'peer_message', reason: message.kind});
+  switch (message.kind) {
+    case 'hello':
+      return takeHello(state, from, message, emit);
+    case 'news':
+      return takePeerNews(state, event, message, emit);
+    case 'pull':
+      return answerPull(state, from, message, at, emit);
+    case 'state':
+      return takePeerState(state, event, message, emit);
+    case 'suspects':
+      return message.suspects.forEach(info =>
+        mergeSuspect(state.suspects, info),
+      );
+    case 'leaving':
+      return noteLeaving(state, from, emit);
+    case 'upstreamState':
+      return takeUpstreamState(state, at, message.instanceId, message.up);
+    case 'cancel':
+    case 'resume':
+    case 'refusal':
+      // The transport deals with these.
+      return;
+    default:
+      return assertNever(message);
+  }
+}
+
+function takeHello(
+  state: MeshState,
+  from: string,
+  hello: Extract<
+    Extract<MeshEvent, {kind: 'messageReceived'}>['message'],
+    {kind: 'hello'}
+  >,
+  emit: MeshEmit,
+): void {
+  const {zone, incarnation, leaving} = hello;
+  state.peers.set(from, {zone, incarnation, leaving});
+  forgetFailures(state, from);
+  emit({kind: 'count', counter: 'link_changed', reason: 'opened'});
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'daemon',
+    message: 'Link to peer opened.',
+    fields: {address: from, zone, incarnation, version: hello.version},
+  });
+  const isAhead =
+    hello.version > (state.config?.version ?? 0) ||
+    hello.revision > state.fleet.revision;
+  if (isAhead) {
+    pullFrom(state, from, emit);
+  }
+}
+
+/** A proxy that opens a link is up, whatever was seen of it before. */
+function forgetFailures(state: MeshState, address: string): void {
+  for (const instance of state.fleet.instances.values()) {
+    if (getLinkAddress(state, instance) === address) {
+      const load = getLoad(state.loads, instance.id);
+      noteSuccess(load);
+      load.leavingUntil = 0;
+    }
+  }
+}
+
+/** Spares each entry from finding out by a request of its own. */
+function takeUpstreamState(
+  state: MeshState,
+  at: number,
+  instanceId: string,
+  up: boolean,
+): void {
+  const load = getLoad(state.loads, instanceId);
+  if (up) {
+    noteSuccess(load);
+  } else {
+    noteDown(load, at);
+  }
+}
+
+function noteLeaving(state: MeshState, from: string, emit: MeshEmit): void {
+  const peer = state.peers.get(from);
+  if (peer !== undefined) {
+    peer.leaving = true;
+  }
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'fleet',
+    message: 'Peer is stopping; sending its upstream no new work.',
+    fields: {address: from},
+  });
+}
+
+function reduceStop(state: MeshState, at: number, emit: MeshEmit): void {
+  if (state.stopRequestedAt !== undefined) {
+    return;
+  }
+  state.stopRequestedAt = at;
+  const {address} = state.settings;
+  for (const to of state.peers.keys()) {
+    emit({kind: 'sendMessage', to, message: {kind: 'leaving', address}});
+  }
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'daemon',
+    message: 'Planned stop begins.',
+    fields: {
+      calls: state.calls.size,
+      running: state.work.running.size,
+      instance: getOwnInstance(state)?.id,
+    },
+  });
+}
+
+/** Ends a planned stop once nothing arrives and nothing is under way. */
+function endStopIfDue(
+  state: MeshState,
+  event: MeshEvent,
+  emit: MeshEmit,
+): void {
+  const {stopRequestedAt, work, calls, settings} = state;
+  if (stopRequestedAt === undefined || state.stopped) {
+    return;
+  }
+  const {at} = event;
+  const sinceMs = at - stopRequestedAt;
+  const idle =
+    calls.size === 0 && work.running.size === 0 && work.queue.length === 0;
+  const quiet = at - state.lastWorkAt >= STOP_QUIET_MS;
+  const isOver = sinceMs >= settings.graceMs - STOP_RESERVE_MS;
+  if (isOver) {
+    for (const call of [...calls.values()]) {
+      call.mayHaveRun ||= call.underWay.size > 0;
+      refuseCall(state, call, createRefusal('proxy_stopping'), event, emit);
+    }
+  }
+  if (isOver || (sinceMs >= STOP_SERVE_MS && idle && quiet)) {
+    state.stopped = true;
+    emit({kind: 'stopped'});
+  }
+}
--- /dev/null
+++ b/src/core/mesh/mesh_types.ts
@@ -0,0 +1,216 @@
+/**
+ * Events that reach the core of a fleet of self-registering upstreams, and the
+ * effects that it asks for: closed unions told apart by `kind`.
+ */
+import {
+  FleetNews,
+  Instance,
+  LinkMessage,
+  MeshAttempt,
+  MeshConfig,
+} from '../../model/mesh.js';
+import {LoadReport} from '../../model/peer.js';
+import {Refusal} from '../refusals.js';
+import {Answer, FailureKind} from '../types.js';
+
+/** A caller's request, as far as decisions need it. */
+export interface MeshCallInfo {
+  readonly requestId: string;
+  readonly host: string;
+  readonly path: string;
+  /** Time that the caller still allows, in milliseconds. */
+  readonly timeoutMs?: number;
+  /** Hash of method, path and body. */
+  readonly fingerprint: string;
+}
+
+/** What a read of the source brought. */
+export type SourceAnswer =
+  | {
+      /** Everything that is registered now. */
+      readonly kind: 'listing';
+      readonly revision: number;
+      readonly instances: readonly Instance[];
+      readonly config?: MeshConfig;
+    }
+  | {
+      /** What changed after the revision that was asked for. */
+      readonly kind: 'changes';
+      readonly revision: number;
+      readonly changed: readonly Instance[];
+      readonly removed: readonly string[];
+      readonly config?: MeshConfig;
+    }
+  /** The changes asked for are no longer available. */
+  | {readonly kind: 'compacted'};
+
+export type SourceRequest =
+  | {readonly kind: 'list'; readonly withConfig: boolean}
+  | {readonly kind: 'changes'; readonly after: number};
+
+/** What an attempt came to at its owner. */
+export interface AttemptOutcome {
+  readonly result: Answer | Refusal;
+  readonly reachedUpstream: boolean;
+  readonly load?: LoadReport;
+}
+
+/** How dispatching to the upstream failed. */
+export type DispatchFailure = FailureKind | 'foreign-answer';
+
+/** What the upstream's answer says beside its content. */
+export interface AnswerFacts {
+  /** The upstream says that it did not run the request. */
+  readonly notRun: boolean;
+  /** Another instance has the address. */
+  readonly otherInstance: boolean;
+  /** The upstream closes the connection. */
+  readonly closing: boolean;
+}
+
+export type MeshEventBody =
+  | {readonly kind: 'started'}
+  | {readonly kind: 'tick'}
+  | {
+      readonly kind: 'sourceAnswered';
+      readonly request: SourceRequest;
+      readonly answer: SourceAnswer;
+    }
+  | {readonly kind: 'sourceFailed'; readonly detail: string}
+  | {readonly kind: 'linkOpened'; readonly address: string}
+  | {readonly kind: 'linkClosed'; readonly address: string}
+  | {
+      readonly kind: 'messageReceived';
+      readonly from: string;
+      readonly message: Exclude<
+        LinkMessage,
+        {kind: 'attempt' | 'answer' | 'ping' | 'pong'}
+      >;
+      /** The configuration that a `state` message carried. */
+      readonly config?: MeshConfig;
+    }
+  | {
+      readonly kind: 'callArrived';
+      readonly callId: string;
+      readonly call: MeshCallInfo;
+    }
+  | {readonly kind: 'callerGone'; readonly callId: string}
+  | {
+      readonly kind: 'attemptEnded';
+      readonly attemptId: string;
+      readonly outcome: AttemptOutcome;
+    }
+  | {
+      /** The link broke and could not be replaced, or nothing was sent. */
+      readonly kind: 'attemptLost';
+      readonly attemptId: string;
+      readonly sent: boolean;
+    }
+  | {readonly kind: 'attemptArrived'; readonly attempt: MeshAttempt}
+  | {readonly kind: 'attemptCancelled'; readonly attemptId: string}
+  | {
+      readonly kind: 'upstreamAnswered';
+      readonly attemptId: string;
+      readonly answer: Answer;
+      readonly facts: AnswerFacts;
+    }
+  | {
+      readonly kind: 'upstreamFailed';
+      readonly attemptId: string;
+      readonly failure: DispatchFailure;
+    }
+  | {readonly kind: 'connectProbed'; readonly accepted: boolean}
+  | {readonly kind: 'stopRequested'};
+
+export type MeshEvent = {
+  /** Milliseconds on a clock that never runs backwards. */
+  readonly at: number;
+  /** A random unsigned 32-bit integer. */
+  readonly entropy: number;
+} & MeshEventBody;
+
+export type MeshPart =
+  'config' | 'source' | 'fleet' | 'entry' | 'owner' | 'crash' | 'daemon';
+
+export type MeshCounter =
+  | 'call_refused'
+  | 'call_retried'
+  | 'call_answered'
+  | 'attempt_refused'
+  | 'source_call'
+  | 'version_adopted'
+  | 'update_ignored'
+  | 'instance_changed'
+  | 'peer_message'
+  | 'crash_suspected'
+  | 'upstream_failed'
+  | 'link_changed';
+
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+export type MeshEffect =
+  | {readonly kind: 'readSource'; readonly request: SourceRequest}
+  | {
+      readonly kind: 'sendMessage';
+      readonly to: string;
+      readonly message: LinkMessage;
+      /** Sent, compressed, with a `state` message. */
+      readonly config?: MeshConfig;
+    }
+  | {
+      readonly kind: 'sendAttempt';
+      readonly callId: string;
+      /** The owner's link address, or undefined for this proxy's own. */
+      readonly to?: string;
+      readonly attempt: MeshAttempt;
+    }
+  | {readonly kind: 'cancelAttempt'; readonly attemptId: string}
+  | {
+      readonly kind: 'answerCall';
+      readonly callId: string;
+      readonly result: Answer | Refusal;
+    }
+  | {
+      readonly kind: 'dispatch';
+      readonly attemptId: string;
+      readonly instanceId: string;
+      readonly timeoutMs: number;
+      /** It must not be lost with a connection that may have gone stale. */
+      readonly idempotent: boolean;
+    }
+  | {readonly kind: 'abortDispatch'; readonly attemptId: string}
+  | {
+      readonly kind: 'finishAttempt';
+      readonly attemptId: string;
+      readonly outcome: AttemptOutcome;
+    }
+  | {readonly kind: 'probeConnect'}
+  /** Another process took over the upstream's address. */
+  | {readonly kind: 'dropUpstreamConnections'}
+  | {readonly kind: 'configAdopted'; readonly config: MeshConfig}
+  | {readonly kind: 'stopped'}
+  | {
+      readonly kind: 'count';
+      readonly counter: MeshCounter;
+      readonly reason: string;
+    }
+  | {
+      readonly kind: 'observe';
+      readonly histogram: 'call_seconds' | 'run_seconds' | 'wait_seconds';
+      readonly seconds: number;
+    }
+  | {
+      readonly kind: 'log';
+      readonly level: 'info' | 'warn' | 'error';
+      readonly part: MeshPart;
+      readonly message: string;
+      readonly fields: LogFields;
+    };
+
+/** Collects the effects of one event, in order. */
+export type MeshEmit = (effect: MeshEffect) => void;
+
+/** Fleet news that a proxy passes on. */
+export type News = FleetNews;
--- /dev/null
+++ b/src/core/mesh/owner_flow.ts
@@ -0,0 +1,231 @@
+/** The owner role: alone decides what the upstream beside it runs. */
+import {Instance, MeshAttempt} from '../../model/mesh.js';
+import {LoadReport} from '../../model/peer.js';
+import {isQuarantined, isSuspect} from '../owner/crash_suspects.js';
+import {Refusal, createRefusal} from '../refusals.js';
+import {MeshState, getOwnInstance} from './mesh_state.js';
+import {AttemptOutcome, MeshEmit} from './mesh_types.js';
+import {tryStartProbe} from './upstream_health.js';
+import {
+  QueuedAttempt,
+  countUsedSlots,
+  getRetryAfterMs,
+  removeHopeless,
+  removeWaiting,
+  tryQueue,
+  tryStart,
+} from './work_queue.js';
+
+/** Wait advised where the upstream is down or leaving. */
+const DOWN_RETRY_AFTER_MS = 400;
+
+/** Slots assumed of an upstream that this proxy does not see registered. */
+const UNREGISTERED_SLOTS = 1;
+
+/** Takes, queues or refuses an attempt. */
+export function acceptMeshAttempt(
+  state: MeshState,
+  at: number,
+  attempt: MeshAttempt,
+  emit: MeshEmit,
+): void {
+  state.lastWorkAt = at;
+  const refusal = findRefusal(state, at, attempt);
+  if (refusal !== undefined) {
+    refuseAttempt(state, at, attempt, refusal, emit);
+    return;
+  }
+  const arriving: QueuedAttempt = {
+    attempt,
+    arrivedAt: at,
+    aimAt: at + attempt.aimMs,
+    deadlineAt: at + attempt.timeoutMs,
+    suspect: isSuspect(state.suspects, attempt.fingerprint),
+  };
+  const {work, estimates} = state;
+  const slots = getSlots(getOwnInstance(state));
+  const full = tryQueue(work, estimates, slots, arriving, at);
+  if (full !== undefined) {
+    const {reason, retryAfterMs} = full;
+    const refused = createRefusal(reason, retryAfterMs);
+    refuseAttempt(state, at, attempt, refused, emit);
+    return;
+  }
+  startWaiting(state, at, emit);
+}
+
+function findRefusal(
+  state: MeshState,
+  at: number,
+  attempt: MeshAttempt,
+): Refusal | undefined {
+  const {health, suspects} = state;
+  const own = getOwnInstance(state);
+  const isOther = own !== undefined && own.id !== attempt.instanceId;
+  if (isOther || health.otherThan === attempt.instanceId) {
+    return createRefusal('wrong_home', DOWN_RETRY_AFTER_MS);
+  }
+  if (own?.state === 'draining') {
+    return createRefusal('upstream_leaving', DOWN_RETRY_AFTER_MS);
+  }
+  if (isQuarantined(suspects, attempt.fingerprint, at)) {
+    return createRefusal('crash_suspected', state.settings.quarantineMs);
+  }
+  if (health.down) {
+    return createRefusal('upstream_down', DOWN_RETRY_AFTER_MS);
+  }
+  return undefined;
+}
+
+function getSlots(own: Instance | undefined): number {
+  return own?.slots ?? UNREGISTERED_SLOTS;
+}
+
+/** Describes this owner's load for entries. */
+export function getMeshLoad(state: MeshState, at: number): LoadReport {
+  const {work, estimates, health} = state;
+  const own = getOwnInstance(state);
+  return {
+    running: countUsedSlots(work, estimates, at),
+    queued: work.queue.length,
+    slots: getSlots(own),
+    leaving:
+      own?.state === 'draining' ||
+      health.otherThan !== undefined ||
+      state.stopRequestedAt !== undefined,
+    slowness: round(estimates.slowness),
+    failing: round(estimates.failing),
+  };
+}
+
+/** Two digits are enough for a choice, and cost fewer bytes. */
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+export function finishMeshAttempt(
+  state: MeshState,
+  at: number,
+  attemptId: string,
+  outcome: Omit<AttemptOutcome, 'load'>,
+  emit: MeshEmit,
+): void {
+  const load = getMeshLoad(state, at);
+  emit({kind: 'finishAttempt', attemptId, outcome: {...outcome, load}});
+}
+
+/** Refuses an attempt that the upstream has not seen. */
+export function refuseAttempt(
+  state: MeshState,
+  at: number,
+  attempt: MeshAttempt,
+  refusal: Refusal,
+  emit: MeshEmit,
+): void {
+  emit({kind: 'count', counter: 'attempt_refused', reason: refusal.reason});
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'owner',
+    message: 'Attempt refused.',
+    fields: {
+      requestId: attempt.requestId,
+      attemptId: attempt.attemptId,
+      reason: refusal.reason,
+      retryAfterMs: refusal.retryAfterMs,
+      queued: state.work.queue.length,
+      running: state.work.running.size,
+      slowness: round(state.estimates.slowness),
+      revision: state.fleet.revision,
+    },
+  });
+  const {attemptId} = attempt;
+  const outcome = {result: refusal, reachedUpstream: false};
+  finishMeshAttempt(state, at, attemptId, outcome, emit);
+}
+
+/** Dispatches waiting attempts while slots are free. */
+export function startWaiting(
+  state: MeshState,
+  at: number,
+  emit: MeshEmit,
+): void {
+  const {work, estimates, health} = state;
+  refuseHopeless(state, at, emit);
+  const own = getOwnInstance(state);
+  if (own?.state === 'draining') {
+    return refuseQueue(state, at, 'upstream_leaving', emit);
+  }
+  if (health.down) {
+    return refuseQueue(state, at, 'upstream_down', emit);
+  }
+  for (;;) {
+    const id = own?.id ?? work.queue[0]?.attempt.instanceId ?? '';
+    const next = tryStart(work, estimates, getSlots(own), id, at);
+    if (next === undefined) {
+      return;
+    }
+    const {attemptId, instanceId, idempotent} = next.attempt;
+    if (own !== undefined && own.id !== instanceId) {
+      work.running.delete(attemptId);
+      const refusal = createRefusal('wrong_home', DOWN_RETRY_AFTER_MS);
+      refuseAttempt(state, at, next.attempt, refusal, emit);
+      continue;
+    }
+    const timeoutMs = next.deadlineAt - at;
+    const waitedSeconds = (at - next.arrivedAt) / 1_000;
+    emit({kind: 'dispatch', attemptId, instanceId, timeoutMs, idempotent});
+    emit({kind: 'observe', histogram: 'wait_seconds', seconds: waitedSeconds});
+  }
+}
+
+function refuseHopeless(state: MeshState, at: number, emit: MeshEmit): void {
+  for (const {attempt} of removeHopeless(state.work, state.estimates, at)) {
+    const retryAfterMs = getRetryAfterMs(0);
+    const refusal = createRefusal('deadline_too_short', retryAfterMs);
+    refuseAttempt(state, at, attempt, refusal, emit);
+  }
+}
+
+/** Refuses all that waits, so that entries place it elsewhere at once. */
+export function refuseQueue(
+  state: MeshState,
+  at: number,
+  reason: 'upstream_leaving' | 'upstream_down' | 'wrong_home',
+  emit: MeshEmit,
+): void {
+  for (const {attempt} of state.work.queue.splice(0)) {
+    const refusal = createRefusal(reason, DOWN_RETRY_AFTER_MS);
+    refuseAttempt(state, at, attempt, refusal, emit);
+  }
+}
+
+/** Stops an attempt that its entry no longer waits for. */
+export function cancelMeshAttempt(
+  state: MeshState,
+  at: number,
+  attemptId: string,
+  emit: MeshEmit,
+): void {
+  if (removeWaiting(state.work, attemptId) !== undefined) {
+    emit({kind: 'count', counter: 'attempt_refused', reason: 'call_cancelled'});
+    return;
+  }
+  if (state.work.running.has(attemptId)) {
+    emit({kind: 'abortDispatch', attemptId});
+  }
+  startWaiting(state, at, emit);
+}
+
+/** Does what time has made due at the owner. */
+export function tickMeshOwner(
+  state: MeshState,
+  at: number,
+  emit: MeshEmit,
+): void {
+  startWaiting(state, at, emit);
+  const {health} = state;
+  if (health.down && tryStartProbe(health, at, false)) {
+    emit({kind: 'probeConnect'});
+  }
+}
--- /dev/null
+++ b/src/core/mesh/retry_tokens.ts
@@ -0,0 +1,84 @@
+/**
+ * Limits second sends to a share of the calls. The budget belongs to the whole
+ * fleet and its proxies do not agree on it, so each keeps to its own part.
+ */
+import {MeshSettings} from './mesh_settings.js';
+
+/**
+ * Part of the budget that is used. The rest covers what the proxies cannot
+ * see: calls that a repeated run makes in its turn, and uneven traffic.
+ */
+const USED_PART = 0.7;
+
+/** Part of the fixed extra that is used; a restarted proxy gets it again. */
+const USED_EXTRA_PART = 0.4;
+
+interface Bucket {
+  tokens: number;
+  /** Calls in the current window, from which the most savings follow. */
+  calls: number;
+  windowAt: number;
+}
+
+export type RetryTokens = Map<string, Bucket>;
+
+function getBucket(
+  retries: RetryTokens,
+  settings: MeshSettings,
+  proxies: number,
+  service: string,
+  at: number,
+): Bucket {
+  let bucket = retries.get(service);
+  const extra = getExtra(settings, proxies);
+  if (bucket === undefined) {
+    bucket = {tokens: extra, calls: 0, windowAt: at};
+    retries.set(service, bucket);
+  }
+  if (at - bucket.windowAt > settings.retryWindowMs) {
+    // What is saved up beyond a window's share would be spent in another one.
+    const share = bucket.calls * settings.retryShare * USED_PART;
+    bucket.tokens = Math.min(bucket.tokens, extra + share);
+    bucket.calls = 0;
+    bucket.windowAt = at;
+  }
+  return bucket;
+}
+
+function getExtra(settings: MeshSettings, proxies: number): number {
+  return (settings.retryExtra * USED_EXTRA_PART) / Math.max(1, proxies);
+}
+
+/** Notes a call, which earns a share of a second send. */
+export function earnRetry(
+  retries: RetryTokens,
+  settings: MeshSettings,
+  proxies: number,
+  service: string,
+  at: number,
+): void {
+  const bucket = getBucket(retries, settings, proxies, service, at);
+  bucket.calls += 1;
+  bucket.tokens += settings.retryShare * USED_PART;
+}
+
+/**
+ * Takes one second send from the budget.
+ * @param reserve - Tokens that must be left over.
+ * @returns True where it may be made.
+ */
+export function trySpendRetry(
+  retries: RetryTokens,
+  settings: MeshSettings,
+  proxies: number,
+  service: string,
+  at: number,
+  reserve = 0,
+): boolean {
+  const bucket = getBucket(retries, settings, proxies, service, at);
+  if (bucket.tokens < 1 + reserve) {
+    return false;
+  }
+  bucket.tokens -= 1;
+  return true;
+}
--- /dev/null
+++ b/src/core/mesh/work_queue.ts
@@ -0,0 +1,240 @@
+/**
+ * Slots and queue of one upstream. The load it answers: callers ask for more
+ * than all slots can run. Then each slot goes to the most urgent route, among
+ * equals to what can still meet its aim, and what cannot be served is refused
+ * when it arrives, because time in a queue that ends in a refusal is lost.
+ */
+import {MeshAttempt} from '../../model/mesh.js';
+import {RunEstimates, getRunMs, getStuckMs} from './run_estimates.js';
+
+/**
+ * Share of its aim that a request may wait for a slot although it will miss
+ * the aim. A wait this short costs its caller nothing if it is refused.
+ */
+const LATE_WAIT_SHARE = 0.125;
+
+/**
+ * Share of its estimate that a run must at least have left before its
+ * deadline; estimates are means, and half of all runs are shorter.
+ */
+const MIN_RUN_SHARE = 0.6;
+
+/** Least and most that a caller is told to stay away, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 60;
+const MAX_RETRY_AFTER_MS = 2_000;
+
+export interface QueuedAttempt {
+  readonly attempt: MeshAttempt;
+  readonly arrivedAt: number;
+  readonly aimAt: number;
+  readonly deadlineAt: number;
+  /** It ran at an upstream that crashed, so it runs alone among such. */
+  readonly suspect: boolean;
+}
+
+export interface RunningAttempt extends QueuedAttempt {
+  readonly startedAt: number;
+  readonly instanceId: string;
+}
+
+export interface WorkQueue {
+  readonly running: Map<string, RunningAttempt>;
+  /** In the order of arrival. */
+  readonly queue: QueuedAttempt[];
+}
+
+export function createWorkQueue(): WorkQueue {
+  return {running: new Map(), queue: []};
+}
+
+/**
+ * Tells which of two waiting attempts runs first: the more urgent route, then
+ * what can still meet its aim, then the earlier aim.
+ */
+export function isBefore(
+  a: QueuedAttempt,
+  b: QueuedAttempt,
+  estimates: RunEstimates,
+  at: number,
+): boolean {
+  if (a.attempt.priority !== b.attempt.priority) {
+    return a.attempt.priority < b.attempt.priority;
+  }
+  const aLate = isLate(a, estimates, at);
+  if (aLate !== isLate(b, estimates, at)) {
+    return !aLate;
+  }
+  return a.aimAt < b.aimAt;
+}
+
+function isLate(
+  {attempt, aimAt}: QueuedAttempt,
+  estimates: RunEstimates,
+  at: number,
+): boolean {
+  return at + getRunMs(estimates, attempt.routeAimMs) > aimAt;
+}
+
+/**
+ * Counts the slots in use. A run whose answer seems lost has left its slot.
+ * @param work - This part's state.
+ * @param estimates - The upstream's estimates.
+ * @param at - Now, in milliseconds.
+ * @returns Slots in use.
+ */
+export function countUsedSlots(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  at: number,
+): number {
+  let used = 0;
+  for (const {attempt, startedAt} of work.running.values()) {
+    if (at - startedAt <= getStuckMs(estimates, attempt.routeAimMs)) {
+      used += 1;
+    }
+  }
+  return used;
+}
+
+/** Estimates the wait of an attempt behind what runs and what goes first. */
+export function estimateWaitMs(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  slots: number,
+  arriving: QueuedAttempt,
+  at: number,
+): number {
+  const ahead = work.queue.filter(
+    other => other !== arriving && !isBefore(arriving, other, estimates, at),
+  );
+  const used = countUsedSlots(work, estimates, at);
+  if (used + ahead.length < slots) {
+    return 0;
+  }
+  const aheadMs = ahead.reduce(
+    (sum, {attempt}) => sum + getRunMs(estimates, attempt.routeAimMs),
+    0,
+  );
+  return (aheadMs + getMeanRunningMs(work, estimates)) / slots;
+}
+
+/** Mean time to run of what runs now; a slot frees once in this over slots. */
+function getMeanRunningMs(work: WorkQueue, estimates: RunEstimates): number {
+  let sum = 0;
+  for (const {attempt} of work.running.values()) {
+    sum += getRunMs(estimates, attempt.routeAimMs);
+  }
+  return sum / Math.max(1, work.running.size);
+}
+
+/** Why an attempt is not queued, with the wait that the caller is told. */
+export interface QueueRefusal {
+  readonly reason: 'queue_full' | 'deadline_too_short';
+  readonly retryAfterMs: number;
+}
+
+/**
+ * Queues an attempt, or refuses it where its wait would serve nobody.
+ * @param work - This part's state.
+ * @param estimates - The upstream's estimates.
+ * @param slots - The upstream's slots.
+ * @param arriving - The attempt.
+ * @param at - Now, in milliseconds.
+ * @returns The refusal, or undefined where it was queued.
+ */
+export function tryQueue(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  slots: number,
+  arriving: QueuedAttempt,
+  at: number,
+): QueueRefusal | undefined {
+  const {routeAimMs} = arriving.attempt;
+  const waitMs = estimateWaitMs(work, estimates, slots, arriving, at);
+  const runMs = getRunMs(estimates, routeAimMs);
+  const retryAfterMs = getRetryAfterMs(waitMs);
+  if (at + waitMs + runMs * MIN_RUN_SHARE > arriving.deadlineAt) {
+    return {reason: 'deadline_too_short', retryAfterMs};
+  }
+  const meetsAim = at + waitMs + runMs <= arriving.aimAt;
+  if (!meetsAim && waitMs > routeAimMs * LATE_WAIT_SHARE) {
+    return {reason: 'queue_full', retryAfterMs};
+  }
+  work.queue.push(arriving);
+  return undefined;
+}
+
+export function getRetryAfterMs(waitMs: number): number {
+  return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+}
+
+/**
+ * Takes the next attempt that may run now.
+ * @param work - This part's state.
+ * @param estimates - The upstream's estimates.
+ * @param slots - The upstream's slots.
+ * @param instanceId - The upstream's process.
+ * @param at - Now, in milliseconds.
+ * @returns The attempt, counted as running, or undefined.
+ */
+export function tryStart(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  slots: number,
+  instanceId: string,
+  at: number,
+): RunningAttempt | undefined {
+  if (countUsedSlots(work, estimates, at) >= slots) {
+    return undefined;
+  }
+  const suspectRuns = [...work.running.values()].some(({suspect}) => suspect);
+  let next: QueuedAttempt | undefined;
+  for (const other of work.queue) {
+    const blocked = other.suspect && suspectRuns;
+    if (
+      !blocked &&
+      (next === undefined || isBefore(other, next, estimates, at))
+    ) {
+      next = other;
+    }
+  }
+  if (next === undefined) {
+    return undefined;
+  }
+  work.queue.splice(work.queue.indexOf(next), 1);
+  const running = {...next, startedAt: at, instanceId};
+  work.running.set(next.attempt.attemptId, running);
+  return running;
+}
+
+/**
+ * Takes out the waiting attempts that can no longer finish in time.
+ * @param work - This part's state.
+ * @param estimates - The upstream's estimates.
+ * @param at - Now, in milliseconds.
+ * @returns The attempts, which must be refused.
+ */
+export function removeHopeless(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  at: number,
+): QueuedAttempt[] {
+  const hopeless = work.queue.filter(({attempt, deadlineAt}) => {
+    const runMs = getRunMs(estimates, attempt.routeAimMs);
+    return at + runMs * MIN_RUN_SHARE > deadlineAt;
+  });
+  for (const other of hopeless) {
+    work.queue.splice(work.queue.indexOf(other), 1);
+  }
+  return hopeless;
+}
+
+export function removeWaiting(
+  work: WorkQueue,
+  attemptId: string,
+): QueuedAttempt | undefined {
+  const index = work.queue.findIndex(
+    ({attempt}) => attempt.attemptId === attemptId,
+  );
+  return index < 0 ? undefined : work.queue.splice(index, 1)[0];
+}
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -77,6 +77,18 @@
     403,
     'The request crashed upstreams that ran it; correct the request, or wait until the quarantine ends.',
   ),
+  crash_suspected: notRun(
+    503,
+    'The request is suspected of crashing upstreams; retry after the given time, or correct the request.',
+  ),
+  config_unknown: notRun(
+    503,
+    'The proxy holds no configuration yet; retry after the given time.',
+  ),
+  proxy_stopping: notRun(
+    503,
+    'The proxy is stopping; send to another proxy after the given time.',
+  ),
   call_cancelled: notRun(499, 'The caller went away before the request ran.'),
   key_in_doubt: unknown(
     409,
--- /dev/null
+++ b/src/mesh/mesh_callers.ts
@@ -0,0 +1,169 @@
+/** Takes callers' requests on their own VM and gives each its one answer. */
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
+import {MeshCallInfo, MeshEventBody} from '../core/mesh/mesh_types.js';
+import {Refusal, createRefusal} from '../core/refusals.js';
+import {Answer} from '../core/types.js';
+import {CallerLimits} from '../model/mesh.js';
+import {readBody} from '../proxy/body.js';
+import {
+  OutboundRequest,
+  getFingerprint,
+  parseDeadline,
+} from '../proxy/caller_server.js';
+import {HeaderRecord, copyEndToEndHeaders} from '../proxy/headers.js';
+import {writeCallResult} from '../proxy/results.js';
+import {WireNames} from './wire_names.js';
+
+/** Largest body that is taken before a configuration sets a limit. */
+const DEFAULT_MAX_BODY_BYTES = 1_048_576;
+
+interface PendingCall {
+  readonly res: ServerResponse;
+  readonly outbound: OutboundRequest;
+}
+
+export class MeshCallers {
+  /** Set while the proxy stops, so that connections end after their answer. */
+  stopping = false;
+  limits?: CallerLimits;
+  private readonly pending = new Map<string, PendingCall>();
+  private readonly openBySocket = new WeakMap<Socket, number>();
+  private nextCall = 1;
+
+  /**
+   * @param prefix - Makes call identifiers unique in the fleet.
+   * @param names - Names of headers.
+   * @param getService - Tells the service of the upstream on this VM.
+   * @param post - Takes events.
+   * @param onBadInput - Told of each malformed request.
+   */
+  constructor(
+    private readonly prefix: string,
+    private readonly names: WireNames,
+    private readonly getService: () => string,
+    private readonly post: (event: MeshEventBody) => void,
+    private readonly onBadInput: (kind: string) => void,
+  ) {}
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.countOpen(req.socket, 1);
+    res.once('close', () => this.countOpen(req.socket, -1));
+    const maxBytes = this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+    const body = await readBody(req, maxBytes);
+    if (body.isErr()) {
+      if (body.error === 'too-large') {
+        this.refuse(res, createRefusal('body_too_large'), true);
+      }
+      return;
+    }
+    const call = this.parse(req, body.value);
+    if ('reason' in call) {
+      this.refuse(res, call, false);
+      return;
+    }
+    this.accept(req, res, call, body.value);
+  }
+
+  private countOpen(socket: Socket, step: number): void {
+    this.openBySocket.set(socket, (this.openBySocket.get(socket) ?? 0) + step);
+  }
+
+  private parse(
+    req: IncomingMessage,
+    body: Uint8Array,
+  ): MeshCallInfo | Refusal {
+    const path = req.url ?? '/';
+    const {headers} = req;
+    if (!path.startsWith('/')) {
+      return badRequest('Request target; send a path');
+    }
+    if ((req.headersDistinct.host ?? []).length !== 1) {
+      return badRequest('Host; send exactly one');
+    }
+    const headerBytes = req.rawHeaders.reduce((sum, h) => sum + h.length, 0);
+    if (headerBytes > (this.limits?.maxHeaderBytes ?? Infinity)) {
+      return badRequest('Headers; send fewer bytes');
+    }
+    const timeoutMs = parseDeadline(headers[this.names.timeoutMs]);
+    if (Number.isNaN(timeoutMs)) {
+      return badRequest(`${this.names.timeoutMs}; give remaining milliseconds`);
+    }
+    const method = req.method ?? 'GET';
+    return {
+      requestId: String(headers[this.names.requestId] ?? ''),
+      host: headers.host ?? '',
+      path,
+      timeoutMs,
+      fingerprint: getFingerprint(method, path, body),
+    };
+  }
+
+  private accept(
+    req: IncomingMessage,
+    res: ServerResponse,
+    call: MeshCallInfo,
+    body: Uint8Array,
+  ): void {
+    const callId = `${this.prefix}-${this.nextCall++}`;
+    const headers: HeaderRecord = {
+      ...copyEndToEndHeaders(req.headers),
+      [this.names.callerService]: this.getService(),
+    };
+    const {path} = call;
+    const outbound = {method: req.method ?? 'GET', path, headers, body};
+    this.pending.set(callId, {res, outbound});
+    res.once('close', () => {
+      if (this.pending.delete(callId)) {
+        this.post({kind: 'callerGone', callId});
+      }
+    });
+    if (res.destroyed || req.socket.destroyed) {
+      this.pending.delete(callId);
+      return;
+    }
+    this.post({kind: 'callArrived', callId, call});
+  }
+
+  private refuse(res: ServerResponse, refusal: Refusal, close: boolean): void {
+    this.onBadInput(refusal.reason);
+    writeCallResult(res, refusal, close || this.shouldClose(res), 'fractions');
+  }
+
+  /**
+   * A response that closes its connection loses what was sent behind it, so
+   * a stopping proxy closes with the last one.
+   */
+  private shouldClose(res: ServerResponse): boolean {
+    const {socket} = res.req;
+    return this.stopping && (this.openBySocket.get(socket) ?? 0) <= 1;
+  }
+
+  /**
+   * Finds the request of a call.
+   * @param callId - The call.
+   * @returns The request, or undefined where the caller went away.
+   */
+  getOutbound(callId: string): OutboundRequest | undefined {
+    return this.pending.get(callId)?.outbound;
+  }
+
+  /**
+   * Gives a call its answer.
+   * @param callId - The call.
+   * @param result - The answer or refusal.
+   */
+  answer(callId: string, result: Answer | Refusal): void {
+    const call = this.pending.get(callId);
+    if (call === undefined) {
+      return;
+    }
+    this.pending.delete(callId);
+    const close = this.shouldClose(call.res);
+    writeCallResult(call.res, result, close, 'fractions');
+  }
+}
+
+function badRequest(detail: string): Refusal {
+  return createRefusal('bad_request', undefined, detail);
+}
--- /dev/null
+++ b/src/mesh/mesh_metrics.ts
@@ -0,0 +1,97 @@
+/** Metrics of a proxy whose upstreams register themselves, for Prometheus. */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {MeshCounter, MeshEffect} from '../core/mesh/mesh_types.js';
+import {REFUSALS} from '../core/refusals.js';
+
+type HistogramName = Extract<MeshEffect, {kind: 'observe'}>['histogram'];
+type CounterName = MeshCounter | 'bad_input' | 'log_dropped' | 'reload';
+
+const COUNTER_HELP: Readonly<Record<CounterName, string>> = {
+  call_refused: 'Calls that got no upstream answer, by reason.',
+  call_retried: 'Second sends made or denied, by what caused them.',
+  call_answered: 'Calls that got an upstream answer, by class of status.',
+  attempt_refused: 'Attempts that this owner refused, by reason.',
+  source_call: 'Calls to the source, by kind or failure.',
+  version_adopted: 'Versions put in force, by where they came from.',
+  update_ignored: 'Updates that changed nothing, by reason.',
+  instance_changed: 'Changes of registered upstreams, by kind.',
+  peer_message: 'Messages from peers, by kind.',
+  crash_suspected: 'Requests suspected, cleared or quarantined after a crash.',
+  upstream_failed: 'Dispatches that got no whole answer, by failure.',
+  link_changed: 'Links to peers opened or closed.',
+  bad_input: 'Malformed input refused, by kind.',
+  log_dropped: 'Log lines dropped because too many came at once.',
+  reload: 'Settings files read again, by outcome.',
+};
+
+const HISTOGRAM_HELP: Readonly<Record<HistogramName, string>> = {
+  call_seconds: 'Time from a call to its upstream answer.',
+  run_seconds: 'Time that requests run at the upstream.',
+  wait_seconds: 'Time that attempts wait for a slot.',
+};
+
+/** Upper bounds in seconds, around aims of 0.1 to 2 seconds. */
+const BUCKETS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/** Levels that are read when metrics are collected. */
+export interface MeshLevels {
+  readonly version: number;
+  readonly revision: number;
+  readonly knowledge_age_seconds: number;
+  readonly ready: number;
+  readonly calls: number;
+  readonly running: number;
+  readonly queued: number;
+  readonly link_sent_bytes: number;
+  readonly link_received_bytes: number;
+}
+
+export class MeshMetrics {
+  readonly registry = new Registry();
+  private readonly counters = new Map<CounterName, Counter<'reason'>>();
+  private readonly histograms = new Map<HistogramName, Histogram>();
+
+  constructor(getLevels: () => MeshLevels) {
+    const registers = [this.registry];
+    for (const [name, help] of Object.entries(COUNTER_HELP)) {
+      const counter = new Counter({
+        name: `fireflysill_${name}_total`,
+        help,
+        labelNames: ['reason'] as const,
+        registers,
+      });
+      this.counters.set(name as CounterName, counter);
+    }
+    for (const reason of Object.keys(REFUSALS)) {
+      this.counters.get('call_refused')?.inc({reason}, 0);
+    }
+    for (const [name, help] of Object.entries(HISTOGRAM_HELP)) {
+      const histogram = new Histogram({
+        name: `fireflysill_${name}`,
+        help,
+        buckets: BUCKETS,
+        registers,
+      });
+      this.histograms.set(name as HistogramName, histogram);
+    }
+    const level: Gauge<'level'> = new Gauge({
+      name: 'fireflysill_level',
+      help: 'Present state: versions, ages in seconds, counts and bytes.',
+      labelNames: ['level'] as const,
+      registers,
+      collect() {
+        for (const [name, value] of Object.entries(getLevels())) {
+          level.set({level: name}, value as number);
+        }
+      },
+    });
+  }
+
+  count(counter: CounterName, reason: string, step = 1): void {
+    this.counters.get(counter)?.inc({reason}, step);
+  }
+
+  observe(histogram: HistogramName, seconds: number): void {
+    this.histograms.get(histogram)?.observe(seconds);
+  }
+}
--- /dev/null
+++ b/src/mesh/mesh_operators.ts
@@ -0,0 +1,89 @@
+/** Metrics and status for operators, and readiness for the platform. */
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {MeshState, isReady} from '../core/mesh/mesh_state.js';
+import {MeshMetrics} from './mesh_metrics.js';
+
+function writeJson(res: ServerResponse, status: number, value: unknown): void {
+  const body = JSON.stringify(value);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+  });
+  res.end(body);
+}
+
+/**
+ * Answers operators.
+ * @param req - `GET /metrics` or `GET /v1/status`.
+ * @param res - The response.
+ * @param state - The proxy's state.
+ * @param metrics - Its metrics.
+ */
+export async function answerOperator(
+  req: IncomingMessage,
+  res: ServerResponse,
+  state: MeshState,
+  metrics: MeshMetrics,
+): Promise<void> {
+  req.resume();
+  switch (`${req.method} ${req.url}`) {
+    case 'GET /metrics': {
+      const text = await metrics.registry.metrics();
+      res.writeHead(200, {'content-type': metrics.registry.contentType});
+      res.end(text);
+      return;
+    }
+    case 'GET /v1/status':
+      return writeJson(res, 200, describeMesh(state));
+    default:
+      return writeJson(res, 404, {
+        error: {code: 'not_found', message: 'Use GET /metrics or /v1/status.'},
+      });
+  }
+}
+
+/**
+ * Describes a proxy for operators.
+ * @param state - Its state.
+ * @returns A JSON value.
+ */
+export function describeMesh(state: MeshState): object {
+  const {settings, fleet, work, estimates, health, peers, suspects} = state;
+  return {
+    address: settings.address,
+    zone: settings.zone,
+    service: settings.service,
+    ready: isReady(state),
+    version: state.config?.version,
+    revision: fleet.revision,
+    instances: [...fleet.instances.values()],
+    peers: [...peers].map(([address, peer]) => ({address, ...peer})),
+    running: work.running.size,
+    queued: work.queue.length,
+    estimates,
+    upstreamDown: health.down,
+    suspects: [...suspects.byFingerprint.values()],
+  };
+}
+
+/**
+ * Answers the platform's question whether callers may be sent here.
+ * @param req - The request.
+ * @param res - The response.
+ * @param state - The proxy's state.
+ * @param readyPath - The path that is asked for.
+ */
+export function answerReadiness(
+  req: IncomingMessage,
+  res: ServerResponse,
+  state: MeshState,
+  readyPath: string,
+): void {
+  req.resume();
+  if (req.url !== readyPath) {
+    writeJson(res, 404, {error: {message: `Use GET ${readyPath}.`}});
+    return;
+  }
+  const ready = isReady(state);
+  writeJson(res, ready ? 200 : 503, {ready});
+}
--- /dev/null
+++ b/src/mesh/mesh_runtime.ts
@@ -0,0 +1,415 @@
+/** Wires the core of a self-registering fleet to sockets, timers and logs. */
+import {brotliCompressSync, brotliDecompressSync, constants} from 'node:zlib';
+import {reduceMesh} from '../core/mesh/mesh_core.js';
+import {MeshSettings} from '../core/mesh/mesh_settings.js';
+import {MeshState, createMeshState, isReady} from '../core/mesh/mesh_state.js';
+import {
+  MeshEffect,
+  MeshEventBody,
+  SourceRequest,
+} from '../core/mesh/mesh_types.js';
+import {DEFAULT_POLICY} from '../core/policy.js';
+import {
+  CallerLimits,
+  LinkMessage,
+  MeshConfig,
+  MeshConfigSchema,
+} from '../model/mesh.js';
+import {MeshSettingsFile} from '../model/mesh_settings.js';
+import {parseAddress} from '../proxy/addresses.js';
+import {Clock, SystemClock} from '../proxy/clock.js';
+import {CoreLoop} from '../proxy/core_loop.js';
+import {Listener, listen} from '../proxy/listener.js';
+import {AttemptExchange} from './attempt_exchange.js';
+import {BoundedLog} from './bounded_log.js';
+import {FleetSource} from './fleet_source.js';
+import {Link} from './link.js';
+import {LinkHub} from './link_hub.js';
+import {MeshCallers} from './mesh_callers.js';
+import {MeshLevels, MeshMetrics} from './mesh_metrics.js';
+import {answerOperator, answerReadiness} from './mesh_operators.js';
+import {MeshUpstream} from './mesh_upstream.js';
+import {WireNames} from './wire_names.js';
+
+/** Interval of due work; also the precision of deadlines, in milliseconds. */
+const TICK_INTERVAL_MS = 25;
+
+/** Bounds before a configuration has set any. */
+const RECEIVE_TIMEOUT_MS = 10_000;
+const MAX_HEADER_BYTES = 65_536;
+
+/** Connections of callers on one VM, well below its descriptors. */
+const MAX_CALLER_CONNECTIONS = 2_048;
+const MAX_OPERATOR_CONNECTIONS = 32;
+
+/** Time for the last answers to leave before the process ends. */
+const LAST_WRITES_MS = 60;
+
+/** What an adapter to a platform provides. */
+export interface MeshAdapter {
+  readonly names: WireNames;
+  /** Path on which the platform asks whether the proxy is ready. */
+  readonly readyPath: string;
+  /** Creates the reader of the platform. */
+  createSource(
+    address: string,
+    onReject: (kind: string, detail: string) => void,
+  ): FleetSource;
+}
+
+type Loop = CoreLoop<MeshState, MeshEventBody, MeshEffect>;
+
+export class MeshRuntime {
+  private readonly clock: Clock = new SystemClock();
+  private readonly metrics = new MeshMetrics(() => this.getLevels());
+  private readonly log: BoundedLog;
+  private readonly hub: LinkHub;
+  private readonly exchange: AttemptExchange;
+  private readonly callers: MeshCallers;
+  private readonly upstream: MeshUpstream;
+  private readonly source: FleetSource;
+  private readonly loop: Loop;
+  private readonly listeners: Listener[] = [];
+  private timer?: NodeJS.Timeout;
+  private finishStop: () => void = () => undefined;
+
+  /** Resolves when a planned stop has finished all that it must. */
+  readonly stopped = new Promise<void>(resolve => {
+    this.finishStop = resolve;
+  });
+
+  constructor(
+    private settings: MeshSettingsFile,
+    private readonly adapter: MeshAdapter,
+  ) {
+    const {name, logLevel, listen: addresses} = settings;
+    const startedAt = Math.round(this.clock.now());
+    this.log = new BoundedLog(name, logLevel, count =>
+      this.metrics.count('log_dropped', 'full', count),
+    );
+    const post = (event: MeshEventBody) => this.loop.post(event);
+    this.hub = new LinkHub(
+      {
+        createHello: () => this.createHello(startedAt),
+        onOpen: address => post({kind: 'linkOpened', address}),
+        onClose: (address, link) => this.takeClosed(address, link),
+        onMessage: (link, message, body) => this.take(link, message, body),
+        onBadFrame: detail => this.reject('peer_frame', detail),
+      },
+      () => performance.now(),
+    );
+    this.exchange = new AttemptExchange(this.hub, post);
+    this.callers = new MeshCallers(
+      `${addresses.peers}-${startedAt.toString(36)}`,
+      adapter.names,
+      () => this.settings.service,
+      post,
+      kind => this.metrics.count('bad_input', kind),
+    );
+    this.upstream = new MeshUpstream(settings.upstream, adapter.names, post);
+    this.source = adapter.createSource(settings.source, (kind, detail) =>
+      this.reject(kind, detail),
+    );
+    this.loop = new CoreLoop<MeshState, MeshEventBody, MeshEffect>(
+      createMeshState(createCoreSettings(settings, startedAt)),
+      reduceMesh,
+      this.clock,
+      effect => this.perform(effect),
+    );
+  }
+
+  /** Starts listening and reading the source. */
+  async start(): Promise<void> {
+    const {listen: addresses} = this.settings;
+    await this.hub.listen(addresses.peers);
+    this.listeners.push(
+      await this.listenHttp(
+        addresses.callers,
+        MAX_CALLER_CONNECTIONS,
+        (req, res) => void this.callers.handle(req, res),
+      ),
+      await this.listenHttp(
+        addresses.ready,
+        MAX_OPERATOR_CONNECTIONS,
+        (req, res) =>
+          answerReadiness(req, res, this.loop.state, this.adapter.readyPath),
+      ),
+      await this.listenHttp(
+        addresses.operators,
+        MAX_OPERATOR_CONNECTIONS,
+        (req, res) =>
+          void answerOperator(req, res, this.loop.state, this.metrics),
+      ),
+    );
+    this.timer = setInterval(
+      () => this.loop.post({kind: 'tick'}),
+      TICK_INTERVAL_MS,
+    );
+    this.log.write('daemon', 'info', 'Proxy started.', {
+      ...addresses,
+      service: this.settings.service,
+      upstream: this.settings.upstream,
+    });
+    this.loop.post({kind: 'started'});
+  }
+
+  private listenHttp(
+    address: string,
+    maxConnections: number,
+    handle: Parameters<typeof listen>[4],
+  ): Promise<Listener> {
+    return listen(
+      address,
+      {receiveTimeoutMs: RECEIVE_TIMEOUT_MS},
+      maxConnections,
+      kind => this.metrics.count('bad_input', kind),
+      handle,
+      {maxHeaderBytes: MAX_HEADER_BYTES},
+    );
+  }
+
+  /** Begins a planned stop; {@link stopped} tells when it is done. */
+  requestStop(): void {
+    this.callers.stopping = true;
+    this.loop.post({kind: 'stopRequested'});
+  }
+
+  /** Closes every socket and timer, after the last answers have left. */
+  async close(): Promise<void> {
+    clearInterval(this.timer);
+    await new Promise(resolve => setTimeout(resolve, LAST_WRITES_MS));
+    this.hub.close();
+    for (const {server} of this.listeners) {
+      server.close();
+      server.closeIdleConnections();
+    }
+    await Promise.all([this.upstream.destroy(), this.source.close()]);
+    this.log.write('daemon', 'info', 'Planned stop is complete.');
+    await this.log.drain();
+  }
+
+  /**
+   * Puts changed settings in force. Addresses need a restart.
+   * @param settings - The checked settings.
+   */
+  reload(settings: MeshSettingsFile): void {
+    this.settings = settings;
+    const {startedAt} = this.loop.state.settings;
+    this.loop.state.settings = createCoreSettings(settings, startedAt);
+    this.metrics.count('reload', 'applied');
+    this.log.write('daemon', 'info', 'Settings reloaded.', {
+      service: settings.service,
+      zone: settings.zone,
+    });
+  }
+
+  /** Notes a settings file that cannot be used; the old ones stay in force. */
+  rejectReload(detail: string): void {
+    this.metrics.count('reload', 'refused');
+    this.log.write('daemon', 'error', 'Settings refused; the old ones stay.', {
+      detail,
+    });
+  }
+
+  private reject(kind: string, detail: string): void {
+    this.metrics.count('bad_input', kind);
+    this.log.write('daemon', 'warn', 'Unusable input ignored.', {kind, detail});
+  }
+
+  private createHello(startedAt: number): LinkMessage {
+    const state = this.loop?.state;
+    return {
+      kind: 'hello',
+      address: this.settings.listen.peers,
+      zone: this.settings.zone,
+      incarnation: startedAt,
+      version: state?.config?.version ?? 0,
+      revision: state?.fleet.revision ?? 0,
+      leaving: state?.stopRequestedAt !== undefined,
+    };
+  }
+
+  private takeClosed(address: string, link: Link): void {
+    this.exchange.takeClosed(link);
+    if (this.hub.find(address) === undefined) {
+      this.loop.post({kind: 'linkClosed', address});
+    }
+  }
+
+  private take(link: Link, message: LinkMessage, body: Uint8Array): void {
+    switch (message.kind) {
+      case 'attempt':
+      case 'cancel':
+      case 'resume':
+      case 'answer':
+      case 'refusal':
+        return this.exchange.takeMessage(link, message, body);
+      case 'ping':
+      case 'pong':
+        return;
+    }
+    const from = link.peer?.address;
+    if (from !== undefined) {
+      const config =
+        message.kind === 'state' && message.hasConfig
+          ? this.unpackConfig(body)
+          : undefined;
+      this.loop.post({kind: 'messageReceived', from, message, config});
+    }
+  }
+
+  private unpackConfig(body: Uint8Array): MeshConfig | undefined {
+    try {
+      const text = brotliDecompressSync(body).toString('utf8');
+      return MeshConfigSchema.parse(JSON.parse(text));
+    } catch (error) {
+      this.reject('peer_config', String(error).slice(0, 200));
+      return undefined;
+    }
+  }
+
+  private perform(effect: MeshEffect): void {
+    switch (effect.kind) {
+      case 'readSource':
+        void this.readSource(effect.request);
+        return;
+      case 'sendMessage':
+        void this.sendMessage(effect.to, effect.message, effect.config);
+        return;
+      case 'sendAttempt':
+        return this.sendAttempt(effect);
+      case 'cancelAttempt':
+        return this.exchange.cancel(effect.attemptId);
+      case 'answerCall':
+        return this.callers.answer(effect.callId, effect.result);
+      case 'dispatch':
+        return this.dispatch(effect);
+      case 'abortDispatch':
+        return this.upstream.abort(effect.attemptId);
+      case 'finishAttempt':
+        return this.exchange.finish(effect.attemptId, effect.outcome);
+      case 'probeConnect':
+        return this.upstream.probe();
+      case 'dropUpstreamConnections':
+        return this.upstream.renew();
+      case 'configAdopted':
+        return this.applyLimits(effect.config.limits);
+      case 'stopped':
+        return this.finishStop();
+      case 'count':
+        return this.metrics.count(effect.counter, effect.reason);
+      case 'observe':
+        return this.metrics.observe(effect.histogram, effect.seconds);
+      case 'log': {
+        const {part, level, message, fields} = effect;
+        return this.log.write(part, level, message, fields);
+      }
+    }
+  }
+
+  private async readSource(request: SourceRequest): Promise<void> {
+    const answer = await this.source.read(request);
+    if (answer.isErr()) {
+      const {kind, detail} = answer.error;
+      this.loop.post({kind: 'sourceFailed', detail: `${kind}: ${detail}`});
+      return;
+    }
+    this.loop.post({kind: 'sourceAnswered', request, answer: answer.value});
+  }
+
+  private async sendMessage(
+    to: string,
+    message: LinkMessage,
+    config?: MeshConfig,
+  ): Promise<void> {
+    if (to === this.settings.listen.peers) {
+      return;
+    }
+    const link = this.hub.find(to) ?? (await this.hub.open(to));
+    if (link === undefined) {
+      return;
+    }
+    link.send(message, config === undefined ? undefined : packConfig(config));
+  }
+
+  private sendAttempt(
+    effect: Extract<MeshEffect, {kind: 'sendAttempt'}>,
+  ): void {
+    const {callId, to, attempt} = effect;
+    const outbound = this.callers.getOutbound(callId);
+    if (outbound === undefined) {
+      return;
+    }
+    if (to === undefined) {
+      this.exchange.takeOwn(attempt, outbound);
+      return;
+    }
+    void this.exchange.send(to, attempt, outbound);
+  }
+
+  private dispatch(effect: Extract<MeshEffect, {kind: 'dispatch'}>): void {
+    const {attemptId, instanceId, timeoutMs} = effect;
+    const taken = this.exchange.getTaken(attemptId);
+    if (taken !== undefined) {
+      const {outbound} = taken;
+      void this.upstream.dispatch(attemptId, instanceId, timeoutMs, outbound);
+    }
+  }
+
+  private applyLimits(limits: CallerLimits): void {
+    this.callers.limits = limits;
+    const [callers] = this.listeners;
+    if (callers !== undefined) {
+      callers.server.keepAliveTimeout = limits.idleTimeoutMs;
+      callers.server.headersTimeout = limits.headerTimeoutMs;
+    }
+  }
+
+  private getLevels(): MeshLevels {
+    const {state} = this.loop;
+    const {sentBytes, receivedBytes} = this.hub.traffic;
+    const ageMs = this.clock.now() - state.schedule.freshAt;
+    return {
+      version: state.config?.version ?? 0,
+      revision: state.fleet.revision,
+      knowledge_age_seconds: Number.isFinite(ageMs) ? ageMs / 1_000 : -1,
+      ready: Number(isReady(state)),
+      calls: state.calls.size,
+      running: state.work.running.size,
+      queued: state.work.queue.length,
+      link_sent_bytes: sentBytes,
+      link_received_bytes: receivedBytes,
+    };
+  }
+}
+
+/** Fast compression: a configuration is sent seldom, but while calls run. */
+function packConfig(config: MeshConfig): Uint8Array {
+  return brotliCompressSync(JSON.stringify(config), {
+    params: {[constants.BROTLI_PARAM_QUALITY]: 4},
+  });
+}
+
+function createCoreSettings(
+  settings: MeshSettingsFile,
+  startedAt: number,
+): MeshSettings {
+  const {listen: addresses, retries} = settings;
+  return {
+    address: addresses.peers,
+    zone: settings.zone,
+    region: settings.region,
+    startedAt,
+    service: settings.service,
+    upstreamAddress: settings.upstream,
+    linkPort: parseAddress(addresses.peers).port,
+    heartbeatMs: settings.heartbeatMs,
+    retryShare: retries.share,
+    retryExtra: retries.extra,
+    retryWindowMs: retries.windowMs,
+    graceMs: settings.graceMs,
+    readIntervalMs: settings.readIntervalMs,
+    quarantineMs: settings.quarantineMs,
+    policy: DEFAULT_POLICY,
+  };
+}
--- /dev/null
+++ b/src/mesh/mesh_upstream.ts
@@ -0,0 +1,136 @@
+/** Dispatches attempts to the upstream beside this proxy. */
+import {connect} from 'node:net';
+import {AnswerFacts, MeshEventBody} from '../core/mesh/mesh_types.js';
+import {parseAddress} from '../proxy/addresses.js';
+import {OutboundRequest} from '../proxy/caller_server.js';
+import {ConnectionPools} from '../proxy/connections.js';
+import {HeaderRecord, copyEndToEndHeaders} from '../proxy/headers.js';
+import {
+  RunningExchange,
+  WholeAnswer,
+  startExchange,
+} from '../proxy/http_exchange.js';
+import {WireNames} from './wire_names.js';
+
+/** Largest answer that is kept in memory. */
+const MAX_ANSWER_BYTES = 16 * 1_048_576;
+
+/** Time in which an upstream on this VM accepts a connection. */
+const CONNECT_TIMEOUT_MS = 300;
+
+/** Status by which another instance turns away what is not meant for it. */
+const MISDIRECTED = 421;
+
+/** Statuses by which an upstream may say that it did not run a request. */
+const TURNED_AWAY: ReadonlySet<number> = new Set([421, 429, 503]);
+
+export class MeshUpstream {
+  private readonly pools = new ConnectionPools(undefined);
+  private readonly running = new Map<string, RunningExchange>();
+
+  constructor(
+    private readonly address: string,
+    private readonly names: WireNames,
+    private readonly post: (event: MeshEventBody) => void,
+  ) {}
+
+  /**
+   * Sends an attempt and posts the answer or failure.
+   * @param attemptId - The attempt.
+   * @param instanceId - The only process that may run it.
+   * @param timeoutMs - Time until its deadline.
+   * @param outbound - The request.
+   */
+  async dispatch(
+    attemptId: string,
+    instanceId: string,
+    timeoutMs: number,
+    outbound: OutboundRequest,
+  ): Promise<void> {
+    const {names} = this;
+    const exchange = startExchange(this.pools.get(this.address), {
+      method: outbound.method,
+      path: outbound.path,
+      headers: {
+        ...outbound.headers,
+        [names.timeoutMs]: String(Math.max(1, Math.floor(timeoutMs))),
+        [names.instance]: instanceId,
+      },
+      body: outbound.body,
+      timeoutMs,
+      maxAnswerBytes: MAX_ANSWER_BYTES,
+    });
+    this.running.set(attemptId, exchange);
+    const result = await exchange.result;
+    this.running.delete(attemptId);
+    if (result.isErr()) {
+      this.post({kind: 'upstreamFailed', attemptId, failure: result.error});
+      return;
+    }
+    this.takeAnswer(attemptId, result.value, outbound);
+  }
+
+  private takeAnswer(
+    attemptId: string,
+    answer: WholeAnswer,
+    outbound: OutboundRequest,
+  ): void {
+    const {requestId, notRun} = this.names;
+    const asked = outbound.headers[requestId];
+    const echoed = answer.headers[requestId];
+    const isForeign = asked !== undefined && echoed !== asked;
+    const isEncoded = answer.headers['content-encoding'] !== undefined;
+    const {status, body} = answer;
+    const saysNotRun =
+      status === MISDIRECTED || answer.headers[notRun] !== undefined;
+    if ((isForeign || isEncoded) && !(saysNotRun && echoed === undefined)) {
+      // Whatever follows on these connections may belong to others, too.
+      this.renew();
+      this.post({kind: 'upstreamFailed', attemptId, failure: 'foreign-answer'});
+      return;
+    }
+    const facts: AnswerFacts = {
+      notRun: saysNotRun && TURNED_AWAY.has(status),
+      otherInstance: status === MISDIRECTED,
+      closing: answer.headers['connection'] === 'close',
+    };
+    const headers: HeaderRecord = copyEndToEndHeaders(answer.headers);
+    this.post({
+      kind: 'upstreamAnswered',
+      attemptId,
+      answer: {kind: 'answer', status, headers, body},
+      facts,
+    });
+  }
+
+  /** Breaks an attempt off; its connection closes, which stops the work. */
+  abort(attemptId: string): void {
+    this.running.get(attemptId)?.abort();
+  }
+
+  /** Leaves all connections, which may belong to an earlier process. */
+  renew(): void {
+    this.pools.renew(this.address);
+  }
+
+  /** Opens a connection to find out whether the upstream is there. */
+  probe(): void {
+    const {host, port} = parseAddress(this.address);
+    const socket = connect({host, port});
+    const finish = (accepted: boolean) => {
+      clearTimeout(timer);
+      socket.removeAllListeners();
+      socket.on('error', () => undefined);
+      socket.destroy();
+      this.post({kind: 'connectProbed', accepted});
+    };
+    const timer = setTimeout(() => finish(false), CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => finish(true));
+    socket.once('error', () => finish(false));
+  }
+
+  /** Closes all connections. */
+  async destroy(): Promise<void> {
+    await this.pools.destroy();
+  }
+}
--- /dev/null
+++ b/src/model/mesh.ts
@@ -0,0 +1,210 @@
+/**
+ * What a fleet of self-registering upstreams works with: whole numbered
+ * configurations, the upstreams that have registered, and the news and
+ * attempts that proxies send each other. Types are inferred from the schemas.
+ */
+import {z} from 'zod';
+import {LoadReportSchema, SuspectInfoSchema} from './peer.js';
+import {AddressSchema, SequenceSchema} from './primitives.js';
+
+const MAX_ID_LENGTH = 256;
+const MAX_ATTEMPT_TARGETS = 16;
+
+const IdSchema = z.string().min(1).max(MAX_ID_LENGTH);
+const DurationMsSchema = z.number().min(0);
+
+/** One of the services among which a route shares out its calls. */
+const BackendSchema = z.strictObject({
+  service: IdSchema,
+  weight: z.number().min(0),
+});
+
+export const MeshRouteSchema = z.strictObject({
+  name: IdSchema,
+  host: z.string().min(1),
+  pathPrefix: z.string().startsWith('/').endsWith('/'),
+  /** Whether a request may run more than once. */
+  idempotent: z.boolean(),
+  /** Longest time that a caller is kept waiting. */
+  timeoutMs: DurationMsSchema.min(1),
+  /** Time within which an answer has its full use for the caller. */
+  aimMs: DurationMsSchema.min(1),
+  /** Most upstreams to which one call may be sent. */
+  attempts: z.int().min(1).max(MAX_ATTEMPT_TARGETS),
+  /** Rank among routes; 0 is the most urgent. */
+  priority: z.int().min(0),
+  backends: z.array(BackendSchema).min(1).readonly(),
+});
+
+export const MeshServiceSchema = z.strictObject({
+  name: IdSchema,
+  /** Connections that one upstream accepts from all callers. */
+  connections: z.int().min(1),
+});
+
+/** Bounds on what callers may send and how long they may take. */
+export const CallerLimitsSchema = z.strictObject({
+  maxHeaderBytes: z.int().min(1),
+  maxBodyBytes: z.int().min(1),
+  headerTimeoutMs: DurationMsSchema.min(1),
+  idleTimeoutMs: DurationMsSchema.min(1),
+});
+
+/** One whole configuration; a higher version replaces a lower one. */
+export const MeshConfigSchema = z.strictObject({
+  version: SequenceSchema,
+  routes: z.array(MeshRouteSchema).readonly(),
+  services: z.array(MeshServiceSchema).readonly(),
+  limits: CallerLimitsSchema,
+});
+
+/** An upstream as it has registered itself. */
+export const InstanceSchema = z.strictObject({
+  id: IdSchema,
+  service: IdSchema,
+  address: AddressSchema,
+  zone: IdSchema,
+  slots: z.int().min(1),
+  state: z.enum(['ready', 'draining']),
+  /** How much longer it stays slow after its start. */
+  coldMs: DurationMsSchema,
+  /** Start of this process, in Unix milliseconds; orders its incarnations. */
+  incarnation: z.number(),
+  /** Counts up with each report of one incarnation. */
+  heartbeat: z.number(),
+});
+
+/** What changed between two revisions of the source. */
+export const FleetNewsSchema = z.strictObject({
+  /** Revision up to which the receiver must know all; 0: the list is whole. */
+  base: SequenceSchema,
+  revision: SequenceSchema,
+  changed: z.array(InstanceSchema).readonly(),
+  removed: z.array(IdSchema).readonly(),
+});
+
+/** What turns one version into a later one; entries replace by name. */
+export const ConfigDeltaSchema = z.strictObject({
+  base: SequenceSchema,
+  version: SequenceSchema,
+  routes: z.array(MeshRouteSchema).readonly(),
+  removedRoutes: z.array(IdSchema).readonly(),
+  services: z.array(MeshServiceSchema).readonly(),
+  removedServices: z.array(IdSchema).readonly(),
+  limits: CallerLimitsSchema,
+});
+
+/** One try of a call at the proxy beside an upstream. */
+export const MeshAttemptSchema = z.strictObject({
+  attemptId: IdSchema,
+  /** The caller's own identifier of its request, for logs. */
+  requestId: z.string(),
+  service: IdSchema,
+  instanceId: IdSchema,
+  route: IdSchema,
+  /** Service of the upstream beside which the call began. */
+  callerService: z.string(),
+  idempotent: z.boolean(),
+  priority: z.int().min(0),
+  /** Time left until the aim and until the deadline when it was sent. */
+  aimMs: z.number(),
+  timeoutMs: z.number(),
+  /** The route's aim, from which the time to run is estimated. */
+  routeAimMs: z.number().min(1),
+  fingerprint: z.string().max(128),
+});
+
+const HeadersSchema = z.record(
+  z.string(),
+  z.union([z.string(), z.array(z.string())]),
+);
+
+/** Messages on the link between two proxies; bodies travel beside them. */
+export const LinkMessageSchema = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('hello'),
+    address: AddressSchema,
+    zone: IdSchema,
+    /** Start of the sending process, in Unix milliseconds. */
+    incarnation: z.number(),
+    version: SequenceSchema,
+    revision: SequenceSchema,
+    leaving: z.boolean(),
+  }),
+  z.strictObject({kind: z.literal('ping'), id: z.int()}),
+  z.strictObject({kind: z.literal('pong'), id: z.int()}),
+  z.strictObject({
+    kind: z.literal('news'),
+    /** Where the news entered the receiver's zone; heads the push tree. */
+    root: AddressSchema,
+    /** The receiver passes it on in its zone. */
+    relay: z.boolean(),
+    /** Time since the source was read, in milliseconds. */
+    ageMs: z.number().min(0),
+    fleet: FleetNewsSchema,
+    /** Version that the sender holds. */
+    version: SequenceSchema,
+    delta: ConfigDeltaSchema.optional(),
+  }),
+  /** Asks for what the sender lacks. */
+  z.strictObject({
+    kind: z.literal('pull'),
+    version: SequenceSchema,
+    revision: SequenceSchema,
+  }),
+  /** Answers a pull; the configuration is compressed in the body. */
+  z.strictObject({
+    kind: z.literal('state'),
+    ageMs: z.number().min(0),
+    fleet: FleetNewsSchema.optional(),
+    hasConfig: z.boolean(),
+  }),
+  z.strictObject({
+    kind: z.literal('suspects'),
+    suspects: z.array(SuspectInfoSchema).max(64).readonly(),
+  }),
+  z.strictObject({kind: z.literal('leaving'), address: AddressSchema}),
+  /** The sender's upstream refuses connections, or accepts them again. */
+  z.strictObject({
+    kind: z.literal('upstreamState'),
+    instanceId: IdSchema,
+    up: z.boolean(),
+  }),
+  z.strictObject({
+    kind: z.literal('attempt'),
+    attempt: MeshAttemptSchema,
+    method: z.string(),
+    path: z.string(),
+    headers: HeadersSchema,
+  }),
+  z.strictObject({kind: z.literal('cancel'), attemptId: IdSchema}),
+  /** Asks what became of an attempt, and forbids it where it is unknown. */
+  z.strictObject({kind: z.literal('resume'), attemptId: IdSchema}),
+  z.strictObject({
+    kind: z.literal('answer'),
+    attemptId: IdSchema,
+    status: z.int(),
+    headers: HeadersSchema,
+    load: LoadReportSchema,
+  }),
+  z.strictObject({
+    kind: z.literal('refusal'),
+    attemptId: IdSchema,
+    reason: z.string(),
+    outcome: z.enum(['not-run', 'unknown']),
+    retryAfterMs: z.number().optional(),
+    /** The upstream received it, whether or not it ran. */
+    reachedUpstream: z.boolean(),
+    load: LoadReportSchema,
+  }),
+]);
+
+export type MeshRoute = z.infer<typeof MeshRouteSchema>;
+export type MeshService = z.infer<typeof MeshServiceSchema>;
+export type MeshConfig = z.infer<typeof MeshConfigSchema>;
+export type CallerLimits = z.infer<typeof CallerLimitsSchema>;
+export type Instance = z.infer<typeof InstanceSchema>;
+export type FleetNews = z.infer<typeof FleetNewsSchema>;
+export type ConfigDelta = z.infer<typeof ConfigDeltaSchema>;
+export type MeshAttempt = z.infer<typeof MeshAttemptSchema>;
+export type LinkMessage = z.infer<typeof LinkMessageSchema>;
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -22,6 +22,10 @@
   leaving: z.boolean(),
   /** Estimated time that a request runs there, in milliseconds. */
   serviceTimeMs: z.number().min(0).optional(),
+  /** Time that requests take there, as a multiple of what is usual. */
+  slowness: z.number().min(0).optional(),
+  /** Share of recent requests that the upstream failed or shed. */
+  failing: z.number().min(0).max(1).optional(),
 });
 
 /** One try of a call at one owner. */
--- a/src/proxy/caller_server.ts
+++ b/src/proxy/caller_server.ts
@@ -177,7 +177,12 @@
   );
 }
 
-function parseDeadline(
+/**
+ * Reads a header that holds a duration.
+ * @param value - The header.
+ * @returns Milliseconds; undefined where absent, NaN where malformed.
+ */
+export function parseDeadline(
   value: string | string[] | undefined,
 ): number | undefined {
   if (value === undefined) {
@@ -188,7 +193,14 @@
     : NaN;
 }
 
-function getFingerprint(
+/**
+ * Hashes what a request asks for, so that the same request is recognized.
+ * @param method - Its method.
+ * @param path - Path and query.
+ * @param body - Its body.
+ * @returns The hash.
+ */
+export function getFingerprint(
   method: string,
   path: string,
   body: Uint8Array,
--- a/src/proxy/connections.ts
+++ b/src/proxy/connections.ts
@@ -28,6 +28,18 @@
     return pool;
   }
 
+  /**
+   * Leaves the connections to an address; what runs on them may finish, and
+   * later requests open new ones.
+   * @param address - The address.
+   */
+  renew(address: string): void {
+    const pool = this.pools.get(address);
+    this.pools.delete(address);
+    // Rejects only where the pool was destroyed, which closes all the same.
+    pool?.close().catch(() => undefined);
+  }
+
   /** Closes all connections at once. */
   async destroy(): Promise<void> {
     await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
--- a/src/proxy/core_loop.ts
+++ b/src/proxy/core_loop.ts
@@ -1,30 +1,37 @@
-/** Feeds events to the decision core one by one and hands out its effects. */
-import {CoreSettings} from '../core/core_settings.js';
-import {reduceProxy} from '../core/proxy_core.js';
-import {createProxyState, ProxyState} from '../core/proxy_state.js';
-import {Effect, EventBody} from '../core/types.js';
+/** Feeds events to a decision core one by one and hands out its effects. */
 import {Clock} from './clock.js';
 
-export class CoreLoop {
-  private current: ProxyState;
-  private readonly waiting: EventBody[] = [];
+/** When an event happened, and the chance that its reducer may use. */
+export interface EventStamp {
+  readonly at: number;
+  readonly entropy: number;
+}
+
+/** A reducer of one core: the next state, and the effects in order. */
+export type Reducer<S, B, F> = (
+  state: S,
+  event: B & EventStamp,
+) => readonly [S, readonly F[]];
+
+export class CoreLoop<S, B, F> {
+  private readonly waiting: B[] = [];
   private reducing = false;
 
   /**
-   * @param settings - The core's settings.
+   * @param current - The state at the start.
+   * @param reducer - The core.
    * @param clock - Stamps each event with time and randomness.
    * @param perform - Carries out one effect; it may post further events.
    */
   constructor(
-    settings: CoreSettings,
+    private current: S,
+    private readonly reducer: Reducer<S, B, F>,
     private readonly clock: Clock,
-    private readonly perform: (effect: Effect) => void,
-  ) {
-    this.current = createProxyState(settings);
-  }
+    private readonly perform: (effect: F) => void,
+  ) {}
 
   /** The state, to be read only. */
-  get state(): ProxyState {
+  get state(): S {
     return this.current;
   }
 
@@ -32,7 +39,7 @@
    * Reduces an event, after those that are already waiting.
    * @param body - The event without its stamp.
    */
-  post(body: EventBody): void {
+  post(body: B): void {
     this.waiting.push(body);
     if (this.reducing) {
       return;
@@ -51,10 +58,14 @@
     }
   }
 
-  private reduce(body: EventBody): void {
+  private reduce(body: B): void {
     const at = this.clock.now();
     const entropy = this.clock.getEntropy();
-    const [state, effects] = reduceProxy(this.current, {...body, at, entropy});
+    const [state, effects] = this.reducer(this.current, {
+      ...body,
+      at,
+      entropy,
+    });
     this.current = state;
     for (const effect of effects) {
       this.perform(effect);
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -21,6 +21,13 @@
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
+/** What differs between listeners. */
+export interface ListenOptions {
+  /** Time for which an idle connection stays open, in milliseconds. */
+  readonly keepAliveMs?: number;
+  readonly maxHeaderBytes?: number;
+}
+
 export interface Listener {
   readonly server: Server;
   /** The address on which it listens, with the actual port. */
@@ -36,23 +43,25 @@
  * @param maxConnections - Connections accepted at the same time.
  * @param onBadInput - Told of each connection whose input was not HTTP.
  * @param handle - Handles well-formed requests.
+ * @param options - Replaces defaults.
  * @returns The listener, once it accepts connections.
  */
 export async function listen(
   address: string,
-  limits: Settings['limits'],
+  limits: Pick<Settings['limits'], 'receiveTimeoutMs'>,
   maxConnections: number,
   onBadInput: (kind: string) => void,
   handle: RequestListener,
+  options: ListenOptions = {},
 ): Promise<Listener> {
   const lastResponses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
-      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
       requestTimeout: limits.receiveTimeoutMs,
       headersTimeout: limits.receiveTimeoutMs,
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
-      maxHeaderSize: MAX_HEADER_BYTES,
+      maxHeaderSize: options.maxHeaderBytes ?? MAX_HEADER_BYTES,
       noDelay: true,
     },
     (req, res) => {
--- a/src/proxy/log.ts
+++ b/src/proxy/log.ts
@@ -3,7 +3,8 @@
 import {PartName} from '../core/types.js';
 import {Settings} from '../model/settings.js';
 
-const LEVELS: Readonly<Record<Settings['logLevel'], number>> = {
+/** Severity of each level, as the logging library counts it. */
+export const LEVELS: Readonly<Record<Settings['logLevel'], number>> = {
   silly: 0,
   trace: 1,
   debug: 2,
--- a/src/proxy/operator_server.ts
+++ b/src/proxy/operator_server.ts
@@ -1,6 +1,8 @@
 /** Health, metrics and status for operators, and the start of a planned stop. */
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {CoreLoop} from './core_loop.js';
+import {Effect, EventBody} from '../core/types.js';
+import {ProxyState} from '../core/proxy_state.js';
 import {ProxyMetrics} from './metrics.js';
 
 /** Members that one status answer lists. */
@@ -8,7 +10,7 @@
 
 export class OperatorServer {
   constructor(
-    private readonly loop: CoreLoop,
+    private readonly loop: CoreLoop<ProxyState, EventBody, Effect>,
     private readonly metrics: ProxyMetrics,
     private readonly startDrain: () => void,
   ) {}
@@ -63,7 +65,9 @@
  * @param loop - The running core.
  * @returns A JSON value.
  */
-export function getStatus(loop: CoreLoop): object {
+export function getStatus(
+  loop: CoreLoop<ProxyState, EventBody, Effect>,
+): object {
   const {settings, log, startup, membership, owner, watch, suspects} =
     loop.state;
   const {id, zone, region, peerAddress, startedAt} = settings;
--- a/src/proxy/proxy_runtime.ts
+++ b/src/proxy/proxy_runtime.ts
@@ -1,5 +1,7 @@
 /** Wires the decision core of one proxy to sockets, timers and logs. */
 import {createCoreSettings} from '../core/core_settings.js';
+import {reduceProxy} from '../core/proxy_core.js';
+import {createProxyState, ProxyState} from '../core/proxy_state.js';
 import {Effect, EventBody} from '../core/types.js';
 import {Attempt} from '../model/peer.js';
 import {Settings} from '../model/settings.js';
@@ -26,6 +28,9 @@
 const MAX_PEER_CONNECTIONS = 16_384;
 const MAX_OPERATOR_CONNECTIONS = 64;
 
+/** The loop of a proxy that takes its versions from submissions. */
+export type ProxyLoop = CoreLoop<ProxyState, EventBody, Effect>;
+
 /** The addresses on which a running proxy listens. */
 export interface ProxyAddresses {
   readonly callers: string;
@@ -51,7 +56,7 @@
   private readonly control: ControlClient;
   private listeners: Listener[] = [];
   private callerListener?: Listener;
-  private loop?: CoreLoop;
+  private loop?: ProxyLoop;
   private ownAddress = '';
   private finishDrain: () => void = () => undefined;
 
@@ -128,13 +133,18 @@
     };
   }
 
-  private createLoop(peerAddress: string): CoreLoop {
+  private createLoop(peerAddress: string): ProxyLoop {
     const core = createCoreSettings(
       this.settings,
       peerAddress,
       this.clock.now(),
     );
-    this.loop = new CoreLoop(core, this.clock, effect => this.perform(effect));
+    this.loop = new CoreLoop<ProxyState, EventBody, Effect>(
+      createProxyState(core),
+      reduceProxy,
+      this.clock,
+      effect => this.perform(effect),
+    );
     return this.loop;
   }
 
--- a/src/proxy/results.ts
+++ b/src/proxy/results.ts
@@ -102,11 +102,13 @@
  * @param res - The response to the caller.
  * @param result - The upstream's answer or a refusal.
  * @param close - Whether to close the connection afterwards.
+ * @param wait - How a refusal tells when to come back.
  */
 export function writeCallResult(
   res: ServerResponse,
   result: Answer | Refusal,
   close: boolean,
+  wait: 'whole-seconds' | 'fractions' = 'whole-seconds',
 ): void {
   const extra: HeaderRecord = close ? {connection: 'close'} : {};
   if (result.kind === 'answer') {
@@ -117,13 +119,14 @@
     });
     return;
   }
-  writeRefusal(res, result, extra);
+  writeRefusal(res, result, extra, wait);
 }
 
 function writeRefusal(
   res: ServerResponse,
   refusal: Refusal,
   extra: HeaderRecord,
+  wait: 'whole-seconds' | 'fractions',
 ): void {
   const {reason, outcome, retryAfterMs, detail} = refusal;
   const {status, message} = REFUSALS[reason];
@@ -134,7 +137,8 @@
     [REASON_HEADER]: reason,
   };
   if (retryAfterMs !== undefined) {
-    const seconds = Math.ceil(retryAfterMs / MS_PER_SECOND);
+    const exact = Math.ceil(retryAfterMs) / MS_PER_SECOND;
+    const seconds = wait === 'fractions' ? exact : Math.ceil(exact);
     headers['retry-after'] = String(seconds);
     headers[RETRY_AFTER_HEADER] = String(Math.ceil(retryAfterMs));
   }
