--- a/src/core/mesh/call_flow.ts
+++ b/src/core/mesh/call_flow.ts
@@ -10,7 +10,9 @@
 import {MeshCallInfo, MeshEmit, MeshEvent} from './mesh_types.js';
 import {earnRetry} from './retry_tokens.js';
 import {chooseBackend, findMeshRoute} from './route_table.js';
+import {getUsualRunMs} from './run_estimates.js';
 import {getAgeMs} from './spreading.js';
+import {endsBeforeStop} from './stop_time.js';
 
 /** Owners that one call may ask; a refusal costs a round trip, no work. */
 export const MAX_ASKED = 4;
@@ -21,6 +23,9 @@
 /** Wait that a caller is advised where nothing better is known. */
 const DEFAULT_RETRY_AFTER_MS = 400;
 
+/** Wait advised by a stopping proxy: others take the call at once. */
+const STOPPING_RETRY_AFTER_MS = 50;
+
 /** Part of a wait that is drawn at random, so that callers do not return together. */
 const RETRY_AFTER_SPREAD = 0.5;
 
@@ -67,6 +72,10 @@
   if (isQuarantined(state.suspects, info.fingerprint, at)) {
     return createRefusal('crash_suspected', state.settings.quarantineMs);
   }
+  const usualMs = state.answerMs.get(route.name) ?? getUsualRunMs(route.aimMs);
+  if (!endsBeforeStop(state, usualMs, at)) {
+    return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
+  }
   const timeoutMs = Math.min(route.timeoutMs, info.timeoutMs ?? Infinity);
   return {
     callId,
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -5,11 +5,10 @@
  */
 import {getLoad, noteDown, noteSuccess} from '../entry/load_view.js';
 import {expireSuspects, mergeSuspect} from '../owner/crash_suspects.js';
-import {createRefusal} from '../refusals.js';
 import {assertNever} from '../types.js';
-import {acceptMeshCall, dropMeshCall, refuseCall} from './call_flow.js';
+import {acceptMeshCall, dropMeshCall} from './call_flow.js';
 import {takeLoss, takeOutcome, tickCalls} from './call_results.js';
-import {MeshState, getLinkAddress, getOwnInstance} from './mesh_state.js';
+import {MeshState, getLinkAddress} from './mesh_state.js';
 import {MeshEffect, MeshEmit, MeshEvent} from './mesh_types.js';
 import {
   acceptMeshAttempt,
@@ -33,18 +32,7 @@
   takeSourceAnswer,
   takeSourceFailure,
 } from './spreading.js';
-
-/**
- * Time that a stopping proxy goes on taking work: the platform asks every
- * second whether it is ready and stops sending callers after two misses.
- */
-const STOP_SERVE_MS = 2_600;
-
-/** Quiet time after which a stopping proxy may end, in milliseconds. */
-const STOP_QUIET_MS = 500;
-
-/** Time before the end of the grace period at which calls are given up. */
-const STOP_RESERVE_MS = 350;
+import {beginStop, endStopIfDue} from './stopping.js';
 
 /**
  * Reduces one event.
@@ -106,7 +94,7 @@
     case 'connectProbed':
       return takeConnectProbe(state, at, event.accepted, emit);
     case 'stopRequested':
-      return reduceStop(state, at, emit);
+      return beginStop(state, at, emit);
     default:
       return assertNever(event);
   }
@@ -273,53 +261,3 @@
     fields: {address: from},
   });
 }
-
-function reduceStop(state: MeshState, at: number, emit: MeshEmit): void {
-  if (state.stopRequestedAt !== undefined) {
-    return;
-  }
-  state.stopRequestedAt = at;
-  const {address} = state.settings;
-  for (const to of state.peers.keys()) {
-    emit({kind: 'sendMessage', to, message: {kind: 'leaving', address}});
-  }
-  emit({
-    kind: 'log',
-    level: 'info',
-    part: 'daemon',
-    message: 'Planned stop begins.',
-    fields: {
-      calls: state.calls.size,
-      running: state.work.running.size,
-      instance: getOwnInstance(state)?.id,
-    },
-  });
-}
-
-/** Ends a planned stop once nothing arrives and nothing is under way. */
-function endStopIfDue(
-  state: MeshState,
-  event: MeshEvent,
-  emit: MeshEmit,
-): void {
-  const {stopRequestedAt, work, calls, settings} = state;
-  if (stopRequestedAt === undefined || state.stopped) {
-    return;
-  }
-  const {at} = event;
-  const sinceMs = at - stopRequestedAt;
-  const idle =
-    calls.size === 0 && work.running.size === 0 && work.queue.length === 0;
-  const quiet = at - state.lastWorkAt >= STOP_QUIET_MS;
-  const isOver = sinceMs >= settings.graceMs - STOP_RESERVE_MS;
-  if (isOver) {
-    for (const call of [...calls.values()]) {
-      call.mayHaveRun ||= call.underWay.size > 0;
-      refuseCall(state, call, createRefusal('proxy_stopping'), event, emit);
-    }
-  }
-  if (isOver || (sinceMs >= STOP_SERVE_MS && idle && quiet)) {
-    state.stopped = true;
-    emit({kind: 'stopped'});
-  }
-}
--- a/src/core/mesh/owner_flow.ts
+++ b/src/core/mesh/owner_flow.ts
@@ -5,6 +5,8 @@
 import {Refusal, createRefusal} from '../refusals.js';
 import {MeshState, getOwnInstance} from './mesh_state.js';
 import {AttemptOutcome, MeshEmit} from './mesh_types.js';
+import {getRunMs} from './run_estimates.js';
+import {endsBeforeStop} from './stop_time.js';
 import {tryStartProbe} from './upstream_health.js';
 import {
   QueuedAttempt,
@@ -74,6 +76,10 @@
   if (health.down) {
     return createRefusal('upstream_down', DOWN_RETRY_AFTER_MS);
   }
+  const runMs = getRunMs(state.estimates, attempt.routeAimMs);
+  if (!endsBeforeStop(state, runMs, at)) {
+    return createRefusal('proxy_stopping', DOWN_RETRY_AFTER_MS);
+  }
   return undefined;
 }
 
--- a/src/core/mesh/retry_tokens.ts
+++ b/src/core/mesh/retry_tokens.ts
@@ -8,7 +8,7 @@
  * Part of the budget that is used. The rest covers what the proxies cannot
  * see: calls that a repeated run makes in its turn, and uneven traffic.
  */
-const USED_PART = 0.7;
+const USED_PART = 0.5;
 
 /** Part of the fixed extra that is used; a restarted proxy gets it again. */
 const USED_EXTRA_PART = 0.4;
--- /dev/null
+++ b/src/core/mesh/stopping.ts
@@ -0,0 +1,67 @@
+/** A planned stop: what is still taken, and when the process may end. */
+import {createRefusal} from '../refusals.js';
+import {refuseCall} from './call_flow.js';
+import {MeshState, getOwnInstance} from './mesh_state.js';
+import {MeshEmit, MeshEvent} from './mesh_types.js';
+import {getStopEnd} from './stop_time.js';
+
+/**
+ * Time that a stopping proxy goes on taking work: the platform asks every
+ * second whether it is ready and stops sending callers after two misses.
+ */
+const STOP_SERVE_MS = 2_600;
+
+/** Quiet time after which a stopping proxy may end, in milliseconds. */
+const STOP_QUIET_MS = 500;
+
+/** Begins a planned stop: peers send no more, the platform no more callers. */
+export function beginStop(state: MeshState, at: number, emit: MeshEmit): void {
+  if (state.stopRequestedAt !== undefined) {
+    return;
+  }
+  state.stopRequestedAt = at;
+  const {address} = state.settings;
+  for (const to of state.peers.keys()) {
+    emit({kind: 'sendMessage', to, message: {kind: 'leaving', address}});
+  }
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'daemon',
+    message: 'Planned stop begins.',
+    fields: {
+      calls: state.calls.size,
+      running: state.work.running.size,
+      instance: getOwnInstance(state)?.id,
+    },
+  });
+}
+
+/** Ends a planned stop once nothing arrives and nothing is under way. */
+export function endStopIfDue(
+  state: MeshState,
+  event: Pick<MeshEvent, 'at' | 'entropy'>,
+  emit: MeshEmit,
+): void {
+  const {stopRequestedAt, work, calls} = state;
+  const endAt = getStopEnd(state);
+  if (stopRequestedAt === undefined || endAt === undefined || state.stopped) {
+    return;
+  }
+  const {at} = event;
+  const idle =
+    calls.size === 0 && work.running.size === 0 && work.queue.length === 0;
+  const quiet = at - state.lastWorkAt >= STOP_QUIET_MS;
+  const served = at - stopRequestedAt >= STOP_SERVE_MS;
+  const isOver = at >= endAt;
+  if (isOver) {
+    for (const call of [...calls.values()]) {
+      call.mayHaveRun ||= call.underWay.size > 0;
+      refuseCall(state, call, createRefusal('proxy_stopping'), event, emit);
+    }
+  }
+  if (isOver || (served && idle && quiet)) {
+    state.stopped = true;
+    emit({kind: 'stopped'});
+  }
+}
--- a/src/mesh/bounded_log.ts
+++ b/src/mesh/bounded_log.ts
@@ -14,12 +14,15 @@
 const MAX_WAITING_CHARS = 262_144;
 
 /**
- * Lines of one kind in a second that are written; more say the same again,
- * and the counters tell how many there were.
+ * Lines about requests that are written in one second: three times the calls
+ * of a busy VM. The counters tell how many more there were.
  */
 const MAX_LINES_PER_SECOND = 100;
 const SECOND_MS = 1_000;
 
+/** Parts that write a line for each request; the others write seldom. */
+const PER_REQUEST: ReadonlySet<MeshPart> = new Set(['entry', 'owner']);
+
 /** One record: a message, the part that wrote it, and its fields. */
 type Line = LogFields;
 
@@ -64,7 +67,7 @@
     message: string,
     fields: LogFields = {},
   ): void {
-    if (level === 'info' && !this.hasRoom()) {
+    if (level === 'info' && PER_REQUEST.has(part) && !this.hasRoom()) {
       this.drop();
       return;
     }
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -1,10 +1,11 @@
 /**
  * One connection between two proxies, on which messages of both run side by
  * side. A frame has the lengths of its message and its body, the message as
- * JSON, then the body.
+ * compressed JSON, then the body.
  */
 import {Socket} from 'node:net';
-import {LinkMessage, LinkMessageSchema} from '../model/mesh.js';
+import {LinkMessage} from '../model/mesh.js';
+import {packMessage, unpackMessage} from './message_codec.js';
 
 const LENGTH_BYTES = 4;
 const PREFIX_BYTES = 2 * LENGTH_BYTES;
@@ -72,7 +73,7 @@
     if (this.closed) {
       return;
     }
-    const text = Buffer.from(JSON.stringify(message));
+    const text = packMessage(message);
     const frame = Buffer.allocUnsafe(PREFIX_BYTES + text.length + body.length);
     frame.writeUInt32BE(text.length, 0);
     frame.writeUInt32BE(body.length, LENGTH_BYTES);
@@ -145,17 +146,18 @@
     this.bufferedBytes = all.length - end;
     this.neededBytes = PREFIX_BYTES;
     this.takeFrame(
-      all.toString('utf8', PREFIX_BYTES, bodyAt),
+      all.subarray(PREFIX_BYTES, bodyAt),
       all.subarray(bodyAt, end),
     );
   }
 
-  private takeFrame(text: string, body: Uint8Array): void {
-    const message = tryParseMessage(text);
-    if (typeof message === 'string') {
-      this.handlers.onBadFrame(message);
+  private takeFrame(packed: Uint8Array, body: Uint8Array): void {
+    const unpacked = unpackMessage(packed);
+    if (unpacked.isErr()) {
+      this.handlers.onBadFrame(unpacked.error);
       return;
     }
+    const message = unpacked.value;
     if (message.kind === 'ping') {
       this.send({kind: 'pong', id: message.id});
     } else if (message.kind !== 'pong') {
@@ -163,17 +165,3 @@
     }
   }
 }
-
-/** Returns what is wrong where the text is no message of this build. */
-function tryParseMessage(text: string): LinkMessage | string {
-  try {
-    const parsed = LinkMessageSchema.safeParse(JSON.parse(text));
-    if (parsed.success) {
-      return parsed.data;
-    }
-    const [issue] = parsed.error.issues;
-    return `${issue.path.join('.')}: ${issue.message}`;
-  } catch (error) {
-    return `not JSON: ${String(error)}`;
-  }
-}
--- a/src/proxy/connections.ts
+++ b/src/proxy/connections.ts
@@ -1,11 +1,36 @@
 /** Keep-alive connections to peers and to the local upstream. */
-import {Pool} from 'undici';
+import {Pool, buildConnector} from 'undici';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Below the keep-alive time of our servers, so that we close first. */
 const KEEP_ALIVE_MS = 20_000;
 
+/**
+ * The client takes a reset for the end of an answer that has no length. Under
+ * another code it is what it is: the answer was cut short.
+ */
+const RESET_CODE = 'CONNECTION_RESET';
+
+/** Opens connections on which a reset never looks like the end of an answer. */
+function createConnector(): buildConnector.connector {
+  const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+  return (options, callback) => {
+    connect(options, (...[error, socket]) => {
+      if (error !== null) {
+        callback(error, null);
+        return;
+      }
+      socket.prependListener('error', (cause: NodeJS.ErrnoException) => {
+        if (cause.code === 'ECONNRESET') {
+          cause.code = RESET_CODE;
+        }
+      });
+      callback(null, socket);
+    });
+  };
+}
+
 /** Pools by address; an unused address keeps an empty pool, which is small. */
 export class ConnectionPools {
   private readonly pools = new Map<string, Pool>();
@@ -19,7 +44,7 @@
       pool = new Pool(`http://${address}`, {
         connections: this.maxPerAddress ?? null,
         pipelining: 1,
-        connectTimeout: CONNECT_TIMEOUT_MS,
+        connect: createConnector(),
         keepAliveTimeout: KEEP_ALIVE_MS,
         keepAliveMaxTimeout: KEEP_ALIVE_MS,
       });
