--- a/src/mesh/link_hub.ts
+++ b/src/mesh/link_hub.ts
@@ -26,6 +26,7 @@
   private readonly all = new Set<Link>();
   private readonly waiting = new Map<Link, (link: Link | undefined) => void>();
   private server?: Server;
+  private closed = false;
   private timer?: NodeJS.Timeout;
   private readonly handlers: LinkHandlers;
 
@@ -76,7 +77,7 @@
    */
   open(address: string): Promise<Link | undefined> {
     const link = this.links.get(address);
-    if (link !== undefined) {
+    if (link !== undefined || this.closed) {
       return Promise.resolve(link);
     }
     let opening = this.opening.get(address);
@@ -89,6 +90,7 @@
 
   /** Closes all links and stops listening. */
   close(): void {
+    this.closed = true;
     clearInterval(this.timer);
     this.server?.close();
     this.all.forEach(link => link.close());
--- /dev/null
+++ b/test/mesh/mesh_fixture.ts
@@ -0,0 +1,237 @@
+/** Drives the core of one proxy with chosen events and times. */
+import {reduceMesh} from '../../src/core/mesh/mesh_core.js';
+import {MeshSettings} from '../../src/core/mesh/mesh_settings.js';
+import {MeshState, createMeshState} from '../../src/core/mesh/mesh_state.js';
+import {
+  AttemptOutcome,
+  MeshEffect,
+  MeshEventBody,
+} from '../../src/core/mesh/mesh_types.js';
+import {DEFAULT_POLICY} from '../../src/core/policy.js';
+import {createRefusal, RefusalReason} from '../../src/core/refusals.js';
+import {
+  Instance,
+  MeshAttempt,
+  MeshConfig,
+  MeshRoute,
+} from '../../src/model/mesh.js';
+
+export const SELF = '10.0.0.1';
+const LINK_PORT = 7000;
+
+/** Entropy that is above every share of calls that is drawn by chance. */
+export const PLAIN_ENTROPY = 2 ** 31;
+
+export function createRoute(over: Partial<MeshRoute> = {}): MeshRoute {
+  return {
+    name: 'read',
+    host: 'shop.example',
+    pathPrefix: '/read/',
+    idempotent: true,
+    timeoutMs: 1_200,
+    aimMs: 400,
+    attempts: 2,
+    priority: 2,
+    backends: [{service: 'desk', weight: 1}],
+    ...over,
+  };
+}
+
+export const CHARGE_ROUTE = createRoute({
+  name: 'charge',
+  pathPrefix: '/charge/',
+  idempotent: false,
+  priority: 0,
+});
+
+export function createConfig(
+  version = 1,
+  routes: readonly MeshRoute[] = [createRoute(), CHARGE_ROUTE],
+): MeshConfig {
+  return {
+    version,
+    routes,
+    services: [{name: 'desk', connections: 120}],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_048_576,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+export function createInstance(
+  host: number,
+  over: Partial<Instance> = {},
+): Instance {
+  return {
+    id: `i-${host}`,
+    service: 'desk',
+    address: `10.0.0.${host}:8000`,
+    zone: 'north',
+    slots: 2,
+    state: 'ready',
+    coldMs: 0,
+    incarnation: 1,
+    heartbeat: 1,
+    ...over,
+  };
+}
+
+export function createAttempt(over: Partial<MeshAttempt> = {}): MeshAttempt {
+  return {
+    attemptId: 'a-1',
+    requestId: 'r-1',
+    service: 'desk',
+    instanceId: 'i-1',
+    route: 'read',
+    callerService: 'desk',
+    idempotent: true,
+    priority: 2,
+    aimMs: 400,
+    timeoutMs: 1_200,
+    routeAimMs: 400,
+    fingerprint: 'f-1',
+    ...over,
+  };
+}
+
+const SETTINGS: MeshSettings = {
+  address: `${SELF}:${LINK_PORT}`,
+  zone: 'north',
+  region: 'west',
+  startedAt: 1,
+  service: 'desk',
+  upstreamAddress: `${SELF}:8000`,
+  linkPort: LINK_PORT,
+  heartbeatMs: 1_500,
+  retryShare: 0.2,
+  retryExtra: 60,
+  retryWindowMs: 10_000,
+  graceMs: 6_000,
+  readIntervalMs: 600,
+  quarantineMs: 60_000,
+  policy: DEFAULT_POLICY,
+};
+
+export class MeshFixture {
+  at = 1_000;
+  readonly state: MeshState;
+  private effects: MeshEffect[] = [];
+
+  constructor(over: Partial<MeshSettings> = {}) {
+    this.state = createMeshState({...SETTINGS, ...over});
+  }
+
+  /** Posts an event and returns the effects that it had. */
+  post(body: MeshEventBody, entropy = PLAIN_ENTROPY): readonly MeshEffect[] {
+    const event = {...body, at: this.at, entropy};
+    const [, effects] = reduceMesh(this.state, event);
+    this.effects.push(...effects);
+    return effects;
+  }
+
+  /** Lets time pass in ticks of 25 ms. */
+  pass(ms: number): readonly MeshEffect[] {
+    const effects: MeshEffect[] = [];
+    for (let left = ms; left > 0; left -= 25) {
+      this.at += Math.min(25, left);
+      effects.push(...this.post({kind: 'tick'}));
+    }
+    return effects;
+  }
+
+  /** Gives the proxy a configuration and upstreams, as the source would. */
+  learn(
+    instances: readonly Instance[],
+    config: MeshConfig = createConfig(),
+    revision = 10,
+  ): readonly MeshEffect[] {
+    return this.post({
+      kind: 'sourceAnswered',
+      request: {kind: 'list', withConfig: true},
+      answer: {kind: 'listing', revision, instances, config},
+    });
+  }
+
+  call(
+    callId: string,
+    path = '/read/1',
+    timeoutMs = 2_500,
+  ): readonly MeshEffect[] {
+    const requestId = `r-${callId}`;
+    const host = 'shop.example';
+    const fingerprint = `f-${callId}`;
+    const call = {requestId, host, path, timeoutMs, fingerprint};
+    return this.post({kind: 'callArrived', callId, call});
+  }
+
+  /** Ends an attempt with a refusal of its owner. */
+  refuse(
+    attemptId: string,
+    reason: RefusalReason,
+    reachedUpstream = false,
+  ): readonly MeshEffect[] {
+    const result = createRefusal(reason, 100);
+    return this.end(attemptId, {result, reachedUpstream});
+  }
+
+  answer(attemptId: string, status = 200): readonly MeshEffect[] {
+    const body = new Uint8Array(0);
+    const result = {kind: 'answer', status, headers: {}, body} as const;
+    return this.end(attemptId, {result, reachedUpstream: true});
+  }
+
+  private end(
+    attemptId: string,
+    outcome: AttemptOutcome,
+  ): readonly MeshEffect[] {
+    return this.post({kind: 'attemptEnded', attemptId, outcome});
+  }
+
+  /** Takes all effects since the last call, as short lines. */
+  take(): string[] {
+    return describeEffects(this.effects.splice(0));
+  }
+}
+
+/** Renders the effects that decide something; counts and logs are left out. */
+export function describeEffects(effects: readonly MeshEffect[]): string[] {
+  return effects.flatMap(effect => {
+    switch (effect.kind) {
+      case 'count':
+      case 'observe':
+      case 'log':
+        return [];
+      case 'answerCall': {
+        const {callId, result} = effect;
+        return result.kind === 'answer'
+          ? `answerCall ${callId} ${result.status}`
+          : `answerCall ${callId} ${result.reason} ${result.outcome}`;
+      }
+      case 'sendAttempt': {
+        const {attemptId, instanceId} = effect.attempt;
+        return `sendAttempt ${attemptId} to ${instanceId}`;
+      }
+      case 'finishAttempt': {
+        const {attemptId, outcome} = effect;
+        const {result, reachedUpstream} = outcome;
+        const what = result.kind === 'answer' ? result.status : result.reason;
+        return `finishAttempt ${attemptId} ${what} reached=${reachedUpstream}`;
+      }
+      case 'sendMessage':
+        return `sendMessage ${effect.message.kind} to ${effect.to}`;
+      case 'readSource':
+        return `readSource ${effect.request.kind}`;
+      case 'dispatch':
+      case 'abortDispatch':
+      case 'cancelAttempt':
+        return `${effect.kind} ${effect.attemptId}`;
+      case 'configAdopted':
+        return `configAdopted ${effect.config.version}`;
+      default:
+        return effect.kind;
+    }
+  });
+}
--- /dev/null
+++ b/test/mesh/owner.test.ts
@@ -0,0 +1,152 @@
+/** The owner role: what the upstream runs, and what is turned away. */
+import {expect} from '../support/chai_setup.js';
+import {MeshFixture, createAttempt, createInstance} from './mesh_fixture.js';
+
+const PLAIN_FACTS = {notRun: false, otherInstance: false, closing: false};
+
+function createOwner(slots = 1): MeshFixture {
+  const owner = new MeshFixture();
+  owner.learn([createInstance(1, {slots}), createInstance(2)]);
+  owner.take();
+  return owner;
+}
+
+function offer(owner: MeshFixture, attemptId: string, over = {}): void {
+  const attempt = createAttempt({attemptId, ...over});
+  owner.post({kind: 'attemptArrived', attempt});
+}
+
+function finish(owner: MeshFixture, attemptId: string, status = 200): void {
+  const body = new Uint8Array(0);
+  const answer = {kind: 'answer', status, headers: {}, body} as const;
+  owner.post({kind: 'upstreamAnswered', attemptId, answer, facts: PLAIN_FACTS});
+}
+
+describe('mesh owner', () => {
+  it('runs no more than the slots, the most urgent first', () => {
+    const owner = createOwner();
+    offer(owner, 'read-1');
+    offer(owner, 'read-2');
+    offer(owner, 'charge', {priority: 0});
+    finish(owner, 'read-1');
+    finish(owner, 'charge');
+    expect(owner.take()).to.deep.equal([
+      'dispatch read-1',
+      'finishAttempt read-1 200 reached=true',
+      'dispatch charge',
+      'finishAttempt charge 200 reached=true',
+      'dispatch read-2',
+    ]);
+  });
+
+  it('refuses at once what would miss its aim after a wait', () => {
+    const owner = createOwner();
+    offer(owner, 'a');
+    offer(owner, 'b');
+    offer(owner, 'c');
+    expect(owner.take()).to.deep.equal([
+      'dispatch a',
+      'finishAttempt c queue_full reached=false',
+    ]);
+  });
+
+  it('refuses new and waiting work as soon as the upstream drains', () => {
+    const owner = createOwner();
+    offer(owner, 'runs');
+    offer(owner, 'waits');
+    owner.take();
+    owner.post({
+      kind: 'sourceAnswered',
+      request: {kind: 'changes', after: 10},
+      answer: {
+        kind: 'changes',
+        revision: 11,
+        changed: [createInstance(1, {state: 'draining', heartbeat: 2})],
+        removed: [],
+      },
+    });
+    owner.pass(25);
+    offer(owner, 'late');
+    const lines = owner.take().filter(line => line.startsWith('finish'));
+    expect(lines).to.deep.equal([
+      'finishAttempt waits upstream_leaving reached=false',
+      'finishAttempt late upstream_leaving reached=false',
+    ]);
+  });
+
+  it('sends nothing to another process at the address', () => {
+    const owner = createOwner();
+    offer(owner, 'old', {instanceId: 'i-0'});
+    expect(owner.take()).to.deep.equal([
+      'finishAttempt old wrong_home reached=false',
+    ]);
+  });
+
+  it('passes on that the upstream has not run a request', () => {
+    const owner = createOwner();
+    offer(owner, 'a');
+    const body = new Uint8Array(0);
+    owner.post({
+      kind: 'upstreamAnswered',
+      attemptId: 'a',
+      answer: {kind: 'answer', status: 503, headers: {}, body},
+      facts: {...PLAIN_FACTS, notRun: true},
+    });
+    expect(owner.take()).to.include('finishAttempt a queue_full reached=true');
+  });
+
+  it('keeps a cut run until it is known whether the upstream crashed', () => {
+    const owner = createOwner();
+    offer(owner, 'a');
+    owner.take();
+    owner.post({kind: 'upstreamFailed', attemptId: 'a', failure: 'reset'});
+    expect(owner.take()).to.deep.equal(['probeConnect']);
+    owner.post({kind: 'connectProbed', accepted: true});
+    expect(owner.take()).to.deep.equal([
+      'finishAttempt a attempt_lost reached=true',
+    ]);
+    expect(owner.state.suspects.byFingerprint.size).to.equal(0);
+  });
+
+  it('refuses a request that crashed two upstreams, and only that', () => {
+    const owner = createOwner();
+    for (const attemptId of ['a', 'b']) {
+      offer(owner, attemptId, {fingerprint: 'poison'});
+      owner.post({kind: 'upstreamFailed', attemptId, failure: 'reset'});
+      owner.post({kind: 'connectProbed', accepted: false});
+      owner.post({kind: 'connectProbed', accepted: true});
+    }
+    owner.take();
+    offer(owner, 'c', {fingerprint: 'poison'});
+    offer(owner, 'd', {fingerprint: 'other'});
+    expect(owner.take()).to.deep.equal([
+      'finishAttempt c crash_suspected reached=false',
+      'dispatch d',
+    ]);
+  });
+
+  it('takes nothing that may outlast its planned stop', () => {
+    const owner = createOwner();
+    owner.post({kind: 'stopRequested'});
+    owner.pass(5_000);
+    owner.take();
+    offer(owner, 'long', {routeAimMs: 1_200, aimMs: 1_200, timeoutMs: 4_000});
+    owner.call('c-1');
+    const lines = owner.take().filter(line => !line.includes('Source'));
+    expect(lines).to.deep.equal([
+      'finishAttempt long proxy_stopping reached=false',
+      'answerCall c-1 proxy_stopping not-run',
+    ]);
+  });
+
+  it('counts a run whose answer seems lost out of its slot', () => {
+    const owner = createOwner();
+    offer(owner, 'lost', {timeoutMs: 60_000});
+    owner.pass(2_000);
+    offer(owner, 'next');
+    expect(owner.take().filter(l => l.startsWith('dispatch'))).to.deep.equal([
+      'dispatch lost',
+      'dispatch next',
+    ]);
+  });
+});
--- /dev/null
+++ b/test/platform/documents.test.ts
@@ -0,0 +1,104 @@
+/** What the platform stores, read into the product's types. */
+import {Result} from 'neverthrow';
+import {readConfig, readInstance} from '../../platform/documents.js';
+import {parseSettings} from '../../platform/settings.js';
+import {expect} from '../support/chai_setup.js';
+import {createDocument, createEntry} from './store_standin.js';
+
+function show(result: Result<unknown, string>): unknown {
+  return result.match(
+    value => value,
+    error => `refused: ${error}`,
+  );
+}
+
+describe('platform documents', () => {
+  it('reads a configuration', () => {
+    const text = JSON.stringify(createDocument(7));
+    expect(show(readConfig(text))).toMatchSnapshot();
+  });
+
+  it('refuses a configuration whole and says why', () => {
+    const route = {
+      host: 'a.example',
+      prefix: '/a/',
+      kind: 'safe',
+      timeout: '1s',
+      aim: '1s',
+      attempts: 2,
+      priority: 0,
+    };
+    const withRoute = (over: object) =>
+      createDocument(7, {routes: {r: {...route, service: 'desk', ...over}}});
+    const cases: Readonly<Record<string, unknown>> = {
+      'cut short': JSON.stringify(createDocument(7)).slice(0, 80),
+      'unknown service': withRoute({service: 'none'}),
+      'no service': withRoute({service: undefined}),
+      'bare prefix': withRoute({prefix: '/a'}),
+      'no host': withRoute({host: undefined}),
+      'no attempts': withRoute({attempts: 0}),
+      'time without unit': withRoute({timeout: '1200'}),
+      'version as text': createDocument(7, {version: '7'}),
+    };
+    const shown = Object.entries(cases).map(([name, value]) => {
+      const text = typeof value === 'string' ? value : JSON.stringify(value);
+      return `${name} -> ${show(readConfig(text))}`;
+    });
+    expect(shown).toMatchSnapshot();
+  });
+
+  it('reads the entry of an upstream', () => {
+    const text = JSON.stringify(
+      createEntry('10.0.0.1:80', {'cold-left': '2.5s'}),
+    );
+    expect(show(readInstance('i-1', text))).toMatchSnapshot();
+  });
+
+  it('refuses an entry of another writer', () => {
+    const cases: Readonly<Record<string, object | string>> = {
+      'no slots': createEntry('10.0.0.1:80', {slots: undefined}),
+      'slots as text': createEntry('10.0.0.1:80', {slots: '9'}),
+      'unknown state': createEntry('10.0.0.1:80', {state: 'resting'}),
+      'address by name': createEntry('host:80'),
+      'not JSON': '\u0000\u0001',
+    };
+    const shown = Object.entries(cases).map(([name, value]) => {
+      const text = typeof value === 'string' ? value : JSON.stringify(value);
+      return `${name} -> ${show(readInstance('i-1', text))}`;
+    });
+    expect(shown).toMatchSnapshot();
+  });
+
+  it('reads rendered settings, and names what is wrong with them', () => {
+    const settings = {
+      name: 'vm-1',
+      region: 'west',
+      zone: 'north',
+      service: 'desk',
+      listen: {
+        callers: '10.0.0.1:1',
+        peers: '10.0.0.1:2',
+        ready: '10.0.0.1:3',
+        operators: '10.0.0.1:4',
+      },
+      upstream: '10.0.0.1:5',
+      source: '10.0.0.9:6',
+      heartbeat: '1500ms',
+      bounds: {
+        grace: '6s',
+        'retry-budget': 0.2,
+        'budget-window': '10s',
+        'budget-extra': 60,
+        drain: '2000ms',
+      },
+    };
+    const whole = JSON.stringify(settings);
+    const shown = [
+      show(parseSettings(whole)),
+      show(parseSettings(whole.slice(0, 90))),
+      show(parseSettings(JSON.stringify({...settings, upstream: 'vm-1'}))),
+      show(parseSettings(JSON.stringify({...settings, bounds: {}}))),
+    ];
+    expect(shown).toMatchSnapshot();
+  });
+});
--- /dev/null
+++ b/test/platform/store_standin.ts
@@ -0,0 +1,177 @@
+/** A small stand-in for the platform's store; it speaks as the real one. */
+import {once} from 'node:events';
+import {IncomingMessage, Server, ServerResponse, createServer} from 'node:http';
+import {AddressInfo} from 'node:net';
+
+/** Items of one page, fewer than the platform's, so that tests see several. */
+const PAGE_ITEMS = 3;
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+}
+
+type Change = Item | {key: string; revision: number; removed: true};
+
+/** How the store treats its callers. */
+export type StoreMode = 'answers' | 'busy' | 'many' | 'silent' | 'garbled';
+
+export class StoreStandin {
+  mode: StoreMode = 'answers';
+  calls: string[] = [];
+  private revision = 100;
+  private oldest = 100;
+  private readonly items = new Map<string, Item>();
+  private changes: Change[] = [];
+  private readonly server: Server;
+
+  constructor() {
+    this.server = createServer((req, res) => this.handle(req, res));
+  }
+
+  async start(): Promise<string> {
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    const {port} = this.server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    this.server.close();
+    await once(this.server, 'close');
+  }
+
+  /** Stores a JSON value, or text as it is. */
+  put(key: string, value: unknown): number {
+    const text = typeof value === 'string' ? value : JSON.stringify(value);
+    this.revision += 1;
+    const encoded = Buffer.from(text).toString('base64');
+    const item = {key, value: encoded, revision: this.revision};
+    this.items.set(key, item);
+    this.changes.push(item);
+    return this.revision;
+  }
+
+  remove(key: string): void {
+    this.revision += 1;
+    this.items.delete(key);
+    this.changes.push({key, revision: this.revision, removed: true});
+  }
+
+  /** Forgets the history. */
+  compact(): void {
+    this.changes = [];
+    this.oldest = this.revision;
+  }
+
+  private handle(req: IncomingMessage, res: ServerResponse): void {
+    const url = new URL(req.url ?? '/', 'http://store');
+    this.calls.push(url.pathname);
+    switch (this.mode) {
+      case 'silent':
+        return;
+      case 'busy':
+        return reply(res, 503, {error: 'busy'});
+      case 'many':
+        return reply(res, 429, {error: 'too many'});
+      case 'garbled':
+        return reply(res, 200, {items: 'none'});
+      case 'answers':
+        return this.answer(url, res);
+    }
+  }
+
+  private answer(url: URL, res: ServerResponse): void {
+    const get = (name: string) => url.searchParams.get(name) ?? '';
+    const at = {'store-revision': this.revision};
+    switch (url.pathname) {
+      case '/kv-key': {
+        const item = this.items.get(get('key'));
+        return item === undefined
+          ? reply(res, 404, {error: 'no such key'})
+          : reply(res, 200, {...item, ...at});
+      }
+      case '/kv-range': {
+        const all = [...this.items.values()]
+          .filter(
+            ({key}) => key.startsWith(get('prefix')) && key > get('after'),
+          )
+          .sort((a, b) => (a.key < b.key ? -1 : 1));
+        const items = all.slice(0, PAGE_ITEMS);
+        const page = {items, 'has-more': all.length > items.length, ...at};
+        return reply(res, 200, page);
+      }
+      case '/kv-watch':
+        return this.watch(Number(get('after')), get('prefix'), res);
+      default:
+        return reply(res, 404, {error: 'no such call'});
+    }
+  }
+
+  private watch(after: number, prefix: string, res: ServerResponse): void {
+    if (after < this.oldest) {
+      return reply(res, 410, {error: 'history is gone'});
+    }
+    const events = this.changes.filter(
+      ({key, revision}) => revision > after && key.startsWith(prefix),
+    );
+    reply(res, 200, {events, 'store-revision': this.revision});
+  }
+}
+
+function reply(res: ServerResponse, status: number, value: unknown): void {
+  res.writeHead(status, {'content-type': 'application/json'});
+  res.end(JSON.stringify(value));
+}
+
+/** An entry as an upstream writes it. */
+export function createEntry(address: string, over: object = {}): object {
+  return {
+    service: 'desk',
+    address,
+    zone: 'north',
+    version: 'v1',
+    slots: 4,
+    state: 'ready',
+    'cold-left': '0ms',
+    seq: 1,
+    born: 1_700_000_000_000,
+    ...over,
+  };
+}
+
+/** A configuration as the operator writes it. */
+export function createDocument(version: number, over: object = {}): object {
+  const common = {
+    host: 'shop.example',
+    timeout: '1200ms',
+    aim: '400ms',
+    attempts: 2,
+    service: 'desk',
+  };
+  return {
+    version,
+    routes: {
+      'r-read': {...common, prefix: '/read/', kind: 'safe', priority: 2},
+      'r-charge': {...common, prefix: '/charge/', kind: 'unsafe', priority: 0},
+    },
+    services: {
+      desk: {
+        'health-path': '/healthz',
+        'max-conns': 120,
+        protocol: 'h1',
+        tls: false,
+      },
+    },
+    limits: {
+      'max-header-bytes': 16384,
+      'max-body-bytes': 1048576,
+      'header-timeout': '3000ms',
+      'idle-timeout': '15s',
+    },
+    'base-version': version - 1,
+    ...over,
+  };
+}
--- /dev/null
+++ b/test/proxy/unframed_answer.test.ts
@@ -0,0 +1,51 @@
+/** An answer without length is complete only if its connection ends cleanly. */
+import {once} from 'node:events';
+import {AddressInfo, createServer} from 'node:net';
+import {ConnectionPools} from '../../src/proxy/connections.js';
+import {startExchange} from '../../src/proxy/http_exchange.js';
+import {expect} from '../support/chai_setup.js';
+
+/** Answers half, then ends the connection in the given way. */
+async function exchangeWith(end: 'close' | 'reset'): Promise<string> {
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf', () =>
+        // The client must have read this much before the connection ends.
+        setTimeout(
+          () => (end === 'reset' ? socket.resetAndDestroy() : socket.end()),
+          50,
+        ),
+      );
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const pools = new ConnectionPools(1);
+  const {result} = startExchange(pools.get(`127.0.0.1:${port}`), {
+    method: 'GET',
+    path: '/',
+    headers: {},
+    body: new Uint8Array(0),
+    timeoutMs: 5_000,
+    maxAnswerBytes: 1_000,
+  });
+  const answer = await result;
+  await pools.destroy();
+  server.close();
+  return answer.match(
+    ({body}) => `whole ${Buffer.from(body).toString()}`,
+    failure => failure,
+  );
+}
+
+describe('answer without length', () => {
+  it('is whole when the connection closes', async () => {
+    expect(await exchangeWith('close')).to.equal('whole half');
+  });
+
+  it('is cut short when the connection is reset', async () => {
+    expect(await exchangeWith('reset')).to.equal('truncated');
+  });
+});
