Versions are never skipped; drains are read from the whole list; neighbours keep links; answers without length stay so

The version has a revision of its own now, which only moves on what is certain. A test of a restart while the store is busy failed first: nobody opened a link to the restarted proxy.

--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -6,7 +6,7 @@
   noteReport,
   noteSuccess,
 } from '../entry/load_view.js';
-import {Refusal, createRefusal} from '../refusals.js';
+import {Refusal, RefusalReason, createRefusal} from '../refusals.js';
 import {Answer} from '../types.js';
 import {
   answerMeshCall,
@@ -39,6 +39,16 @@
 /** Share of the retry budget that hedging leaves for known failures. */
 const HEDGE_RESERVE_TOKENS = 2;
 
+/**
+ * Refusals after which an upstream is left out for a while. An owner whose
+ * upstream is gone has no load, so that it would look like the best choice.
+ */
+const MEANS_DOWN: ReadonlySet<string> = new Set<RefusalReason>([
+  'upstream_down',
+  'wrong_home',
+  'proxy_stopping',
+]);
+
 /** Takes an owner's result for an attempt. */
 export function takeOutcome(
   state: MeshState,
@@ -63,7 +73,7 @@
     takeAnswer(state, stamp, call, sent, result, emit);
     return;
   }
-  if (result.reason === 'upstream_down') {
+  if (MEANS_DOWN.has(result.reason)) {
     noteDown(load, stamp.at);
   }
   takeRefusal(state, stamp, call, result, reachedUpstream, emit);
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -20,11 +20,10 @@
   takeRunAnswer,
   takeRunFailure,
 } from './owner_results.js';
-import {getZonePeers} from './news_tree.js';
+import {getNeighbours, getZonePeers} from './news_tree.js';
 import {
   answerPull,
   pullFrom,
-  readConfigIfMissing,
   readSourceIfDue,
   removeLapsed,
   takePeerNews,
@@ -34,6 +33,9 @@
 } from './spreading.js';
 import {beginStop, endStopIfDue} from './stopping.js';
 
+/** Interval at which missing links to neighbours are opened, in milliseconds. */
+const GREET_INTERVAL_MS = 500;
+
 /**
  * Reduces one event.
  * @param state - The proxy's state; only the returned one may be used again.
@@ -103,8 +105,8 @@
 function reduceTick(state: MeshState, event: MeshEvent, emit: MeshEmit): void {
   const {at, entropy} = event;
   readSourceIfDue(state, at, entropy, emit);
-  readConfigIfMissing(state, at, emit);
   removeLapsed(state, at, emit);
+  keepNeighbours(state, at, emit);
   expireSuspects(state.suspects, at);
   tickMeshOwner(state, at, emit);
   tickCalls(state, event, emit);
@@ -125,6 +127,19 @@
   }
 }
 
+/** Opens links to neighbours that are missing, at intervals. */
+function keepNeighbours(state: MeshState, at: number, emit: MeshEmit): void {
+  if (at < state.nextGreetAt) {
+    return;
+  }
+  state.nextGreetAt = at + GREET_INTERVAL_MS;
+  for (const address of getNeighbours(state)) {
+    if (!state.peers.has(address)) {
+      greet(state, address, emit);
+    }
+  }
+}
+
 function greet(state: MeshState, to: string, emit: MeshEmit): void {
   const {address, zone, startedAt: incarnation} = state.settings;
   emit({
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -37,6 +37,8 @@
   readonly estimates: RunEstimates;
   readonly health: UpstreamHealth;
   readonly suspects: CrashSuspects;
+  /** When missing links to neighbours are opened next. */
+  nextGreetAt: number;
   stopRequestedAt?: number;
   lastWorkAt: number;
   stopped: boolean;
@@ -57,6 +59,7 @@
     estimates: createRunEstimates(),
     health: createUpstreamHealth(),
     suspects: createCrashSuspects(),
+    nextGreetAt: 0,
     lastWorkAt: 0,
     stopped: false,
   };
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -24,30 +24,34 @@
   readonly fingerprint: string;
 }
 
-/** What a read of the source brought. */
+/** What to read from the source. */
+export type SourceRequest =
+  /** All upstreams that are registered now. */
+  | {readonly kind: 'fleet'}
+  /** The newest configuration. */
+  | {readonly kind: 'config'}
+  /** The next configuration after a revision, as soon as there is one. */
+  | {
+      readonly kind: 'nextConfig';
+      readonly after: number;
+      readonly waitMs: number;
+    };
+
+/** What a read of the source brought, and its revision then. */
 export type SourceAnswer =
   | {
-      /** Everything that is registered now. */
-      readonly kind: 'listing';
+      readonly kind: 'fleet';
       readonly revision: number;
       readonly instances: readonly Instance[];
-      readonly config?: MeshConfig;
     }
   | {
-      /** What changed after the revision that was asked for. */
-      readonly kind: 'changes';
+      readonly kind: 'config';
       readonly revision: number;
-      readonly changed: readonly Instance[];
-      readonly removed: readonly string[];
       readonly config?: MeshConfig;
     }
   /** The changes asked for are no longer available. */
   | {readonly kind: 'compacted'};
 
-export type SourceRequest =
-  | {readonly kind: 'list'; readonly withConfig: boolean}
-  | {readonly kind: 'changes'; readonly after: number};
-
 /** What an attempt came to at its owner. */
 export interface AttemptOutcome {
   readonly result: Answer | Refusal;
@@ -76,7 +80,11 @@
       readonly request: SourceRequest;
       readonly answer: SourceAnswer;
     }
-  | {readonly kind: 'sourceFailed'; readonly detail: string}
+  | {
+      readonly kind: 'sourceFailed';
+      readonly request: SourceRequest;
+      readonly detail: string;
+    }
   | {readonly kind: 'linkOpened'; readonly address: string}
   | {readonly kind: 'linkClosed'; readonly address: string}
   | {
--- a/src/core/mesh/news_tree.ts
+++ b/src/core/mesh/news_tree.ts
@@ -99,3 +99,19 @@
   const members = getZones(state).get(zone) ?? [];
   return members.filter(other => other !== address);
 }
+
+/**
+ * Proxies of its zone to which each keeps a link open, also while nothing is
+ * sent: one that restarts while the source is silent learns from whoever opens
+ * a link to it.
+ */
+const KEPT_NEIGHBOURS = 3;
+
+/** Lists the proxies that follow this one in its zone's order. */
+export function getNeighbours(state: MeshState): string[] {
+  const {address} = state.settings;
+  const peers = getZonePeers(state);
+  const later = peers.filter(other => other > address);
+  const earlier = peers.filter(other => other < address);
+  return [...later, ...earlier].slice(0, KEPT_NEIGHBOURS);
+}
--- a/src/core/mesh/spreading.ts
+++ b/src/core/mesh/spreading.ts
@@ -26,7 +26,9 @@
 import {getNewsTargets, getZonePeers} from './news_tree.js';
 import {createMeshRouteTable} from './route_table.js';
 import {
+  CONFIG_WAIT_MS,
   isReadDue,
+  noteConfigMark,
   noteReadAnswered,
   noteReadFailed,
 } from './source_schedule.js';
@@ -43,57 +45,77 @@
  * itself, for each place in its zone's order, in milliseconds. A large
  * configuration costs more to read than to receive.
  */
-const CONFIG_WAIT_MS = 300;
-const CONFIG_WAIT_PLACES = 5;
+const CONFIG_PLACE_MS = 300;
+const CONFIG_PLACES = 5;
+
+/** Pause after a read that failed or found none, in milliseconds. */
+const CONFIG_RETRY_MS = 500;
+
+/** Ages above this one say no more than that it is long ago. */
+const MAX_AGE_MS = 1e9;
 
 type Received = Extract<MeshEvent, {kind: 'messageReceived'}>;
 type NewsMessage = Extract<LinkMessage, {kind: 'news'}>;
 
-/** Starts a read of the source where one is due. */
+/** Starts the reads of the source that are due. */
 export function readSourceIfDue(
   state: MeshState,
   at: number,
   entropy: number,
   emit: MeshEmit,
 ): void {
-  const {schedule, fleet} = state;
-  if (!isReadDue(state, at, entropy)) {
-    return;
+  if (isReadDue(state, at, entropy)) {
+    state.schedule.reading = true;
+    read({kind: 'fleet'}, emit);
   }
-  const request: SourceRequest =
-    fleet.revision === 0
-      ? {kind: 'list', withConfig: false}
-      : {kind: 'changes', after: fleet.revision};
-  schedule.reading = true;
+  readConfigIfMissing(state, at, emit);
+  awaitConfigIfReader(state, at, emit);
+}
+
+function read(request: SourceRequest, emit: MeshEmit): void {
   emit({kind: 'readSource', request});
   emit({kind: 'count', counter: 'source_call', reason: request.kind});
 }
 
 /** Reads the configuration where no peer has brought it in time. */
-export function readConfigIfMissing(
+function readConfigIfMissing(
   state: MeshState,
   at: number,
   emit: MeshEmit,
 ): void {
-  const {schedule, settings, fleet} = state;
-  const missing = state.config === undefined && !schedule.configRead;
-  if (!missing || fleet.revision === 0 || schedule.reading) {
-    return;
-  }
-  const members = [...getZonePeers(state), settings.address].sort();
-  const place = Math.min(members.indexOf(settings.address), CONFIG_WAIT_PLACES);
+  const {schedule, settings} = state;
+  const {firstListedAt} = schedule;
   if (
-    at < Math.max(schedule.notBefore, place * CONFIG_WAIT_MS + startedAt(state))
+    firstListedAt === undefined ||
+    schedule.configRevision > 0 ||
+    schedule.awaitingConfig
   ) {
     return;
   }
-  schedule.reading = true;
-  emit({kind: 'readSource', request: {kind: 'list', withConfig: true}});
-  emit({kind: 'count', counter: 'source_call', reason: 'list'});
+  const members = [...getZonePeers(state), settings.address].sort();
+  const place = Math.min(members.indexOf(settings.address), CONFIG_PLACES);
+  const dueAt = firstListedAt + place * CONFIG_PLACE_MS;
+  if (at >= Math.max(schedule.configNotBefore, dueAt)) {
+    schedule.awaitingConfig = true;
+    read({kind: 'config'}, emit);
+  }
 }
 
-function startedAt(state: MeshState): number {
-  return state.schedule.firstListedAt ?? 0;
+/** The proxy that reads the fleet also waits for the next version. */
+function awaitConfigIfReader(
+  state: MeshState,
+  at: number,
+  emit: MeshEmit,
+): void {
+  const {schedule, settings} = state;
+  const isReader = at - schedule.readAt < settings.readIntervalMs * 2;
+  const isDue = isReader && at >= schedule.configNotBefore;
+  if (!isDue || schedule.awaitingConfig || schedule.configRevision === 0) {
+    return;
+  }
+  schedule.awaitingConfig = true;
+  const {configRevision: after} = schedule;
+  read({kind: 'nextConfig', after, waitMs: CONFIG_WAIT_MS}, emit);
 }
 
 /** Takes what a read of the source brought. */
@@ -102,53 +124,79 @@
   event: Extract<MeshEvent, {kind: 'sourceAnswered'}>,
   emit: MeshEmit,
 ): void {
-  const {schedule, fleet, settings} = state;
   const {at, answer, request} = event;
+  if (request.kind !== 'fleet') {
+    state.schedule.awaitingConfig = false;
+  }
+  switch (answer.kind) {
+    case 'fleet':
+      takeFleet(state, answer, at, emit);
+      break;
+    case 'config':
+      takeConfig(state, answer, request, at, emit);
+      break;
+    case 'compacted':
+      emit({kind: 'count', counter: 'source_call', reason: 'compacted'});
+      state.schedule.awaitingConfig = true;
+      return read({kind: 'config'}, emit);
+  }
+  awaitConfigIfReader(state, at, emit);
+}
+
+function takeFleet(
+  state: MeshState,
+  answer: Extract<SourceAnswer, {kind: 'fleet'}>,
+  at: number,
+  emit: MeshEmit,
+): void {
+  const {schedule, fleet, settings} = state;
   noteRegained(state, at, emit);
   const silentMs = at - schedule.freshAt;
-  if (
-    fleet.revision > 0 &&
-    silentMs > settings.heartbeatMs * LAPSE_HEARTBEATS
-  ) {
+  const mayHaveLapsed = silentMs > settings.heartbeatMs * LAPSE_HEARTBEATS;
+  if (fleet.revision > 0 && mayHaveLapsed) {
     fleet.holdUntil = at + REGISTER_AGAIN_MS;
   }
   noteReadAnswered(schedule, at);
-  if (answer.kind === 'compacted') {
-    emit({kind: 'count', counter: 'source_call', reason: 'compacted'});
-    schedule.reading = true;
-    const relist: SourceRequest = {kind: 'list', withConfig: true};
-    emit({kind: 'readSource', request: relist});
-    return;
-  }
-  if (request.kind === 'list') {
-    schedule.firstListedAt ??= at;
-    schedule.configRead ||= request.withConfig;
-  }
-  const before = state.config;
+  schedule.firstListedAt ??= at;
   const known = fleet.revision;
-  const news = createNews(known, answer);
+  const {revision, instances: changed} = answer;
+  const news = {base: 0, revision, changed, removed: []};
   const changes = takeNews(state, news, at, 'source', emit);
-  if (answer.config !== undefined) {
-    adoptConfig(state, answer.config, 'source', emit);
-  }
-  const delta =
-    before !== undefined && state.config !== before && state.config
-      ? createConfigDelta(before, state.config)
-      : undefined;
-  const passed = createPassedNews(known, news.revision, changes);
-  tellNews(state, passed, delta, 0, undefined, emit);
+  const passed = createPassedNews(known, revision, changes);
+  tellNews(state, passed, undefined, 0, undefined, emit);
 }
 
-function createNews(
-  revision: number,
-  answer: Exclude<SourceAnswer, {kind: 'compacted'}>,
-): FleetNews {
-  if (answer.kind === 'listing') {
-    const {instances: changed} = answer;
-    return {base: 0, revision: answer.revision, changed, removed: []};
+function takeConfig(
+  state: MeshState,
+  answer: Extract<SourceAnswer, {kind: 'config'}>,
+  request: SourceRequest,
+  at: number,
+  emit: MeshEmit,
+): void {
+  const {schedule, fleet} = state;
+  const {revision, config} = answer;
+  const before = state.config;
+  if (config === undefined && request.kind === 'config') {
+    schedule.configNotBefore = at + CONFIG_RETRY_MS;
+  }
+  const adopted =
+    config !== undefined && adoptConfig(state, config, 'source', emit);
+  if (request.kind === 'config') {
+    // The configuration itself was read, so nothing before it matters.
+    schedule.configRevision = Math.max(schedule.configRevision, revision);
+  } else {
+    noteConfigMark(schedule, revision, at);
+  }
+  if (adopted && state.config !== undefined) {
+    const delta =
+      before === undefined
+        ? undefined
+        : createConfigDelta(before, state.config);
+    const base = fleet.revision;
+    const news = {base, revision: base, changed: [], removed: []};
+    const ageMs = getKnownAgeMs(state, at);
+    tellNews(state, news, delta, ageMs, undefined, emit);
   }
-  const {changed, removed} = answer;
-  return {base: revision, revision: answer.revision, changed, removed};
 }
 
 /** Heartbeats alone are not worth a peer's bytes. */
@@ -176,8 +224,14 @@
 ): void {
   const {schedule} = state;
   const wasLost = schedule.lostAt !== undefined;
-  noteReadFailed(schedule, event.at, event.entropy);
   emit({kind: 'count', counter: 'source_call', reason: 'failed'});
+  if (event.request.kind !== 'fleet') {
+    // The reads of the fleet go on and tell whether the source is there.
+    schedule.awaitingConfig = false;
+    schedule.configNotBefore = event.at + CONFIG_RETRY_MS;
+    return;
+  }
+  noteReadFailed(schedule, event.at, event.entropy);
   if (!wasLost) {
     emit({
       kind: 'log',
@@ -330,6 +384,7 @@
     ageMs,
     fleet,
     version,
+    configRevision: schedule.configRevision,
     delta,
   };
   for (const to of children) {
@@ -361,12 +416,30 @@
     }
   }
   const isBehind = message.version > (state.config?.version ?? 0);
+  noteConfigKnown(state, message);
   if (hasGap || isBehind) {
     pullFrom(state, from, emit);
   }
   tellNews(state, message.fleet, message.delta, message.ageMs, message, emit);
 }
 
+/** A peer's word that no version was missed holds if its version is held. */
+function noteConfigKnown(
+  {config, schedule}: MeshState,
+  peer: {readonly version: number; readonly configRevision: number},
+): void {
+  if ((config?.version ?? 0) >= peer.version) {
+    const known = Math.max(schedule.configRevision, peer.configRevision);
+    schedule.configRevision = known;
+  }
+}
+
+/** Age of the knowledge of the fleet, bounded for messages. */
+function getKnownAgeMs(state: MeshState, at: number): number {
+  const ageMs = at - state.schedule.freshAt;
+  return Math.max(0, Math.min(ageMs, MAX_AGE_MS));
+}
+
 export function pullFrom(state: MeshState, to: string, emit: MeshEmit): void {
   const version = state.config?.version ?? 0;
   const {revision} = state.fleet;
@@ -392,8 +465,9 @@
     to: from,
     message: {
       kind: 'state',
-      ageMs: Math.max(0, Math.min(at - state.schedule.freshAt, 1e9)),
+      ageMs: getKnownAgeMs(state, at),
       fleet: sendsFleet ? listFleet(fleet) : undefined,
+      configRevision: state.schedule.configRevision,
       hasConfig: sendsConfig,
     },
     config: sendsConfig ? config : undefined,
@@ -416,6 +490,9 @@
   }
   if (config !== undefined) {
     adoptConfig(state, config, from, emit);
+    const {version} = config;
+    const {configRevision} = message;
+    noteConfigKnown(state, {version, configRevision});
   }
 }
 
@@ -433,6 +510,6 @@
   const {revision} = state.fleet;
   const removed = changes.map(({id}) => id);
   const news = {base: Math.max(revision, 1), revision, changed: [], removed};
-  const ageMs = Math.max(0, Math.min(at - state.schedule.freshAt, 1e9));
+  const ageMs = getKnownAgeMs(state, at);
   tellNews(state, news, undefined, ageMs, undefined, emit);
 }
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -208,7 +208,10 @@
 }
 
 /**
- * Takes out the waiting attempts that can no longer finish in time.
+ * Takes out the waiting attempts that can no longer finish in time, and those
+ * that can no longer meet their aim while others that can are waiting: such
+ * an attempt would be passed over until its deadline, and its caller may find
+ * room elsewhere.
  * @param work - This part's state.
  * @param estimates - The upstream's estimates.
  * @param at - Now, in milliseconds.
@@ -219,9 +222,11 @@
   estimates: RunEstimates,
   at: number,
 ): QueuedAttempt[] {
-  const hopeless = work.queue.filter(({attempt, deadlineAt}) => {
-    const runMs = getRunMs(estimates, attempt.routeAimMs);
-    return at + runMs * MIN_RUN_SHARE > deadlineAt;
+  const contended = work.queue.some(other => !isLate(other, estimates, at));
+  const hopeless = work.queue.filter(other => {
+    const runMs = getRunMs(estimates, other.attempt.routeAimMs);
+    const passedOver = contended && isLate(other, estimates, at);
+    return passedOver || at + runMs * MIN_RUN_SHARE > other.deadlineAt;
   });
   for (const other of hopeless) {
     work.queue.splice(work.queue.indexOf(other), 1);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -13,6 +13,12 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string | readonly string[]>>;
   readonly body: Uint8Array;
+  /**
+   * The upstream gave no length, so that only the end of its connection ended
+   * the body. It is passed on in the same way, because nobody can tell whether
+   * it was cut short.
+   */
+  readonly unframed?: boolean;
 }
 
 /** A caller's request, as far as decisions need it. */
--- a/src/mesh/attempt_exchange.ts
+++ b/src/mesh/attempt_exchange.ts
@@ -286,10 +286,10 @@
 ): void {
   const report = load ?? {running: 0, queued: 0, slots: 0, leaving: false};
   if (result.kind === 'answer') {
-    const {status, body} = result;
+    const {status, body, unframed} = result;
     const headers = result.headers as Record<string, string | string[]>;
     const message = {kind: 'answer', attemptId, status, headers} as const;
-    link.send({...message, load: report}, body);
+    link.send({...message, unframed, load: report}, body);
     return;
   }
   const {reason, outcome, retryAfterMs} = result;
@@ -307,8 +307,8 @@
 function readOutcome(message: EndMessage, body: Uint8Array): AttemptOutcome {
   const {load} = message;
   if (message.kind === 'answer') {
-    const {status, headers} = message;
-    const result = {kind: 'answer', status, headers, body} as const;
+    const {status, headers, unframed} = message;
+    const result = {kind: 'answer', status, headers, body, unframed} as const;
     return {result, reachedUpstream: true, load};
   }
   const {reason, outcome, retryAfterMs, reachedUpstream} = message;
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -5,7 +5,7 @@
  */
 import {Socket} from 'node:net';
 import {LinkMessage} from '../model/mesh.js';
-import {packMessage, unpackMessage} from './message_codec.js';
+import {MessageCodec} from './message_codec.js';
 
 const LENGTH_BYTES = 4;
 const PREFIX_BYTES = 2 * LENGTH_BYTES;
@@ -54,6 +54,7 @@
   constructor(
     private readonly socket: Socket,
     private readonly handlers: LinkHandlers,
+    private readonly codec: MessageCodec,
     private readonly traffic: LinkTraffic,
     private readonly now: () => number,
   ) {
@@ -73,7 +74,7 @@
     if (this.closed) {
       return;
     }
-    const text = packMessage(message);
+    const text = this.codec.pack(message);
     const frame = Buffer.allocUnsafe(PREFIX_BYTES + text.length + body.length);
     frame.writeUInt32BE(text.length, 0);
     frame.writeUInt32BE(body.length, LENGTH_BYTES);
@@ -152,7 +153,7 @@
   }
 
   private takeFrame(packed: Uint8Array, body: Uint8Array): void {
-    const unpacked = unpackMessage(packed);
+    const unpacked = this.codec.unpack(packed);
     if (unpacked.isErr()) {
       this.handlers.onBadFrame(unpacked.error);
       return;
--- a/src/mesh/link_hub.ts
+++ b/src/mesh/link_hub.ts
@@ -2,6 +2,7 @@
 import {Server, Socket, connect, createServer} from 'node:net';
 import {LinkMessage} from '../model/mesh.js';
 import {parseAddress} from '../proxy/addresses.js';
+import {MessageCodec} from './message_codec.js';
 import {Link, LinkHandlers, LinkTraffic} from './link.js';
 
 /** Time in which a peer must accept a link and name itself. */
@@ -32,6 +33,7 @@
 
   constructor(
     private readonly hub: HubHandlers,
+    private readonly codec: MessageCodec,
     private readonly now: () => number,
   ) {
     this.handlers = {
@@ -109,7 +111,13 @@
   }
 
   private adopt(socket: Socket): Link {
-    const link = new Link(socket, this.handlers, this.traffic, this.now);
+    const link = new Link(
+      socket,
+      this.handlers,
+      this.codec,
+      this.traffic,
+      this.now,
+    );
     this.all.add(link);
     link.send(this.hub.createHello());
     return link;
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -28,6 +28,7 @@
 import {MeshCallers} from './mesh_callers.js';
 import {MeshLevels, MeshMetrics} from './mesh_metrics.js';
 import {answerOperator, answerReadiness} from './mesh_operators.js';
+import {MessageCodec} from './message_codec.js';
 import {MeshUpstream} from './mesh_upstream.js';
 import {WireNames} from './wire_names.js';
 
@@ -48,6 +49,8 @@
 /** What an adapter to a platform provides. */
 export interface MeshAdapter {
   readonly names: WireNames;
+  /** Further headers that most answers carry; they cost fewer bytes. */
+  readonly usualHeaders: readonly string[];
   /** Path on which the platform asks whether the proxy is ready. */
   readonly readyPath: string;
   /** Creates the reader of the platform. */
@@ -96,6 +99,10 @@
         onMessage: (link, message, body) => this.take(link, message, body),
         onBadFrame: detail => this.reject('peer_frame', detail),
       },
+      new MessageCodec([
+        ...Object.values(adapter.names),
+        ...adapter.usualHeaders,
+      ]),
       () => performance.now(),
     );
     this.exchange = new AttemptExchange(this.hub, post);
@@ -311,7 +318,8 @@
     const answer = await this.source.read(request);
     if (answer.isErr()) {
       const {kind, detail} = answer.error;
-      this.loop.post({kind: 'sourceFailed', detail: `${kind}: ${detail}`});
+      const text = `${kind}: ${detail}`;
+      this.loop.post({kind: 'sourceFailed', request, detail: text});
       return;
     }
     this.loop.post({kind: 'sourceAnswered', request, answer: answer.value});
--- a/src/mesh/mesh_upstream.ts
+++ b/src/mesh/mesh_upstream.ts
@@ -95,10 +95,11 @@
       closing: answer.headers['connection'] === 'close',
     };
     const headers: HeaderRecord = copyEndToEndHeaders(answer.headers);
+    const unframed = isUnframed(answer);
     this.post({
       kind: 'upstreamAnswered',
       attemptId,
-      answer: {kind: 'answer', status, headers, body},
+      answer: {kind: 'answer', status, headers, body, unframed},
       facts,
     });
   }
@@ -134,3 +135,11 @@
     await this.pools.destroy();
   }
 }
+
+/** Tells whether only the end of the connection ended the answer's body. */
+function isUnframed({status, headers}: WholeAnswer): boolean | undefined {
+  const hasLength =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  return hasLength || status === 204 || status === 304 ? undefined : true;
+}
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -144,6 +144,8 @@
     fleet: FleetNewsSchema,
     /** Version that the sender holds. */
     version: SequenceSchema,
+    /** Revision up to which no later version can have been missed. */
+    configRevision: SequenceSchema,
     delta: ConfigDeltaSchema.optional(),
   }),
   /** Asks for what the sender lacks. */
@@ -157,6 +159,7 @@
     kind: z.literal('state'),
     ageMs: z.number().min(0),
     fleet: FleetNewsSchema.optional(),
+    configRevision: SequenceSchema,
     hasConfig: z.boolean(),
   }),
   z.strictObject({
@@ -185,6 +188,7 @@
     attemptId: IdSchema,
     status: z.int(),
     headers: HeadersSchema,
+    unframed: z.boolean().optional(),
     load: LoadReportSchema,
   }),
   z.strictObject({
--- a/src/proxy/results.ts
+++ b/src/proxy/results.ts
@@ -112,11 +112,17 @@
 ): void {
   const extra: HeaderRecord = close ? {connection: 'close'} : {};
   if (result.kind === 'answer') {
-    writeWhole(res, result.status, result.body, {
-      ...result.headers,
-      ...extra,
-      [OUTCOME_HEADER]: 'answered',
-    });
+    writeWhole(
+      res,
+      result.status,
+      result.body,
+      {
+        ...result.headers,
+        ...extra,
+        [OUTCOME_HEADER]: 'answered',
+      },
+      result.unframed,
+    );
     return;
   }
   writeRefusal(res, result, extra, wait);
@@ -151,10 +157,17 @@
   status: number,
   body: Uint8Array,
   headers: Readonly<Record<string, string | readonly string[]>>,
+  unframed = false,
 ): void {
   if (res.headersSent || res.destroyed) {
     return;
   }
+  if (unframed) {
+    res.useChunkedEncodingByDefault = false;
+    res.writeHead(status, {...headers, connection: 'close'} as HeaderRecord);
+    res.end(body);
+    return;
+  }
   const mayHaveBody = status !== 204 && status !== 304;
   const length = mayHaveBody ? {'content-length': String(body.length)} : {};
   res.writeHead(status, {...headers, ...length} as Record<
--- a/test/mesh/attempt_exchange.test.ts
+++ b/test/mesh/attempt_exchange.test.ts
@@ -6,6 +6,7 @@
 import {LinkMessage} from '../../src/model/mesh.js';
 import {AttemptExchange} from '../../src/mesh/attempt_exchange.js';
 import {LinkHub} from '../../src/mesh/link_hub.js';
+import {MessageCodec} from '../../src/mesh/message_codec.js';
 import {expect} from '../support/chai_setup.js';
 import {createAttempt} from './mesh_fixture.js';
 
@@ -46,6 +47,7 @@
           throw new Error(detail);
         },
       },
+      new MessageCodec([]),
       () => performance.now(),
     );
     this.exchange = new AttemptExchange(this.hub, event => {
--- /dev/null
+++ b/test/platform/fleet.test.ts
@@ -0,0 +1,108 @@
+/** The whole path on the platform's interfaces, with real sockets. */
+import {expect} from '../support/chai_setup.js';
+import {sendRaw} from '../processes/raw_socket.js';
+import {FleetStandin, until} from './fleet_standin.js';
+import {createDocument} from './store_standin.js';
+
+describe('fleet on the platform', () => {
+  let fleet: FleetStandin;
+
+  beforeEach(async () => {
+    fleet = new FleetStandin();
+    await fleet.start(3);
+  });
+
+  afterEach(() => fleet.stop());
+
+  function countRuns(path: string): number {
+    const runs = fleet.machines.flatMap(({upstream}) => upstream.ran);
+    return runs.filter(ran => ran === path).length;
+  }
+
+  it('serves calls from each VM with the answer of an upstream', async () => {
+    for (const [n, machine] of fleet.machines.entries()) {
+      const reply = await machine.call('GET', `/read/${n}`);
+      const id = reply.body.split(' ')[0];
+      expect(reply.status).to.equal(200);
+      expect(reply.body).to.equal(`${id} for desk`);
+      expect(reply.headers['x-response-signature']).to.equal(`signed-${id}`);
+      expect(countRuns(`/read/${n}`)).to.equal(1);
+    }
+  });
+
+  it('answers 404 where no route matches and 400 to two hosts', async () => {
+    const [machine] = fleet.machines;
+    expect((await machine.call('GET', '/none/')).status).to.equal(404);
+    const raw = await sendRaw(
+      machine.callersPort,
+      [
+        'GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nHost: other.example\r\nConnection: close\r\n\r\n',
+      ],
+      false,
+      machine.host,
+    );
+    expect(raw.statuses).to.deep.equal([400]);
+    expect(countRuns('/read/1')).to.equal(0);
+  });
+
+  it('runs a charge once where the upstream drops its connection', async () => {
+    for (const {upstream} of fleet.machines) {
+      upstream.answer = () => new Promise(() => undefined);
+    }
+    const [machine] = fleet.machines;
+    const pending = machine.call('POST', '/charge/1', {'x-deadline-ms': '900'});
+    await until(async () => countRuns('/charge/1') === 1);
+    expect((await pending).status).to.equal(504);
+    expect(countRuns('/charge/1')).to.equal(1);
+  });
+
+  it('sends nothing to an upstream that drains', async () => {
+    fleet.register(2, {state: 'draining', seq: 2});
+    const [first, second] = fleet.machines;
+    await until(async () => {
+      const {instances} = await fleet.status(first);
+      return instances.some(({id, state}) => id === 'i-2' && state !== 'ready');
+    });
+    for (let n = 0; n < 30; n += 1) {
+      await first.call('GET', `/read/${n}`);
+    }
+    expect(second.upstream.ran).to.deep.equal([]);
+  });
+
+  it('puts a new version in force everywhere and ignores a broken one', async () => {
+    fleet.store.put('op/config', createDocument(5, {routes: {}}));
+    fleet.store.put('op/config', createDocument(6, {limits: 'none'}));
+    for (const machine of fleet.machines) {
+      await until(async () => (await fleet.status(machine)).version === 5);
+      expect((await machine.call('GET', '/read/1')).status).to.equal(404);
+    }
+  });
+
+  it('starts from its peers while the store turns everyone away', async () => {
+    const [first, second] = fleet.machines;
+    await until(async () => (await fleet.status(second)).peers.length > 1);
+    fleet.store.mode = 'busy';
+    await first.stopProxy();
+    await first.start();
+    await until(() =>
+      second.call('GET', '/read/1').then(r => r.status === 200),
+    );
+    await until(() => first.isReady());
+    expect((await first.call('GET', '/read/2')).status).to.equal(200);
+  });
+
+  it('finishes what runs before a planned stop ends', async () => {
+    const [machine, second, third] = fleet.machines;
+    let finish: (status: number) => void = () => undefined;
+    for (const {upstream} of [machine, second, third]) {
+      upstream.answer = () => new Promise(resolve => (finish = resolve));
+    }
+    const pending = machine.call('POST', '/charge/2');
+    await until(async () => countRuns('/charge/2') === 1);
+    const stopped = machine.requestStop();
+    expect(await machine.isReady()).to.equal(false);
+    finish(200);
+    expect((await pending).status).to.equal(200);
+    await stopped;
+  });
+});
--- /dev/null
+++ b/test/platform/fleet_standin.ts
@@ -0,0 +1,217 @@
+/** A fleet on loopback: a store, upstreams, and the real proxies beside them. */
+import {once} from 'node:events';
+import {Agent, IncomingMessage, Server, createServer, request} from 'node:http';
+import {AddressInfo} from 'node:net';
+import {HEADER_NAMES, READY_PATH} from '../../platform/header_names.js';
+import {StoreClient} from '../../platform/store_client.js';
+import {MeshRuntime} from '../../src/mesh/mesh_runtime.js';
+import {MeshSettingsSchema} from '../../src/model/mesh_settings.js';
+import {StoreStandin, createDocument, createEntry} from './store_standin.js';
+
+export interface Reply {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+/** An upstream that answers with its name and keeps what it ran. */
+export class UpstreamStandin {
+  readonly ran: string[] = [];
+  /** Answers for each path; the default answers at once. */
+  answer: (path: string) => Promise<number> = () => Promise.resolve(200);
+  private readonly server: Server;
+
+  constructor(readonly id: string) {
+    this.server = createServer((req, res) => {
+      req.resume();
+      const {requestId, instance} = HEADER_NAMES;
+      if (req.headers[instance] !== this.id) {
+        res.writeHead(421, {'x-instance-id': this.id}).end();
+        return;
+      }
+      const path = req.url ?? '';
+      this.ran.push(path);
+      void this.answer(path).then(status => {
+        const echo = String(req.headers[requestId]);
+        const caller = String(req.headers[HEADER_NAMES.callerService]);
+        res.writeHead(status, {
+          [requestId]: echo,
+          'x-response-signature': `signed-${this.id}`,
+        });
+        res.end(`${this.id} for ${caller}`);
+      });
+    });
+  }
+
+  async start(host: string, port = 0): Promise<string> {
+    this.server.listen(port, host);
+    await once(this.server, 'listening');
+    return `${host}:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    this.server.close();
+    await once(this.server, 'close');
+  }
+}
+
+/** One machine: an upstream and the proxy beside it. */
+export class Machine {
+  private proxy?: MeshRuntime;
+  upstreamAddress = '';
+
+  constructor(
+    readonly host: string,
+    readonly upstream: UpstreamStandin,
+    private readonly ports: {readonly callers: number; readonly peers: number},
+    private readonly storeAddress: string,
+  ) {}
+
+  get callersPort(): number {
+    return this.ports.callers;
+  }
+
+  async start(): Promise<void> {
+    if (this.upstreamAddress === '') {
+      this.upstreamAddress = await this.upstream.start(this.host);
+    }
+    const {callers, peers} = this.ports;
+    const settings = MeshSettingsSchema.parse({
+      name: this.host,
+      region: 'west',
+      zone: 'north',
+      service: 'desk',
+      listen: {
+        callers: `${this.host}:${callers}`,
+        peers: `${this.host}:${peers}`,
+        ready: `${this.host}:${callers + 1}`,
+        operators: `${this.host}:${callers + 2}`,
+      },
+      upstream: this.upstreamAddress,
+      source: this.storeAddress,
+      readIntervalMs: 100,
+      graceMs: 4_000,
+      logLevel: 'error',
+    });
+    this.proxy = new MeshRuntime(settings, {
+      names: HEADER_NAMES,
+      usualHeaders: [],
+      readyPath: READY_PATH,
+      createSource: (address, onReject) => new StoreClient(address, onReject),
+    });
+    await this.proxy.start();
+  }
+
+  requestStop(): Promise<void> | undefined {
+    this.proxy?.requestStop();
+    return this.proxy?.stopped;
+  }
+
+  async stopProxy(): Promise<void> {
+    await this.proxy?.close();
+    this.proxy = undefined;
+  }
+
+  /** Sends a request as a caller on this machine. */
+  async call(
+    method: string,
+    path: string,
+    headers: Record<string, string> = {},
+    port = this.ports.callers,
+  ): Promise<Reply> {
+    const agent = new Agent();
+    const req = request({
+      host: this.host,
+      port,
+      method,
+      path,
+      agent,
+      headers: {
+        host: 'shop.example',
+        [HEADER_NAMES.requestId]: `r-${path}`,
+        [HEADER_NAMES.timeoutMs]: '2000',
+        ...headers,
+      },
+    });
+    req.end();
+    const [res] = (await once(req, 'response')) as [IncomingMessage];
+    let body = '';
+    for await (const chunk of res) {
+      body += String(chunk);
+    }
+    return {status: res.statusCode ?? 0, headers: res.headers, body};
+  }
+
+  /** Reads a port of this machine that is not for callers. */
+  async get(path: string, offset: 1 | 2): Promise<Reply> {
+    return this.call('GET', path, {}, this.ports.callers + offset);
+  }
+
+  async isReady(): Promise<boolean> {
+    return (await this.get(READY_PATH, 1)).status === 200;
+  }
+}
+
+/** Asks again until something holds; only mocha's limit ends it. */
+export async function until(holds: () => Promise<boolean>): Promise<void> {
+  while (!(await holds())) {
+    await new Promise(resolve => setTimeout(resolve, 20));
+  }
+}
+
+async function findPorts(): Promise<{callers: number; peers: number}> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return {callers: port, peers: port + 3};
+}
+
+export class FleetStandin {
+  readonly store = new StoreStandin();
+  readonly machines: Machine[] = [];
+
+  async start(count: number): Promise<void> {
+    const address = await this.store.start();
+    this.store.put('op/config', createDocument(1));
+    const ports = await findPorts();
+    for (let n = 1; n <= count; n += 1) {
+      const upstream = new UpstreamStandin(`i-${n}`);
+      const machine = new Machine(`127.0.1.${n}`, upstream, ports, address);
+      await machine.start();
+      this.machines.push(machine);
+      this.register(n);
+    }
+    for (const machine of this.machines) {
+      await until(() => machine.isReady());
+      await until(() => this.seesAll(machine));
+    }
+  }
+
+  /** Writes the entry of an upstream. */
+  register(n: number, over: object = {}): void {
+    const {upstreamAddress} = this.machines[n - 1];
+    this.store.put(`servers/i-${n}`, createEntry(upstreamAddress, over));
+  }
+
+  async status(machine: Machine): Promise<{
+    readonly version: number;
+    readonly instances: ReadonlyArray<{id: string; state: string}>;
+    readonly peers: readonly unknown[];
+  }> {
+    return JSON.parse((await machine.get('/v1/status', 2)).body);
+  }
+
+  private async seesAll(machine: Machine): Promise<boolean> {
+    const {instances, version} = await this.status(machine);
+    return instances.length === this.machines.length && version > 0;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.machines.map(machine => machine.stopProxy()));
+    await Promise.all(this.machines.map(({upstream}) => upstream.stop()));
+    await this.store.stop();
+  }
+}
