--- /dev/null
+++ b/test/mesh/overload.test.ts
@@ -0,0 +1,146 @@
+/**
+ * Replays the load at its worst against the queue of one upstream: three
+ * routes ask for twice what its slots can run, as on the users' busy days.
+ */
+import {MeshAttempt} from '../../src/model/mesh.js';
+import {
+  createRunEstimates,
+  getRunMs,
+} from '../../src/core/mesh/run_estimates.js';
+import {
+  createWorkQueue,
+  removeHopeless,
+  tryQueue,
+  tryStart,
+} from '../../src/core/mesh/work_queue.js';
+import {expect} from '../support/chai_setup.js';
+import {createAttempt} from './mesh_fixture.js';
+
+const SLOTS = 9;
+const SECONDS = 20;
+
+interface Route {
+  readonly name: string;
+  readonly perSecond: number;
+  readonly aimMs: number;
+  readonly priority: number;
+}
+
+/** Two times the slots' capacity, by the estimates. */
+const ROUTES: readonly Route[] = [
+  {name: 'charge', perSecond: 20, aimMs: 250, priority: 0},
+  {name: 'change', perSecond: 15, aimMs: 500, priority: 1},
+  {name: 'view', perSecond: 95, aimMs: 400, priority: 2},
+];
+
+interface Tally {
+  offered: number;
+  inAim: number;
+  late: number;
+  /** Longest time after which one was refused, in milliseconds. */
+  longestRefusalMs: number;
+}
+
+function replay(): Map<string, Tally> {
+  const work = createWorkQueue();
+  const estimates = createRunEstimates();
+  const tallies = new Map<string, Tally>();
+  const ends: Array<{at: number; attemptId: string}> = [];
+  const arrivedAt = new Map<string, number>();
+  const getTally = (route: string): Tally => {
+    const tally = tallies.get(route) ?? {
+      offered: 0,
+      inAim: 0,
+      late: 0,
+      longestRefusalMs: 0,
+    };
+    tallies.set(route, tally);
+    return tally;
+  };
+  const refuse = ({attemptId, route}: MeshAttempt, at: number) => {
+    const tally = getTally(route);
+    const heldMs = at - (arrivedAt.get(attemptId) ?? at);
+    tally.longestRefusalMs = Math.max(tally.longestRefusalMs, heldMs);
+  };
+  const start = (at: number) => {
+    removeHopeless(work, estimates, at).forEach(q => refuse(q.attempt, at));
+    for (;;) {
+      const run = tryStart(work, estimates, SLOTS, 'i-1', at);
+      if (run === undefined) {
+        return;
+      }
+      const {attemptId, routeAimMs} = run.attempt;
+      ends.push({at: at + getRunMs(estimates, routeAimMs), attemptId});
+    }
+  };
+  for (let at = 0; at < SECONDS * 1_000; at += 1) {
+    for (const end of ends.filter(e => e.at <= at)) {
+      ends.splice(ends.indexOf(end), 1);
+      const run = work.running.get(end.attemptId);
+      work.running.delete(end.attemptId);
+      if (run !== undefined) {
+        const tally = getTally(run.attempt.route);
+        const isInAim = at <= run.aimAt;
+        tally.inAim += Number(isInAim);
+        tally.late += Number(!isInAim);
+      }
+    }
+    start(at);
+    for (const route of ROUTES) {
+      const every = 1_000 / route.perSecond;
+      if (Math.floor(at / every) !== Math.floor((at - 1) / every)) {
+        const {name, aimMs, priority} = route;
+        const attempt = createAttempt({
+          attemptId: `${name}-${at}`,
+          route: name,
+          aimMs,
+          routeAimMs: aimMs,
+          timeoutMs: aimMs * 3,
+          priority,
+        });
+        getTally(name).offered += 1;
+        arrivedAt.set(attempt.attemptId, at);
+        const queued = {
+          attempt,
+          arrivedAt: at,
+          aimAt: at + aimMs,
+          deadlineAt: at + aimMs * 3,
+          suspect: false,
+        };
+        const refusal = tryQueue(work, estimates, SLOTS, queued, at);
+        if (refusal !== undefined) {
+          refuse(attempt, at);
+        }
+        start(at);
+      }
+    }
+  }
+  return tallies;
+}
+
+describe('mesh overload', () => {
+  const tallies = replay();
+  const getShare = (route: string) => {
+    const {inAim, offered} = tallies.get(route)!;
+    return inAim / offered;
+  };
+
+  it('serves the most urgent routes in their aims', () => {
+    expect(getShare('charge')).to.be.above(0.95);
+    expect(getShare('change')).to.be.above(0.9);
+  });
+
+  it('uses what is left for the least urgent, in its aim too', () => {
+    // The urgent routes need 4.4 of 9 slots; the others' calls need 13.3.
+    const possible = (SLOTS - 4.4) / 13.3;
+    const {inAim, late} = tallies.get('view')!;
+    expect(getShare('view')).to.be.above(possible * 0.85);
+    expect(late).to.be.below(inAim / 10);
+  });
+
+  it('refuses early what it cannot serve', () => {
+    for (const {longestRefusalMs} of tallies.values()) {
+      expect(longestRefusalMs).to.be.at.most(400);
+    }
+  });
+});
--- /dev/null
+++ b/test/mesh/retry_tokens.test.ts
@@ -0,0 +1,69 @@
+/** The fleet's budget of second sends, kept by proxies that do not talk. */
+import {MeshSettings} from '../../src/core/mesh/mesh_settings.js';
+import {
+  RetryTokens,
+  earnRetry,
+  trySpendRetry,
+} from '../../src/core/mesh/retry_tokens.js';
+import {expect} from '../support/chai_setup.js';
+
+const SETTINGS = {
+  retryShare: 0.2,
+  retryExtra: 60,
+  retryWindowMs: 10_000,
+} as MeshSettings;
+
+const WINDOW_MS = 10_000;
+
+/** Second sends of a whole fleet in which every call asks for one. */
+function spendAll(proxies: number, callsPerSecond: number, seconds: number) {
+  const spentAt: number[] = [];
+  for (let proxy = 0; proxy < proxies; proxy += 1) {
+    const retries: RetryTokens = new Map();
+    const calls = (callsPerSecond / proxies) * seconds;
+    for (let n = 0; n < calls; n += 1) {
+      const at = (n / calls) * seconds * 1_000;
+      earnRetry(retries, SETTINGS, proxies, 'desk', at);
+      if (trySpendRetry(retries, SETTINGS, proxies, 'desk', at)) {
+        spentAt.push(at);
+      }
+    }
+  }
+  return spentAt.sort((a, b) => a - b);
+}
+
+function countMostInWindow(times: readonly number[]): number {
+  let most = 0;
+  let first = 0;
+  times.forEach((time, index) => {
+    while (time - times[first] > WINDOW_MS) {
+      first += 1;
+    }
+    most = Math.max(most, index - first + 1);
+  });
+  return most;
+}
+
+describe('mesh retry budget', () => {
+  for (const proxies of [1, 10, 79]) {
+    it(`holds for ${proxies} proxies that all fail`, () => {
+      const callsPerSecond = 400;
+      const most = countMostInWindow(spendAll(proxies, callsPerSecond, 40));
+      const allowed = 0.2 * callsPerSecond * 10 + 60;
+      expect(most).to.be.at.most(allowed);
+    });
+  }
+
+  it('holds where calls stop after a time in which none failed', () => {
+    const retries: RetryTokens = new Map();
+    for (let n = 0; n < 4_000; n += 1) {
+      earnRetry(retries, SETTINGS, 1, 'desk', n * 10);
+    }
+    let spent = 0;
+    while (trySpendRetry(retries, SETTINGS, 1, 'desk', 40_000)) {
+      spent += 1;
+    }
+    // 1,000 calls came in the window before.
+    expect(spent).to.be.at.most(0.2 * 1_000 + 60);
+  });
+});
