--- a/src/core/mesh/call_flow.ts
+++ b/src/core/mesh/call_flow.ts
@@ -11,7 +11,7 @@
 import {earnRetry} from './retry_tokens.js';
 import {chooseBackend, findMeshRoute} from './route_table.js';
 import {getUsualRunMs} from './run_estimates.js';
-import {getAgeMs} from './spreading.js';
+import {getAgeMs} from './belief.js';
 import {endsBeforeStop} from './stop_time.js';
 
 /** Owners that one call may ask; a refusal costs a round trip, no work. */
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -21,15 +21,17 @@
   takeRunFailure,
 } from './owner_results.js';
 import {getNeighbours, getZonePeers} from './news_tree.js';
+import {
+  readSourceIfDue,
+  takeSourceAnswer,
+  takeSourceFailure,
+} from './source_reading.js';
 import {
   answerPull,
   pullFrom,
-  readSourceIfDue,
   removeLapsed,
   takePeerNews,
   takePeerState,
-  takeSourceAnswer,
-  takeSourceFailure,
 } from './spreading.js';
 import {beginStop, endStopIfDue} from './stopping.js';
 
@@ -64,8 +66,6 @@
       return reduceSourceAnswered(state, event, emit);
     case 'sourceFailed':
       return takeSourceFailure(state, event, emit);
-    case 'linkOpened':
-      return greet(state, event.address, emit);
     case 'linkClosed':
       return reduceLinkClosed(state, event.address, emit);
     case 'messageReceived':
--- a/src/core/mesh/mesh_settings.ts
+++ b/src/core/mesh/mesh_settings.ts
@@ -6,7 +6,6 @@
   /** Where peers reach this proxy. */
   readonly address: string;
   readonly zone: string;
-  readonly region: string;
   /** Start of the process, in Unix milliseconds. */
   readonly startedAt: number;
   /** Service of the upstream beside this proxy. */
@@ -26,8 +25,5 @@
   /** Time between two reads of the source while it answers. */
   readonly readIntervalMs: number;
   readonly quarantineMs: number;
-  readonly policy: Pick<
-    Policy,
-    'chooser' | 'otherZonePenalty' | 'otherRegionPenalty'
-  >;
+  readonly policy: Pick<Policy, 'chooser'>;
 }
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -3,7 +3,6 @@
  * effects that it asks for: closed unions told apart by `kind`.
  */
 import {
-  FleetNews,
   Instance,
   LinkMessage,
   MeshAttempt,
@@ -68,8 +67,6 @@
   readonly notRun: boolean;
   /** Another instance has the address. */
   readonly otherInstance: boolean;
-  /** The upstream closes the connection. */
-  readonly closing: boolean;
 }
 
 export type MeshEventBody =
@@ -85,7 +82,6 @@
       readonly request: SourceRequest;
       readonly detail: string;
     }
-  | {readonly kind: 'linkOpened'; readonly address: string}
   | {readonly kind: 'linkClosed'; readonly address: string}
   | {
       readonly kind: 'messageReceived';
@@ -185,8 +181,6 @@
       readonly attemptId: string;
       readonly instanceId: string;
       readonly timeoutMs: number;
-      /** It must not be lost with a connection that may have gone stale. */
-      readonly idempotent: boolean;
     }
   | {readonly kind: 'abortDispatch'; readonly attemptId: string}
   | {
@@ -219,6 +213,3 @@
 
 /** Collects the effects of one event, in order. */
 export type MeshEmit = (effect: MeshEffect) => void;
-
-/** Fleet news that a proxy passes on. */
-export type News = FleetNews;
--- a/src/core/mesh/owner_flow.ts
+++ b/src/core/mesh/owner_flow.ts
@@ -173,7 +173,7 @@
     if (next === undefined) {
       return;
     }
-    const {attemptId, instanceId, idempotent} = next.attempt;
+    const {attemptId, instanceId} = next.attempt;
     if (own !== undefined && own.id !== instanceId) {
       work.running.delete(attemptId);
       const refusal = createRefusal('wrong_home', DOWN_RETRY_AFTER_MS);
@@ -182,7 +182,7 @@
     }
     const timeoutMs = next.deadlineAt - at;
     const waitedSeconds = (at - next.arrivedAt) / 1_000;
-    emit({kind: 'dispatch', attemptId, instanceId, timeoutMs, idempotent});
+    emit({kind: 'dispatch', attemptId, instanceId, timeoutMs});
     emit({kind: 'observe', histogram: 'wait_seconds', seconds: waitedSeconds});
   }
 }
--- a/src/mesh/link_hub.ts
+++ b/src/mesh/link_hub.ts
@@ -14,7 +14,6 @@
 export interface HubHandlers {
   /** Says who this proxy is; the first message on each link. */
   createHello(): LinkMessage;
-  onOpen(address: string): void;
   onClose(address: string, link: Link): void;
   onMessage(link: Link, message: LinkMessage, body: Uint8Array): void;
   onBadFrame(detail: string): void;
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -94,7 +94,6 @@
     this.hub = new LinkHub(
       {
         createHello: () => this.createHello(startedAt),
-        onOpen: address => post({kind: 'linkOpened', address}),
         onClose: (address, link) => this.takeClosed(address, link),
         onMessage: (link, message, body) => this.take(link, message, body),
         onBadFrame: detail => this.reject('peer_frame', detail),
@@ -406,7 +405,6 @@
   return {
     address: addresses.peers,
     zone: settings.zone,
-    region: settings.region,
     startedAt,
     service: settings.service,
     upstreamAddress: settings.upstream,
--- a/src/mesh/mesh_upstream.ts
+++ b/src/mesh/mesh_upstream.ts
@@ -92,7 +92,6 @@
     const facts: AnswerFacts = {
       notRun: saysNotRun && TURNED_AWAY.has(status),
       otherInstance: status === MISDIRECTED,
-      closing: answer.headers['connection'] === 'close',
     };
     const headers: HeaderRecord = copyEndToEndHeaders(answer.headers);
     const unframed = isUnframed(answer);
--- a/test/mesh/attempt_exchange.test.ts
+++ b/test/mesh/attempt_exchange.test.ts
@@ -39,7 +39,6 @@
           revision: 1,
           leaving: false,
         }),
-        onOpen: () => undefined,
         onClose: (_address, link) => this.exchange.takeClosed(link),
         onMessage: (link, message: LinkMessage, body) =>
           this.exchange.takeMessage(link, message, body),
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -100,7 +100,6 @@
 const SETTINGS: MeshSettings = {
   address: `${SELF}:${LINK_PORT}`,
   zone: 'north',
-  region: 'west',
   startedAt: 1,
   service: 'desk',
   upstreamAddress: `${SELF}:8000`,
--- a/test/mesh/owner.test.ts
+++ b/test/mesh/owner.test.ts
@@ -2,7 +2,7 @@
 import {expect} from '../support/chai_setup.js';
 import {MeshFixture, createAttempt, createInstance} from './mesh_fixture.js';
 
-const PLAIN_FACTS = {notRun: false, otherInstance: false, closing: false};
+const PLAIN_FACTS = {notRun: false, otherInstance: false};
 
 function createOwner(slots = 1): MeshFixture {
   const owner = new MeshFixture();
