--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -15,11 +15,8 @@
   cancelMeshAttempt,
   tickMeshOwner,
 } from './owner_flow.js';
-import {
-  takeConnectProbe,
-  takeRunAnswer,
-  takeRunFailure,
-} from './owner_results.js';
+import {takeRunAnswer, takeRunFailure} from './owner_results.js';
+import {takeConnectProbe} from './owner_crashes.js';
 import {getNeighbours, getZonePeers} from './news_tree.js';
 import {
   readSourceIfDue,
--- /dev/null
+++ b/src/core/mesh/owner_crashes.ts
@@ -0,0 +1,152 @@
+/**
+ * Finds out whether the upstream crashed, and tells peers: that it is down or
+ * up again, and which requests were running when it went down.
+ */
+import {createLostRefusal} from '../failures.js';
+import {noteCrash} from '../owner/crash_suspects.js';
+import {MeshState} from './mesh_state.js';
+import {MeshEmit} from './mesh_types.js';
+import {endRun, finishRun, refuseQueue, startWaiting} from './owner_flow.js';
+import {learnEnd} from './run_estimates.js';
+import {takeLostRuns, tryStartProbe} from './upstream_health.js';
+import {RunningAttempt} from './work_queue.js';
+
+/**
+ * Keeps a cut run until a connection attempt tells whether the upstream
+ * crashed: its request must not be repeated before others know of the crash.
+ */
+export function holdLost(
+  state: MeshState,
+  at: number,
+  run: RunningAttempt,
+  emit: MeshEmit,
+): void {
+  const {attemptId, fingerprint} = run.attempt;
+  const {suspect} = run;
+  state.health.lost.push({attemptId, fingerprint, suspect, at});
+  if (tryStartProbe(state.health, at, true)) {
+    emit({kind: 'probeConnect'});
+  }
+}
+
+/** Takes the end of a connection attempt to the upstream. */
+export function takeConnectProbe(
+  state: MeshState,
+  at: number,
+  accepted: boolean,
+  emit: MeshEmit,
+): void {
+  const {health} = state;
+  health.probing = false;
+  const held = [...health.lost];
+  if (accepted) {
+    health.lost = [];
+    markUp(state, emit);
+  } else {
+    noteCrashes(state, at, emit);
+    markDown(state, at, emit);
+  }
+  for (const {attemptId} of held) {
+    const run = endRun(state, attemptId);
+    if (run !== undefined) {
+      learnEnd(state.estimates, true);
+      finishRun(state, at, run, createLostRefusal('reset'), emit);
+    }
+  }
+  startWaiting(state, at, emit);
+}
+
+export function markUp(state: MeshState, emit: MeshEmit): void {
+  if (!state.health.down) {
+    return;
+  }
+  state.health.down = false;
+  state.estimates.failing = 0;
+  tellUpstreamState(state, true, emit);
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'owner',
+    message: 'Upstream accepts connections again.',
+    fields: {instance: state.health.ownId},
+  });
+}
+
+export function markDown(state: MeshState, at: number, emit: MeshEmit): void {
+  const {health} = state;
+  if (!health.down) {
+    health.down = true;
+    tellUpstreamState(state, false, emit);
+    emit({
+      kind: 'log',
+      level: 'warn',
+      part: 'owner',
+      message: 'Upstream refused the connection; refusing its work.',
+      fields: {
+        instance: health.ownId,
+        queued: state.work.queue.length,
+        answeredMsAgo: Math.round(at - health.answeredAt),
+      },
+    });
+  }
+  refuseQueue(state, at, 'upstream_down', emit);
+}
+
+function tellUpstreamState(
+  state: MeshState,
+  up: boolean,
+  emit: MeshEmit,
+): void {
+  const {ownId: instanceId} = state.health;
+  if (instanceId === undefined) {
+    return;
+  }
+  const message = {kind: 'upstreamState', instanceId, up} as const;
+  for (const to of state.peers.keys()) {
+    emit({kind: 'sendMessage', to, message});
+  }
+}
+
+/** Suspects every request that was cut when the upstream went down. */
+function noteCrashes(state: MeshState, at: number, emit: MeshEmit): void {
+  const {health, settings, suspects} = state;
+  const lost = takeLostRuns(health, at);
+  if (lost.length === 0) {
+    return;
+  }
+  health.crashCount += 1;
+  const crash = `${settings.address}/${settings.startedAt}/${health.crashCount}`;
+  const expiresAt = at + settings.quarantineMs;
+  for (const {fingerprint, suspect} of lost) {
+    const sole = suspect || lost.length === 1;
+    noteCrash(suspects, fingerprint, {crash, sole, expiresAt}, effect => {
+      if (effect.kind === 'count') {
+        const {reason} = effect;
+        emit({kind: 'count', counter: 'crash_suspected', reason});
+      } else if (effect.kind === 'log') {
+        const {level, message} = effect;
+        emit({kind: 'log', level, part: 'crash', message, fields: {crash}});
+      }
+    });
+  }
+  tellSuspects(
+    state,
+    lost.map(({fingerprint}) => fingerprint),
+    emit,
+  );
+}
+
+/** Crashes are rare, so each proxy with an open link is told at once. */
+function tellSuspects(
+  state: MeshState,
+  fingerprints: readonly string[],
+  emit: MeshEmit,
+): void {
+  const known = state.suspects.byFingerprint;
+  const suspects = [...new Set(fingerprints)]
+    .flatMap(fingerprint => known.get(fingerprint) ?? [])
+    .slice(0, 64);
+  for (const to of state.peers.keys()) {
+    emit({kind: 'sendMessage', to, message: {kind: 'suspects', suspects}});
+  }
+}
--- a/src/core/mesh/owner_flow.ts
+++ b/src/core/mesh/owner_flow.ts
@@ -3,6 +3,7 @@
 import {LoadReport} from '../../model/peer.js';
 import {isQuarantined, isSuspect} from '../owner/crash_suspects.js';
 import {Refusal, createRefusal} from '../refusals.js';
+import {Answer} from '../types.js';
 import {MeshState, getOwnInstance} from './mesh_state.js';
 import {AttemptOutcome, MeshEmit} from './mesh_types.js';
 import {getRunMs} from './run_estimates.js';
@@ -10,6 +11,7 @@
 import {tryStartProbe} from './upstream_health.js';
 import {
   QueuedAttempt,
+  RunningAttempt,
   countUsedSlots,
   getRetryAfterMs,
   removeHopeless,
@@ -120,6 +122,29 @@
   emit({kind: 'finishAttempt', attemptId, outcome: {...outcome, load}});
 }
 
+/** Takes an attempt off its slot. */
+export function endRun(
+  state: MeshState,
+  attemptId: string,
+): RunningAttempt | undefined {
+  const run = state.work.running.get(attemptId);
+  state.work.running.delete(attemptId);
+  return run;
+}
+
+/** Finishes an attempt that was dispatched. */
+export function finishRun(
+  state: MeshState,
+  at: number,
+  run: RunningAttempt,
+  result: Answer | Refusal,
+  emit: MeshEmit,
+  reachedUpstream = true,
+): void {
+  const {attemptId} = run.attempt;
+  finishMeshAttempt(state, at, attemptId, {result, reachedUpstream}, emit);
+}
+
 /** Refuses an attempt that the upstream has not seen. */
 export function refuseAttempt(
   state: MeshState,
