--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -15,21 +15,20 @@
   cancelMeshAttempt,
   tickMeshOwner,
 } from './owner_flow.js';
-import {
-  takeConnectProbe,
-  takeRunAnswer,
-  takeRunFailure,
-} from './owner_results.js';
+import {takeRunAnswer, takeRunFailure} from './owner_results.js';
+import {takeConnectProbe} from './owner_crashes.js';
 import {getNeighbours, getZonePeers} from './news_tree.js';
+import {
+  readSourceIfDue,
+  takeSourceAnswer,
+  takeSourceFailure,
+} from './source_reading.js';
 import {
   answerPull,
   pullFrom,
-  readSourceIfDue,
   removeLapsed,
   takePeerNews,
   takePeerState,
-  takeSourceAnswer,
-  takeSourceFailure,
 } from './spreading.js';
 import {beginStop, endStopIfDue} from './stopping.js';
 
@@ -64,8 +63,6 @@
       return reduceSourceAnswered(state, event, emit);
     case 'sourceFailed':
       return takeSourceFailure(state, event, emit);
-    case 'linkOpened':
-      return greet(state, event.address, emit);
     case 'linkClosed':
       return reduceLinkClosed(state, event.address, emit);
     case 'messageReceived':
