An entry that lapses no longer renames the upstream beside a proxy

Cause, found by reading: the removal of an earlier entry at the same address set the upstream's identifier back, so that peers were told of the wrong one and connections were renewed. A test failed first.

--- a/src/core/mesh/belief.ts
+++ b/src/core/mesh/belief.ts
@@ -5,7 +5,7 @@
  */
 import {FleetNews, MeshConfig} from '../../model/mesh.js';
 import {FleetChange, applyFleetNews} from './fleet_view.js';
-import {MeshState} from './mesh_state.js';
+import {MeshState, getOwnInstance} from './mesh_state.js';
 import {MeshEmit} from './mesh_types.js';
 import {createMeshRouteTable} from './route_table.js';
 
@@ -49,7 +49,7 @@
       state.loads.delete(id);
     }
     if (instance.address === state.settings.upstreamAddress) {
-      noteOwnChange(state, id, emit);
+      noteOwnChange(state, emit);
     }
     emit({kind: 'count', counter: 'instance_changed', reason: what});
     emit({
@@ -71,8 +71,9 @@
 }
 
 /** Connections to an earlier process must not be used for a later one. */
-function noteOwnChange(state: MeshState, id: string, emit: MeshEmit): void {
-  if (state.health.ownId !== id) {
+function noteOwnChange(state: MeshState, emit: MeshEmit): void {
+  const id = getOwnInstance(state)?.id;
+  if (id !== undefined && state.health.ownId !== id) {
     state.health.ownId = id;
     state.health.otherThan = undefined;
     emit({kind: 'dropUpstreamConnections'});
--- a/test/mesh/owner.test.ts
+++ b/test/mesh/owner.test.ts
@@ -131,6 +131,15 @@
     ]);
   });
 
+  it('names its upstream to peers after an earlier one has lapsed', () => {
+    const owner = createOwner();
+    const later = createInstance(1, {id: 'i-9', incarnation: 5});
+    owner.readFleet([createInstance(1), later, createInstance(2)], 11);
+    owner.pass(600);
+    owner.readFleet([later, createInstance(2)], 12);
+    expect(owner.state.health.ownId).to.equal('i-9');
+  });
+
   it('counts a run whose answer seems lost out of its slot', () => {
     const owner = createOwner();
     offer(owner, 'lost', {timeoutMs: 60_000});
