One JSON answer for operators, one test for failed statuses; drop what nothing uses

Found on reading the whole change: mesh_operators wrote writeJson again, call and owner results each had the status from which an upstream failed, operator_server spelt out ProxyLoop, and a read timeout, a listen option and an export had no user.

--- a/src/core/mesh/call_flow.ts
+++ b/src/core/mesh/call_flow.ts
@@ -18,7 +18,7 @@
 export const MAX_ASKED = 4;
 
 /** Least time in which an attempt has a chance to finish, in milliseconds. */
-export const MIN_ATTEMPT_MS = 4;
+const MIN_ATTEMPT_MS = 4;
 
 /** Wait that a caller is advised where nothing better is known. */
 const DEFAULT_RETRY_AFTER_MS = 400;
--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -7,7 +7,7 @@
   noteSuccess,
 } from '../entry/load_view.js';
 import {Refusal, RefusalReason, createRefusal} from '../refusals.js';
-import {Answer} from '../types.js';
+import {Answer, isServerError} from '../types.js';
 import {
   answerMeshCall,
   MAX_ASKED,
@@ -23,9 +23,6 @@
 
 type Stamp = Pick<MeshEvent, 'at' | 'entropy'>;
 
-/** First status by which an upstream says that it failed. */
-const SERVER_ERROR = 500;
-
 /** Weight of one answer in the moving average of a route's time to answer. */
 const ANSWER_WEIGHT = 0.1;
 
@@ -88,7 +85,7 @@
   emit: MeshEmit,
 ): void {
   const {at} = stamp;
-  const failed = answer.status >= SERVER_ERROR;
+  const failed = isServerError(answer);
   if (failed && call.route.idempotent) {
     call.mayHaveRun = true;
     if (call.underWay.size > 0) {
--- a/src/core/mesh/owner_results.ts
+++ b/src/core/mesh/owner_results.ts
@@ -2,7 +2,7 @@
 import {createLostRefusal} from '../failures.js';
 import {clearSuspect} from '../owner/crash_suspects.js';
 import {Refusal, createRefusal} from '../refusals.js';
-import {Answer} from '../types.js';
+import {Answer, isServerError} from '../types.js';
 import {MeshState} from './mesh_state.js';
 import {AnswerFacts, DispatchFailure, MeshEmit} from './mesh_types.js';
 import {holdLost, markDown, markUp} from './owner_crashes.js';
@@ -13,9 +13,6 @@
 /** Wait advised after the upstream itself turned a request away. */
 const SHED_RETRY_AFTER_MS = 150;
 
-/** First status by which an upstream says that it failed. */
-const SERVER_ERROR = 500;
-
 /** Takes the upstream's whole answer. */
 export function takeRunAnswer(
   state: MeshState,
@@ -38,7 +35,7 @@
     learnEnd(state.estimates, true);
     finishRun(state, at, run, createShedRefusal(), emit);
   } else {
-    const failed = answer.status >= SERVER_ERROR;
+    const failed = isServerError(answer);
     learnEnd(state.estimates, failed);
     learnFromRun(state, at, run, failed, emit);
     finishRun(state, at, run, answer, emit);
--- a/src/core/mesh/source_schedule.ts
+++ b/src/core/mesh/source_schedule.ts
@@ -17,9 +17,6 @@
 const BACKOFF_BASE_MS = 400;
 const BACKOFF_MAX_MS = 2_000;
 
-/** A read that has taken this long no longer keeps others from starting. */
-export const READ_TIMEOUT_MS = 1_500;
-
 /**
  * Time for which a configuration is waited for, in milliseconds. A wait that
  * is cut without notice ends soon after.
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -202,6 +202,13 @@
 export type PartName =
   'config' | 'spread' | 'members' | 'entry' | 'owner' | 'keys' | 'crash';
 
+/** First status by which an upstream says that it failed. */
+const SERVER_ERROR = 500;
+
+export function isServerError({status}: Answer): boolean {
+  return status >= SERVER_ERROR;
+}
+
 /** Collects the effects of one event, in order. */
 export type Emit = (effect: Effect) => void;
 
--- a/src/mesh/mesh_operators.ts
+++ b/src/mesh/mesh_operators.ts
@@ -1,17 +1,9 @@
 /** Metrics and status for operators, and readiness for the platform. */
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {MeshState, isReady} from '../core/mesh/mesh_state.js';
+import {writeJson} from '../proxy/operator_server.js';
 import {MeshMetrics} from './mesh_metrics.js';
 
-function writeJson(res: ServerResponse, status: number, value: unknown): void {
-  const body = JSON.stringify(value);
-  res.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(body),
-  });
-  res.end(body);
-}
-
 /**
  * Answers operators.
  * @param req - `GET /metrics` or `GET /v1/status`.
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -23,8 +23,6 @@
 
 /** What differs between listeners. */
 export interface ListenOptions {
-  /** Time for which an idle connection stays open, in milliseconds. */
-  readonly keepAliveMs?: number;
   readonly maxHeaderBytes?: number;
 }
 
@@ -57,7 +55,7 @@
   const lastResponses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
-      keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
       requestTimeout: limits.receiveTimeoutMs,
       headersTimeout: limits.receiveTimeoutMs,
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
--- a/src/proxy/operator_server.ts
+++ b/src/proxy/operator_server.ts
@@ -1,8 +1,6 @@
 /** Health, metrics and status for operators, and the start of a planned stop. */
 import {IncomingMessage, ServerResponse} from 'node:http';
-import {CoreLoop} from './core_loop.js';
-import {Effect, EventBody} from '../core/types.js';
-import {ProxyState} from '../core/proxy_state.js';
+import type {ProxyLoop} from './proxy_runtime.js';
 import {ProxyMetrics} from './metrics.js';
 
 /** Members that one status answer lists. */
@@ -10,7 +8,7 @@
 
 export class OperatorServer {
   constructor(
-    private readonly loop: CoreLoop<ProxyState, EventBody, Effect>,
+    private readonly loop: ProxyLoop,
     private readonly metrics: ProxyMetrics,
     private readonly startDrain: () => void,
   ) {}
@@ -51,7 +49,17 @@
   }
 }
 
-function writeJson(res: ServerResponse, status: number, value: unknown): void {
+/**
+ * Answers with JSON.
+ * @param res - The response.
+ * @param status - HTTP status.
+ * @param value - The value.
+ */
+export function writeJson(
+  res: ServerResponse,
+  status: number,
+  value: unknown,
+): void {
   const body = JSON.stringify(value);
   res.writeHead(status, {
     'content-type': 'application/json',
@@ -65,9 +73,7 @@
  * @param loop - The running core.
  * @returns A JSON value.
  */
-export function getStatus(
-  loop: CoreLoop<ProxyState, EventBody, Effect>,
-): object {
+export function getStatus(loop: ProxyLoop): object {
   const {settings, log, startup, membership, owner, watch, suspects} =
     loop.state;
   const {id, zone, region, peerAddress, startedAt} = settings;
