--- a/src/standins/harness/child.ts
+++ b/src/standins/harness/child.ts
@@ -39,16 +39,19 @@
    * @param script - Path of the script.
    * @param args - Its arguments.
    * @param onLine - Receives each line of its standard output.
+   * @param variables - Environment variables beside this process's own.
    */
   constructor(
     readonly name: string,
     script: string,
     args: readonly string[],
     onLine: (line: string) => void = () => {},
+    variables: Readonly<Record<string, string>> = {},
   ) {
     hookExit();
     this.process = spawn(process.execPath, [script, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
+      env: {...process.env, ...variables},
     });
     running.add(this);
     this.process.once('close', (code, signal) => {
--- /dev/null
+++ b/test/platform/demo.ts
@@ -0,0 +1,155 @@
+/**
+ * The demo on the stand-in store: the bundle that is deployed runs as four
+ * processes, and what the platform's path promises is shown step by step.
+ */
+import {DemoReport} from '../../src/demo/report.js';
+import {untilTrue} from '../../src/standins/harness/until.js';
+import {FleetStandin, Reply} from './fleet_standin.js';
+import {ProcessMachine} from './process_machine.js';
+import {createDocument} from './store_standin.js';
+
+const MACHINES = 4;
+const CALLS = 40;
+
+type DemoFleet = FleetStandin<ProcessMachine>;
+
+async function main(): Promise<boolean> {
+  const write = (line: string) => void process.stdout.write(`${line}\n`);
+  const report = new DemoReport(write);
+  const fleet: DemoFleet = new FleetStandin(
+    (...args) => new ProcessMachine(...args),
+  );
+  try {
+    report.step('Store, upstreams and the deployed proxies as processes');
+    await fleet.start(MACHINES);
+    for (const {host, pid, upstream} of fleet.machines) {
+      report.say(`${host}: upstream ${upstream.id}, proxy pid ${pid}`);
+    }
+    await serveCalls(fleet, report);
+    await changeConfig(fleet, report);
+    await drainUpstream(fleet, report);
+    await killProxy(fleet, report);
+    await loseStore(fleet, report);
+    await stopProxy(fleet, report);
+  } catch (error) {
+    write(
+      `platform demo: failed; ${error instanceof Error ? error.message : error}`,
+    );
+    return false;
+  } finally {
+    await fleet.stop();
+  }
+  write('platform demo: ok');
+  return true;
+}
+
+/** Sends reads and charges in turns and returns the replies. */
+async function send(
+  machine: ProcessMachine,
+  step: string,
+): Promise<readonly Reply[]> {
+  const replies: Reply[] = [];
+  for (let n = 0; n < CALLS; n += 1) {
+    const isCharge = n % 2 === 1;
+    const path = `/${isCharge ? 'charge' : 'read'}/${step}-${n}`;
+    replies.push(await machine.call(isCharge ? 'POST' : 'GET', path));
+  }
+  return replies;
+}
+
+function expectAnswered(
+  report: DemoReport,
+  who: string,
+  replies: readonly Reply[],
+): void {
+  const statuses = replies.map(({status}) => status);
+  const isAll = statuses.every(status => status === 200);
+  report.expect(`${CALLS} calls ${who} were answered`, isAll, statuses);
+}
+
+function expectOnce(fleet: DemoFleet, report: DemoReport): void {
+  const runs = fleet.machines.flatMap(({upstream}) => upstream.ran);
+  const charges = runs.filter(path => path.startsWith('/charge/'));
+  const isOnce = charges.length === new Set(charges).size;
+  report.expect('no charge ran twice', isOnce, charges);
+}
+
+async function serveCalls(fleet: DemoFleet, report: DemoReport): Promise<void> {
+  report.step('Calls from each VM');
+  for (const machine of fleet.machines) {
+    const step = `first-${machine.upstream.id}`;
+    expectAnswered(report, `at ${machine.host}`, await send(machine, step));
+  }
+  expectOnce(fleet, report);
+}
+
+async function changeConfig(
+  fleet: DemoFleet,
+  report: DemoReport,
+): Promise<void> {
+  report.step('A new version, and one that is broken');
+  fleet.store.put('op/config', createDocument(7));
+  fleet.store.put('op/config', createDocument(9, {limits: 'none'}));
+  for (const machine of fleet.machines) {
+    await untilTrue(
+      `version 7 at ${machine.host}`,
+      async () => (await fleet.status(machine)).version === 7,
+    );
+  }
+  report.expect('every proxy holds version 7 and refused 9', true, 7);
+}
+
+async function drainUpstream(
+  fleet: DemoFleet,
+  report: DemoReport,
+): Promise<void> {
+  report.step('An upstream drains');
+  const [first, second] = fleet.machines;
+  fleet.register(2, {state: 'draining', seq: 2});
+  await untilTrue('i-2 to be seen draining', async () => {
+    const {instances} = await fleet.status(first);
+    return instances.some(({id, state}) => id === 'i-2' && state !== 'ready');
+  });
+  const before = second.upstream.ran.length;
+  expectAnswered(report, 'meanwhile', await send(first, 'drain'));
+  const after = second.upstream.ran.length;
+  report.expect('none of them reached it', after === before, after - before);
+}
+
+async function killProxy(fleet: DemoFleet, report: DemoReport): Promise<void> {
+  report.step('kill -9 of one proxy');
+  const [first, , third] = fleet.machines;
+  await third.kill();
+  const replies = await send(first, 'kill');
+  const reads = replies.filter((_, n) => n % 2 === 0);
+  const isWhole = reads.every(({status}) => status === 200);
+  report.expect(
+    'every read through another proxy was answered',
+    isWhole,
+    reads.map(({status}) => status),
+  );
+  expectOnce(fleet, report);
+}
+
+async function loseStore(fleet: DemoFleet, report: DemoReport): Promise<void> {
+  report.step('The store turns everyone away, and the killed proxy returns');
+  const [first, , third] = fleet.machines;
+  fleet.store.mode = 'busy';
+  expectAnswered(report, 'without the store', await send(first, 'outage'));
+  await third.start();
+  await untilTrue('the restarted proxy to be ready', () => third.isReady());
+  const {version} = await fleet.status(third);
+  report.expect('it learnt version 7 from its peers', version === 7, version);
+  expectAnswered(report, 'through it', await send(third, 'back'));
+  fleet.store.mode = 'answers';
+}
+
+async function stopProxy(fleet: DemoFleet, report: DemoReport): Promise<void> {
+  report.step('SIGTERM to a proxy');
+  const exit = await fleet.machines[3].terminate();
+  report.expect('it ended by itself with code 0', exit?.code === 0, exit);
+  expectAnswered(report, 'afterwards', await send(fleet.machines[0], 'stop'));
+  expectOnce(fleet, report);
+}
+
+process.exitCode = (await main()) ? 0 : 1;
--- a/test/platform/fleet.test.ts
+++ b/test/platform/fleet.test.ts
@@ -1,14 +1,14 @@
 /** The whole path on the platform's interfaces, with real sockets. */
 import {expect} from '../support/chai_setup.js';
 import {sendRaw} from '../processes/raw_socket.js';
-import {FleetStandin, until} from './fleet_standin.js';
+import {FleetStandin, Machine, until} from './fleet_standin.js';
 import {createDocument} from './store_standin.js';
 
 describe('fleet on the platform', () => {
   let fleet: FleetStandin;
 
   beforeEach(async () => {
-    fleet = new FleetStandin();
+    fleet = new FleetStandin((...args) => new Machine(...args));
     await fleet.start(3);
   });
 
--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -60,7 +60,7 @@
   }
 }
 
-/** One machine: an upstream and the proxy beside it. */
+/** One machine: an upstream and the proxy beside it, in this process. */
 export class Machine {
   private proxy?: MeshRuntime;
   upstreamAddress = '';
@@ -68,8 +68,11 @@
   constructor(
     readonly host: string,
     readonly upstream: UpstreamStandin,
-    private readonly ports: {readonly callers: number; readonly peers: number},
-    private readonly storeAddress: string,
+    protected readonly ports: {
+      readonly callers: number;
+      readonly peers: number;
+    },
+    protected readonly storeAddress: string,
   ) {}
 
   get callersPort(): number {
@@ -77,9 +80,7 @@
   }
 
   async start(): Promise<void> {
-    if (this.upstreamAddress === '') {
-      this.upstreamAddress = await this.upstream.start(this.host);
-    }
+    await this.startUpstream();
     const {callers, peers} = this.ports;
     const settings = MeshSettingsSchema.parse({
       name: this.host,
@@ -108,6 +109,12 @@
     await this.proxy.start();
   }
 
+  protected async startUpstream(): Promise<void> {
+    if (this.upstreamAddress === '') {
+      this.upstreamAddress = await this.upstream.start(this.host);
+    }
+  }
+
   requestStop(): Promise<void> | undefined {
     this.proxy?.requestStop();
     return this.proxy?.stopped;
@@ -174,9 +181,16 @@
   return {callers: port, peers: port + 3};
 }
 
-export class FleetStandin {
+export class FleetStandin<T extends Machine = Machine> {
   readonly store = new StoreStandin();
-  readonly machines: Machine[] = [];
+  readonly machines: T[] = [];
+
+  /** @param createMachine - Creates one machine of the fleet. */
+  constructor(
+    private readonly createMachine: (
+      ...args: ConstructorParameters<typeof Machine>
+    ) => T,
+  ) {}
 
   async start(count: number): Promise<void> {
     const address = await this.store.start();
@@ -184,7 +198,8 @@
     const ports = await findPorts();
     for (let n = 1; n <= count; n += 1) {
       const upstream = new UpstreamStandin(`i-${n}`);
-      const machine = new Machine(`127.0.1.${n}`, upstream, ports, address);
+      const host = `127.0.1.${n}`;
+      const machine = this.createMachine(host, upstream, ports, address);
       await machine.start();
       this.machines.push(machine);
       this.register(n);
