--- a/src/core/mesh/owner_flow.ts
+++ b/src/core/mesh/owner_flow.ts
@@ -78,7 +78,7 @@
   if (health.down) {
     return createRefusal('upstream_down', DOWN_RETRY_AFTER_MS);
   }
-  const runMs = getRunMs(state.estimates, attempt.routeAimMs);
+  const runMs = getRunMs(state.estimates, attempt);
   if (!endsBeforeStop(state, runMs, at)) {
     return createRefusal('proxy_stopping', DOWN_RETRY_AFTER_MS);
   }
--- a/src/core/mesh/owner_results.ts
+++ b/src/core/mesh/owner_results.ts
@@ -1,9 +1,9 @@
 /** Takes what the upstream made of the dispatched attempts. */
 import {createLostRefusal} from '../failures.js';
 import {clearSuspect} from '../owner/crash_suspects.js';
-import {Refusal, createRefusal} from '../refusals.js';
+import {createRefusal} from '../refusals.js';
 import {Answer, isServerError} from '../types.js';
-import {MeshState} from './mesh_state.js';
+import {MeshState, getOwnInstance} from './mesh_state.js';
 import {AnswerFacts, DispatchFailure, MeshEmit} from './mesh_types.js';
 import {holdLost, markDown, markUp} from './owner_crashes.js';
 import {endRun, finishRun, refuseQueue, startWaiting} from './owner_flow.js';
@@ -32,8 +32,7 @@
   if (facts.otherInstance) {
     takeOtherInstance(state, at, run, emit);
   } else if (facts.notRun) {
-    learnEnd(state.estimates, true);
-    finishRun(state, at, run, createShedRefusal(), emit);
+    takeShed(state, at, run, emit);
   } else {
     const failed = isServerError(answer);
     learnEnd(state.estimates, failed);
@@ -43,8 +42,31 @@
   startWaiting(state, at, emit);
 }
 
-function createShedRefusal(): Refusal {
-  return createRefusal('queue_full', SHED_RETRY_AFTER_MS);
+/** The upstream had no room although its slots were not all in use here. */
+function takeShed(
+  state: MeshState,
+  at: number,
+  run: RunningAttempt,
+  emit: MeshEmit,
+): void {
+  learnEnd(state.estimates, true);
+  emit({kind: 'count', counter: 'upstream_failed', reason: 'shed'});
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'owner',
+    message: 'Upstream turned the request away.',
+    fields: {
+      requestId: run.attempt.requestId,
+      route: run.attempt.route,
+      instance: run.attempt.instanceId,
+      tookMs: Math.round(at - run.startedAt),
+      running: state.work.running.size,
+      slots: getOwnInstance(state)?.slots,
+    },
+  });
+  const refusal = createRefusal('queue_full', SHED_RETRY_AFTER_MS);
+  finishRun(state, at, run, refusal, emit);
 }
 
 function learnFromRun(
@@ -56,7 +78,7 @@
 ): void {
   const tookMs = at - run.startedAt;
   if (!failed) {
-    learnRun(state.estimates, run.attempt.routeAimMs, tookMs);
+    learnRun(state.estimates, run.attempt, tookMs);
   }
   clearSuspect(state.suspects, run.attempt.fingerprint, effect => {
     if (effect.kind === 'count') {
--- a/src/core/mesh/run_estimates.ts
+++ b/src/core/mesh/run_estimates.ts
@@ -1,7 +1,7 @@
 /**
- * Estimates how long a request will run at one upstream. Routes differ in
- * their work, upstreams in their speed, so the one factor that is learnt here
- * applies to every route.
+ * Estimates how long a request will run at one upstream. A route's own factor
+ * counts where it has run here: routes differ in how much of their aim their
+ * work takes, and some wait for calls of their own.
  */
 
 /**
@@ -28,15 +28,20 @@
 const STUCK_FACTOR = 6;
 const STUCK_EXTRA_MS = 200;
 
+/** Routes whose factors are kept; more than a service has at one time. */
+const MAX_ROUTES = 256;
+
 export interface RunEstimates {
-  /** Learnt time to run, as a multiple of the prior. */
+  /** Learnt time to run of all routes, as a multiple of the prior. */
   slowness: number;
+  /** The same for each route that has run here. */
+  readonly byRoute: Map<string, number>;
   /** Share of recent ends that were failures or sheds. */
   failing: number;
 }
 
 export function createRunEstimates(): RunEstimates {
-  return {slowness: 1, failing: 0};
+  return {slowness: 1, byRoute: new Map(), failing: 0};
 }
 
 /**
@@ -48,32 +53,44 @@
   return routeAimMs * RUN_SHARE_OF_AIM;
 }
 
-export function getRunMs(estimates: RunEstimates, routeAimMs: number): number {
-  return getUsualRunMs(routeAimMs) * estimates.slowness;
+/** A route, and its aim in milliseconds. */
+export interface RunKind {
+  readonly route: string;
+  readonly routeAimMs: number;
+}
+
+export function getRunMs(estimates: RunEstimates, kind: RunKind): number {
+  const factor = estimates.byRoute.get(kind.route) ?? estimates.slowness;
+  return getUsualRunMs(kind.routeAimMs) * factor;
 }
 
 /** Time after which a run no longer counts as using its slot. */
-export function getStuckMs(
-  estimates: RunEstimates,
-  routeAimMs: number,
-): number {
-  return getRunMs(estimates, routeAimMs) * STUCK_FACTOR + STUCK_EXTRA_MS;
+export function getStuckMs(estimates: RunEstimates, kind: RunKind): number {
+  return getRunMs(estimates, kind) * STUCK_FACTOR + STUCK_EXTRA_MS;
 }
 
 /**
  * Learns from a run that ended by itself.
  * @param estimates - The upstream's estimates.
- * @param routeAimMs - The route's aim.
+ * @param kind - The run's route.
  * @param tookMs - Time from dispatch to answer.
  */
 export function learnRun(
   estimates: RunEstimates,
-  routeAimMs: number,
+  kind: RunKind,
   tookMs: number,
 ): void {
-  const ratio = tookMs / getUsualRunMs(routeAimMs);
+  const ratio = tookMs / getUsualRunMs(kind.routeAimMs);
   const sample = Math.min(MAX_SAMPLE, Math.max(MIN_SAMPLE, ratio));
+  const {byRoute} = estimates;
+  const known = byRoute.get(kind.route) ?? estimates.slowness;
+  byRoute.set(kind.route, known + SAMPLE_WEIGHT * (sample - known));
   estimates.slowness += SAMPLE_WEIGHT * (sample - estimates.slowness);
+  if (byRoute.size > MAX_ROUTES) {
+    // In order of insertion, so that this is the one met longest ago.
+    const [oldest] = byRoute.keys();
+    byRoute.delete(oldest);
+  }
 }
 
 /**
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -77,7 +77,7 @@
   estimates: RunEstimates,
   at: number,
 ): boolean {
-  return at + getRunMs(estimates, attempt.routeAimMs) > aimAt;
+  return at + getRunMs(estimates, attempt) > aimAt;
 }
 
 /**
@@ -94,7 +94,7 @@
 ): number {
   let used = 0;
   for (const {attempt, startedAt} of work.running.values()) {
-    if (at - startedAt <= getStuckMs(estimates, attempt.routeAimMs)) {
+    if (at - startedAt <= getStuckMs(estimates, attempt)) {
       used += 1;
     }
   }
@@ -117,7 +117,7 @@
     return 0;
   }
   const aheadMs = ahead.reduce(
-    (sum, {attempt}) => sum + getRunMs(estimates, attempt.routeAimMs),
+    (sum, {attempt}) => sum + getRunMs(estimates, attempt),
     0,
   );
   return (aheadMs + getMeanRunningMs(work, estimates)) / slots;
@@ -127,7 +127,7 @@
 function getMeanRunningMs(work: WorkQueue, estimates: RunEstimates): number {
   let sum = 0;
   for (const {attempt} of work.running.values()) {
-    sum += getRunMs(estimates, attempt.routeAimMs);
+    sum += getRunMs(estimates, attempt);
   }
   return sum / Math.max(1, work.running.size);
 }
@@ -156,7 +156,7 @@
 ): QueueRefusal | undefined {
   const {routeAimMs} = arriving.attempt;
   const waitMs = estimateWaitMs(work, estimates, slots, arriving, at);
-  const runMs = getRunMs(estimates, routeAimMs);
+  const runMs = getRunMs(estimates, arriving.attempt);
   const retryAfterMs = getRetryAfterMs(waitMs);
   if (at + waitMs + runMs * MIN_RUN_SHARE > arriving.deadlineAt) {
     return {reason: 'deadline_too_short', retryAfterMs};
@@ -229,7 +229,7 @@
 ): QueuedAttempt[] {
   const contended = work.queue.some(other => !isLate(other, estimates, at));
   const hopeless = work.queue.filter(other => {
-    const runMs = getRunMs(estimates, other.attempt.routeAimMs);
+    const runMs = getRunMs(estimates, other.attempt);
     const passedOver = contended && isLate(other, estimates, at);
     return passedOver || at + runMs * MIN_RUN_SHARE > other.deadlineAt;
   });
--- a/src/mesh/mesh_operators.ts
+++ b/src/mesh/mesh_operators.ts
@@ -52,7 +52,7 @@
     peers: [...peers].map(([address, peer]) => ({address, ...peer})),
     running: work.running.size,
     queued: work.queue.length,
-    estimates,
+    estimates: {...estimates, byRoute: Object.fromEntries(estimates.byRoute)},
     upstreamDown: health.down,
     suspects: [...suspects.byFingerprint.values()],
   };
--- a/test/mesh/overload.test.ts
+++ b/test/mesh/overload.test.ts
@@ -78,8 +78,8 @@
       if (run === undefined) {
         return;
       }
-      const {attemptId, routeAimMs} = run.attempt;
-      ends.push({at: at + getRunMs(estimates, routeAimMs), attemptId});
+      const {attemptId} = run.attempt;
+      ends.push({at: at + getRunMs(estimates, run.attempt), attemptId});
     }
   };
   for (let at = 0; at < SECONDS * 1_000; at += 1) {
