--- a/src/cli/check.ts
+++ b/src/cli/check.ts
@@ -1,6 +1,6 @@
 /** `fireflysill check`: what would become of a patch. */
 import {err, ok, Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {tryPatch} from '../core/config/fold.js';
 import {describeSubmissionError} from '../core/config/validate.js';
 import {SequenceSchema} from '../model/primitives.js';
--- a/src/cli/fleet_rows.ts
+++ b/src/cli/fleet_rows.ts
@@ -1,5 +1,5 @@
 /** The rows of a fleet's status, from what its proxies answered. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {SequenceSchema} from '../model/primitives.js';
 import {History} from './history.js';
 
--- a/src/cli/published_log.ts
+++ b/src/cli/published_log.ts
@@ -1,6 +1,6 @@
 /** Reads the published submissions, from the platform or from a file. */
 import {err, errAsync, ok, okAsync, Result, ResultAsync} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {Submission, SubmissionSchema} from '../model/config.js';
 import {FoldState, FoldStateSchema} from '../model/fold_state.js';
 import {WatchAnswer, WatchAnswerSchema} from '../model/platform.js';
--- a/src/model/config.ts
+++ b/src/model/config.ts
@@ -2,7 +2,7 @@
  * The published configuration: services, their upstreams, and the routes by
  * which calls reach them. All types are inferred from the schemas.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   AddressSchema,
   MillisSchema,
--- a/src/model/fold_state.ts
+++ b/src/model/fold_state.ts
@@ -1,5 +1,5 @@
 /** What folding the published submissions yields, as sent between proxies. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {ConfigSchema, SubmissionSchema} from './config.js';
 import {NameSchema, SequenceSchema} from './primitives.js';
 
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -3,7 +3,7 @@
  * configurations, the upstreams that have registered, and the news and
  * attempts that proxies send each other. Types are inferred from the schemas.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {LoadReportSchema, SuspectInfoSchema} from './peer.js';
 import {AddressSchema, SequenceSchema} from './primitives.js';
 
--- a/src/model/mesh_settings.ts
+++ b/src/model/mesh_settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a proxy whose upstreams register themselves. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {AddressSchema, MillisSchema} from './primitives.js';
 
 export const MeshSettingsSchema = z.strictObject({
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -1,5 +1,5 @@
 /** Messages between proxies, checked on arrival. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {SubmissionSchema} from './config.js';
 import {CatchUpSchema} from './fold_state.js';
 import {VmChangesSchema, VmListSchema} from './platform.js';
--- a/src/model/platform.ts
+++ b/src/model/platform.ts
@@ -1,5 +1,5 @@
 /** What the platform publishes, as its answers are read. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {SubmissionSchema} from './config.js';
 import {NameSchema, SequenceSchema} from './primitives.js';
 
--- a/src/model/primitives.ts
+++ b/src/model/primitives.ts
@@ -1,5 +1,5 @@
 /** Schemas of the small values that the other schemas share. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Longest name of a service, upstream, route or zone, in characters. */
 const MAX_NAME_LENGTH = 64;
--- a/src/model/settings.ts
+++ b/src/model/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of one proxy, read once at its start. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {AddressSchema, MillisSchema, NameSchema} from './primitives.js';
 
 const ListenSchema = z.strictObject({
--- a/src/proxy/results.ts
+++ b/src/proxy/results.ts
@@ -1,6 +1,6 @@
 /** How results of attempts and calls look as HTTP. */
 import {ServerResponse} from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {Refusal, REFUSALS, isRefusalReason} from '../core/refusals.js';
 import {Answer} from '../core/types.js';
 import {LoadReport, LoadReportSchema} from '../model/peer.js';
--- a/src/proxy/upstream_client.ts
+++ b/src/proxy/upstream_client.ts
@@ -1,5 +1,5 @@
 /** Sends dispatched attempts to the local upstream, and probes its health. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {EventBody} from '../core/types.js';
 import {Settings} from '../model/settings.js';
 import {OutboundRequest} from './caller_server.js';
--- a/src/standins/counts.ts
+++ b/src/standins/counts.ts
@@ -1,5 +1,5 @@
 /** Whole numbers that arrive as text, from command lines, queries and headers. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const DIGITS = /^\d{1,15}$/;
 const HIGHEST_PORT = 65_535;
--- a/src/standins/daemon.ts
+++ b/src/standins/daemon.ts
@@ -1,6 +1,6 @@
 /** What the stand-ins' daemons have in common. */
 import {Logger} from 'tslog';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** First line on standard output once a daemon listens. */
 export interface ReadyLine {
--- a/src/standins/harness/fleet_plan.ts
+++ b/src/standins/harness/fleet_plan.ts
@@ -1,5 +1,5 @@
 /** What a fleet of processes is made of. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   Patch,
   PatchSchema,
--- a/src/standins/harness/http_client.ts
+++ b/src/standins/harness/http_client.ts
@@ -1,6 +1,6 @@
 /** JSON over HTTP to side doors and operators' interfaces. */
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {loopback} from './ports.js';
 
 /** What came back. */
--- a/src/standins/harness/proxy_process.ts
+++ b/src/standins/harness/proxy_process.ts
@@ -1,7 +1,7 @@
 /** A proxy as a child process that can be killed and started again. */
 import {writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
-import {z} from 'zod';
+import * as z from 'zod';
 import {SubmissionOutcomeSchema} from '../../model/fold_state.js';
 import {SettingsSchema} from '../../model/settings.js';
 import {Child, Exit} from './child.js';
--- a/src/standins/harness/standin_process.ts
+++ b/src/standins/harness/standin_process.ts
@@ -1,5 +1,5 @@
 /** Stand-ins as child processes. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {Submission} from '../../model/config.js';
 import {Vm} from '../../model/platform.js';
 import {
--- a/src/standins/json_server.ts
+++ b/src/standins/json_server.ts
@@ -8,7 +8,7 @@
 } from 'node:http';
 import {AddressInfo} from 'node:net';
 import {err, ok, Result} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {createStandinError, StandinError, STANDIN_ERRORS} from './errors.js';
 
 const LOOPBACK = '127.0.0.1';
--- a/src/standins/platform/options.ts
+++ b/src/standins/platform/options.ts
@@ -1,5 +1,5 @@
 /** Options of the platform stand-in and the bodies of its side door. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {SubmissionSchema} from '../../model/config.js';
 import {VmSchema} from '../../model/platform.js';
 import {MillisSchema, SequenceSchema} from '../../model/primitives.js';
--- a/src/standins/upstream/answers.ts
+++ b/src/standins/upstream/answers.ts
@@ -1,7 +1,7 @@
 /** The answers of the upstream stand-in to requests. */
 import {createHash} from 'node:crypto';
 import {IncomingMessage, ServerResponse} from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {parseRequestUrl, sendJson} from '../json_server.js';
 import {Marks} from './options.js';
 
--- a/src/standins/upstream/journal.ts
+++ b/src/standins/upstream/journal.ts
@@ -2,7 +2,7 @@
  * Record of what an upstream ran. Each change is also passed on at once, so
  * that a parent process has it when the upstream crashes.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 export const JournalEntrySchema = z.strictObject({
   /** Number of the entry within one process, from 1. */
--- a/src/standins/upstream/options.ts
+++ b/src/standins/upstream/options.ts
@@ -1,5 +1,5 @@
 /** Options of the upstream stand-in, its side door and its request marks. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {MillisSchema, NameSchema} from '../../model/primitives.js';
 import {PortSchema, wholeNumber} from '../counts.js';
 
--- a/test/cli/operators_page.test.ts
+++ b/test/cli/operators_page.test.ts
@@ -1,5 +1,5 @@
 import {readFileSync} from 'node:fs';
-import {z} from 'zod';
+import * as z from 'zod';
 import {REFUSALS} from '../../src/core/refusals.js';
 import {
   RouteSchema,
--- a/test/processes/poison.test.ts
+++ b/test/processes/poison.test.ts
@@ -1,5 +1,5 @@
 /** A request that crashes each upstream which runs it. */
-import {z} from 'zod';
+import * as z from 'zod';
 import {Caller} from '../../src/standins/harness/caller.js';
 import {Fleet} from '../../src/standins/harness/fleet.js';
 import {countResults, describeResult} from '../../src/standins/harness/load.js';
