A link names the proxy once; metrics tell a process's time and memory

Cause: the core sent a hello on each link it wanted although the transport had just sent one, so peers logged 'Link to peer opened' twice and pulled twice. The core now asks for the link only.

--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -33,7 +33,7 @@
 import {beginStop, endStopIfDue} from './stopping.js';
 
 /** Interval at which missing links to neighbours are opened, in milliseconds. */
-const GREET_INTERVAL_MS = 500;
+const OPEN_INTERVAL_MS = 500;
 
 /**
  * Reduces one event.
@@ -120,40 +120,23 @@
   if (wasUnknown && state.fleet.revision > 0) {
     // An open link lets peers tell this proxy what they learn, also where no
     // upstream is registered beside it.
-    getZonePeers(state).forEach(address => greet(state, address, emit));
+    getZonePeers(state).forEach(to => emit({kind: 'openLink', to}));
   }
 }
 
 /** Opens links to neighbours that are missing, at intervals. */
 function keepNeighbours(state: MeshState, at: number, emit: MeshEmit): void {
-  if (at < state.nextGreetAt) {
+  if (at < state.nextOpenAt) {
     return;
   }
-  state.nextGreetAt = at + GREET_INTERVAL_MS;
-  for (const address of getNeighbours(state)) {
-    if (!state.peers.has(address)) {
-      greet(state, address, emit);
+  state.nextOpenAt = at + OPEN_INTERVAL_MS;
+  for (const to of getNeighbours(state)) {
+    if (!state.peers.has(to)) {
+      emit({kind: 'openLink', to});
     }
   }
 }
 
-function greet(state: MeshState, to: string, emit: MeshEmit): void {
-  const {address, zone, startedAt: incarnation} = state.settings;
-  emit({
-    kind: 'sendMessage',
-    to,
-    message: {
-      kind: 'hello',
-      address,
-      zone,
-      incarnation,
-      version: state.config?.version ?? 0,
-      revision: state.fleet.revision,
-      leaving: state.stopRequestedAt !== undefined,
-    },
-  });
-}
-
 function reduceLinkClosed(
   state: MeshState,
   address: string,
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -40,7 +40,7 @@
   readonly health: UpstreamHealth;
   readonly suspects: CrashSuspects;
   /** When missing links to neighbours are opened next. */
-  nextGreetAt: number;
+  nextOpenAt: number;
   stopRequestedAt?: number;
   lastWorkAt: number;
   stopped: boolean;
@@ -62,7 +62,7 @@
     estimates: createRunEstimates(),
     health: createUpstreamHealth(),
     suspects: createCrashSuspects(),
-    nextGreetAt: 0,
+    nextOpenAt: 0,
     lastWorkAt: 0,
     stopped: false,
   };
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -159,6 +159,8 @@
 
 export type MeshEffect =
   | {readonly kind: 'readSource'; readonly request: SourceRequest}
+  /** Opens a link where there is none; each side then names itself. */
+  | {readonly kind: 'openLink'; readonly to: string}
   | {
       readonly kind: 'sendMessage';
       readonly to: string;
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -44,6 +44,8 @@
   readonly queued: number;
   readonly link_sent_bytes: number;
   readonly link_received_bytes: number;
+  readonly processor_seconds: number;
+  readonly peak_resident_bytes: number;
 }
 
 export class MeshMetrics {
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -282,6 +282,9 @@
       case 'readSource':
         void this.readSource(effect.request);
         return;
+      case 'openLink':
+        void this.hub.open(effect.to);
+        return;
       case 'sendMessage':
         void this.sendMessage(effect.to, effect.message, effect.config);
         return;
@@ -378,6 +381,7 @@
   private getLevels(): MeshLevels {
     const {state} = this.loop;
     const {sentBytes, receivedBytes} = this.hub.traffic;
+    const {userCPUTime, systemCPUTime, maxRSS} = process.resourceUsage();
     const ageMs = this.clock.now() - state.schedule.freshAt;
     return {
       version: state.config?.version ?? 0,
@@ -389,6 +393,8 @@
       queued: state.work.queue.length,
       link_sent_bytes: sentBytes,
       link_received_bytes: receivedBytes,
+      processor_seconds: (userCPUTime + systemCPUTime) / 1e6,
+      peak_resident_bytes: maxRSS * 1_024,
     };
   }
 }
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -246,6 +246,8 @@
         const what = result.kind === 'answer' ? result.status : result.reason;
         return `finishAttempt ${attemptId} ${what} reached=${reachedUpstream}`;
       }
+      case 'openLink':
+        return `openLink ${effect.to}`;
       case 'sendMessage':
         return `sendMessage ${effect.message.kind} to ${effect.to}`;
       case 'readSource':
--- a/test/mesh/spreading.test.ts
+++ b/test/mesh/spreading.test.ts
@@ -80,6 +80,15 @@
     ]);
   });
 
+  it('opens missing links, and leaves it to them to name the proxy', () => {
+    const proxy = new MeshFixture();
+    proxy.learn(FLEET);
+    proxy.pass(600);
+    const effects = proxy.take();
+    expect(effects).to.include('openLink 10.0.0.2:7000');
+    expect(effects.some(effect => effect.includes('hello'))).to.equal(false);
+  });
+
   it('never goes back to a lower version', () => {
     const proxy = new MeshFixture();
     proxy.learn(FLEET, createConfig(7));
--- a/test/platform/demo.ts
+++ b/test/platform/demo.ts
@@ -138,12 +138,26 @@
   expectAnswered(report, 'without the store', await send(first, 'outage'));
   await third.start();
   await untilTrue('the restarted proxy to be ready', () => third.isReady());
+  await sayCost(report, third);
   const {version} = await fleet.status(third);
   report.expect('it learnt version 7 from its peers', version === 7, version);
   expectAnswered(report, 'through it', await send(third, 'back'));
   fleet.store.mode = 'answers';
 }
 
+/** What a start costs: the share of a small machine that it takes. */
+async function sayCost(
+  report: DemoReport,
+  machine: ProcessMachine,
+): Promise<void> {
+  const {body} = await machine.get('/metrics', 2);
+  const getLevel = (level: string) =>
+    Number(body.match(new RegExp(`level="${level}"} (\\S+)`))?.[1]);
+  const seconds = getLevel('processor_seconds').toFixed(2);
+  const megabytes = (getLevel('peak_resident_bytes') / 1e6).toFixed(1);
+  report.say(`to ready: ${seconds} s of processor time, ${megabytes} MB`);
+}
+
 async function stopProxy(fleet: DemoFleet, report: DemoReport): Promise<void> {
   report.step('SIGTERM to a proxy');
   const exit = await fleet.machines[3].terminate();
