--- a/src/core/mesh/belief.ts
+++ b/src/core/mesh/belief.ts
@@ -49,7 +49,7 @@
       state.loads.delete(id);
     }
     if (instance.address === state.settings.upstreamAddress) {
-      noteOwnChange(state, emit);
+      noteOwnChange(state, id, emit);
     }
     emit({kind: 'count', counter: 'instance_changed', reason: what});
     emit({
@@ -71,8 +71,13 @@
 }
 
 /** Connections to an earlier process must not be used for a later one. */
-function noteOwnChange(state: MeshState, emit: MeshEmit): void {
+function noteOwnChange(
+  state: MeshState,
+  changedId: string,
+  emit: MeshEmit,
+): void {
   const id = getOwnInstance(state)?.id;
+  state.health.leftId = id === undefined ? changedId : undefined;
   if (id !== undefined && state.health.ownId !== id) {
     state.health.ownId = id;
     state.health.otherThan = undefined;
--- a/src/core/mesh/owner_flow.ts
+++ b/src/core/mesh/owner_flow.ts
@@ -69,7 +69,7 @@
   if (isOther || health.otherThan === attempt.instanceId) {
     return createRefusal('wrong_home', DOWN_RETRY_AFTER_MS);
   }
-  if (own?.state === 'draining') {
+  if (own?.state === 'draining' || health.leftId === attempt.instanceId) {
     return createRefusal('upstream_leaving', DOWN_RETRY_AFTER_MS);
   }
   if (isQuarantined(suspects, attempt.fingerprint, at)) {
@@ -100,6 +100,7 @@
     leaving:
       own?.state === 'draining' ||
       health.otherThan !== undefined ||
+      health.leftId !== undefined ||
       state.stopRequestedAt !== undefined,
     slowness: round(estimates.slowness),
     failing: round(estimates.failing),
@@ -192,6 +193,7 @@
   if (health.down) {
     return refuseQueue(state, at, 'upstream_down', emit);
   }
+  refuseLeft(state, at, emit);
   for (;;) {
     const id = own?.id ?? work.queue[0]?.attempt.instanceId ?? '';
     const next = tryStart(work, estimates, getSlots(own), id, at);
@@ -220,6 +222,19 @@
   }
 }
 
+/** Refuses what waits for an upstream that is no longer registered. */
+function refuseLeft(state: MeshState, at: number, emit: MeshEmit): void {
+  const {work, health} = state;
+  const left = work.queue.filter(
+    ({attempt}) => attempt.instanceId === health.leftId,
+  );
+  for (const {attempt} of left) {
+    removeWaiting(work, attempt.attemptId);
+    const refusal = createRefusal('upstream_leaving', DOWN_RETRY_AFTER_MS);
+    refuseAttempt(state, at, attempt, refusal, emit);
+  }
+}
+
 /** Refuses all that waits, so that entries place it elsewhere at once. */
 export function refuseQueue(
   state: MeshState,
--- a/src/core/mesh/upstream_health.ts
+++ b/src/core/mesh/upstream_health.ts
@@ -26,6 +26,8 @@
   crashCount: number;
   /** The upstream's process as it is registered. */
   ownId?: string;
+  /** It was registered and no longer is, so nothing may reach it. */
+  leftId?: string;
   /** It answered for another instance than this one. */
   otherThan?: string;
   /** When it last answered. */
--- a/test/mesh/owner.test.ts
+++ b/test/mesh/owner.test.ts
@@ -80,6 +80,28 @@
     ]);
   });
 
+  it('runs nothing more at an upstream that is no longer registered', () => {
+    const owner = createOwner();
+    offer(owner, 'runs');
+    offer(owner, 'waits');
+    owner.readFleet([createInstance(2)], 11);
+    owner.pass(25);
+    offer(owner, 'new');
+    finish(owner, 'runs');
+    const decided = owner
+      .take()
+      .filter(line => /^(dispatch|finishAttempt)/.test(line));
+    expect(decided).to.deep.equal([
+      'dispatch runs',
+      'finishAttempt waits upstream_leaving reached=false',
+      'finishAttempt new upstream_leaving reached=false',
+      'finishAttempt runs 200 reached=true',
+    ]);
+    owner.readFleet([createInstance(1), createInstance(2)], 12);
+    offer(owner, 'again');
+    expect(owner.take()).to.include('dispatch again');
+  });
+
   it('sends nothing to another process at the address', () => {
     const owner = createOwner();
     offer(owner, 'old', {instanceId: 'i-0'});
