--- a/src/core/mesh/call_flow.ts
+++ b/src/core/mesh/call_flow.ts
@@ -301,6 +301,7 @@
       route: call.route.name,
       service: call.service,
       version: call.version,
+      nested: call.nested ? call.info.parentId : undefined,
       asked: call.asked,
       reached: call.reached,
       tookMs: Math.round(at - call.arrivedAt),
--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -126,7 +126,7 @@
 function isStopping(state: MeshState, instance: Instance, at: number): boolean {
   const address = getLinkAddress(state, instance);
   if (address === state.settings.address) {
-    return state.stopRequestedAt !== undefined;
+    return state.leaving;
   }
   const leavingUntil = state.loads.get(instance.id)?.leavingUntil ?? 0;
   return state.peers.get(address)?.leaving === true || leavingUntil > at;
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -30,7 +30,7 @@
   takePeerNews,
   takePeerState,
 } from './spreading.js';
-import {beginStop, endStopIfDue} from './stopping.js';
+import {beginStop, endStopIfDue, tellLeavingIfDue} from './stopping.js';
 
 /** Interval at which missing links to neighbours are opened, in milliseconds. */
 const OPEN_INTERVAL_MS = 500;
@@ -107,6 +107,7 @@
   expireSuspects(state.suspects, at);
   tickMeshOwner(state, at, emit);
   tickCalls(state, event, emit);
+  tellLeavingIfDue(state, at, emit);
   endStopIfDue(state, event, emit);
 }
 
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -42,6 +42,8 @@
   /** When missing links to neighbours are opened next. */
   nextOpenAt: number;
   stopRequestedAt?: number;
+  /** Peers were told that no new work is taken here. */
+  leaving: boolean;
   lastWorkAt: number;
   stopped: boolean;
 }
@@ -63,6 +65,7 @@
     health: createUpstreamHealth(),
     suspects: createCrashSuspects(),
     nextOpenAt: 0,
+    leaving: false,
     lastWorkAt: 0,
     stopped: false,
   };
--- a/src/core/mesh/owner_flow.ts
+++ b/src/core/mesh/owner_flow.ts
@@ -101,7 +101,7 @@
       own?.state === 'draining' ||
       health.otherThan !== undefined ||
       health.leftId !== undefined ||
-      state.stopRequestedAt !== undefined,
+      state.leaving,
     slowness: round(estimates.slowness),
     failing: round(estimates.failing),
   };
--- a/src/core/mesh/stopping.ts
+++ b/src/core/mesh/stopping.ts
@@ -11,19 +11,22 @@
  */
 const STOP_SERVE_MS = 2_600;
 
+/**
+ * Time for which the upstream of a stopping proxy still gets new work: an idle
+ * upstream for the whole stop would cost the fleet its slots at each restart.
+ * What comes last usually ends before the proxy may end.
+ */
+const STOP_WORK_MS = 1_800;
+
 /** Quiet time after which a stopping proxy may end, in milliseconds. */
 const STOP_QUIET_MS = 500;
 
-/** Begins a planned stop: peers send no more, the platform no more callers. */
+/** Begins a planned stop: the platform sends no more callers. */
 export function beginStop(state: MeshState, at: number, emit: MeshEmit): void {
   if (state.stopRequestedAt !== undefined) {
     return;
   }
   state.stopRequestedAt = at;
-  const {address} = state.settings;
-  for (const to of state.peers.keys()) {
-    emit({kind: 'sendMessage', to, message: {kind: 'leaving', address}});
-  }
   emit({
     kind: 'log',
     level: 'info',
@@ -37,6 +40,27 @@
   });
 }
 
+/** Tells peers in time that no new work is taken here any more. */
+export function tellLeavingIfDue(
+  state: MeshState,
+  at: number,
+  emit: MeshEmit,
+): void {
+  const {stopRequestedAt, leaving, settings, peers} = state;
+  if (
+    stopRequestedAt === undefined ||
+    leaving ||
+    at - stopRequestedAt < STOP_WORK_MS
+  ) {
+    return;
+  }
+  state.leaving = true;
+  const {address} = settings;
+  for (const to of peers.keys()) {
+    emit({kind: 'sendMessage', to, message: {kind: 'leaving', address}});
+  }
+}
+
 /** Ends a planned stop once nothing arrives and nothing is under way. */
 export function endStopIfDue(
   state: MeshState,
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -234,7 +234,7 @@
       incarnation: startedAt,
       version: state?.config?.version ?? 0,
       revision: state?.fleet.revision ?? 0,
-      leaving: state?.stopRequestedAt !== undefined,
+      leaving: state?.leaving ?? false,
     };
   }
 
--- a/test/mesh/owner.test.ts
+++ b/test/mesh/owner.test.ts
@@ -153,6 +153,33 @@
     ]);
   });
 
+  it('works on while the platform still sends callers, then tells peers', () => {
+    const owner = createOwner();
+    owner.post({
+      kind: 'messageReceived',
+      from: '10.0.0.2:7000',
+      message: {
+        kind: 'hello',
+        address: '10.0.0.2:7000',
+        zone: 'north',
+        incarnation: 1,
+        version: 1,
+        revision: 10,
+        leaving: false,
+      },
+    });
+    owner.take();
+    owner.post({kind: 'stopRequested'});
+    owner.pass(1_700);
+    offer(owner, 'early');
+    const before = owner.take();
+    expect(before).to.include('dispatch early');
+    expect(before).not.to.include('sendMessage leaving to 10.0.0.2:7000');
+    owner.pass(200);
+    const after = owner.take();
+    expect(after).to.include('sendMessage leaving to 10.0.0.2:7000');
+  });
+
   it('takes nothing that may outlast its planned stop', () => {
     const owner = createOwner();
     owner.post({kind: 'stopRequested'});
