Pause where the source does not hold its waits; the stand-in store holds them

Cause: found in a profile (8 proxies on the stand-in store): 24% of the busy time went to reads of the next version, because this stand-in answered each wait at once and the proxy asked again at once. A platform that does so, or cuts waits without an error, would have got as many calls as it can answer. The test failed first; the stand-in now holds a wait as the platform does.

--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -42,10 +42,10 @@
 const CONFIG_RETRY_MS = 500;
 
 /**
- * Pause after an answer that brought a version already held: what is not yet
- * certain is asked for again, and the source answers that at once. A fourth
- * of a second adds little to the time until a version is in force everywhere,
- * which operators want within two seconds.
+ * Pause after a wait for the next version that brought none and was not held
+ * this long. What is not yet certain is asked for again, and the source answers
+ * that at once. A fourth of a second adds little to the time until a version is
+ * in force everywhere, which operators want within two seconds.
  */
 const CONFIG_RECHECK_MS = 250;
 
@@ -106,6 +106,7 @@
     return;
   }
   schedule.awaitingConfig = true;
+  schedule.configAskedAt = at;
   const {configRevision: after} = schedule;
   read({kind: 'nextConfig', after, waitMs: CONFIG_WAIT_MS}, emit);
 }
@@ -173,7 +174,7 @@
   }
   const adopted =
     config !== undefined && adoptConfig(state, config, 'source', emit);
-  if (config !== undefined && !adopted) {
+  if (!adopted && at - schedule.configAskedAt < CONFIG_RECHECK_MS) {
     schedule.configNotBefore = at + CONFIG_RECHECK_MS;
   }
   if (request.kind === 'config') {
--- a/src/core/mesh/source_schedule.ts
+++ b/src/core/mesh/source_schedule.ts
@@ -50,6 +50,8 @@
   marks: ConfigMark[];
   /** A read of the configuration, or a wait for the next, is under way. */
   awaitingConfig: boolean;
+  /** When the wait for the next version began. */
+  configAskedAt: number;
   /** No read of the configuration before this time. */
   configNotBefore: number;
   /** When the fleet was first known. */
@@ -70,6 +72,7 @@
     configRevision: 0,
     marks: [],
     awaitingConfig: false,
+    configAskedAt: -Infinity,
     configNotBefore: 0,
     turn: 0,
   };
--- a/test/mesh/spreading.test.ts
+++ b/test/mesh/spreading.test.ts
@@ -236,6 +236,21 @@
     expect(proxy.take()).to.include('readSource nextConfig');
   });
 
+  it('pauses where the source does not hold its waits', () => {
+    const proxy = new MeshFixture();
+    proxy.learn(FLEET, createConfig(3), 10);
+    const answer = {kind: 'config', revision: 12} as const;
+    const request = {kind: 'nextConfig', after: 10, waitMs: 1_000} as const;
+    proxy.at += 20;
+    proxy.post({kind: 'sourceAnswered', request, answer});
+    proxy.take();
+    proxy.at += 20;
+    proxy.post({kind: 'sourceAnswered', request, answer});
+    expect(proxy.take()).not.to.include('readSource nextConfig');
+    proxy.pass(250);
+    expect(proxy.take()).to.include('readSource nextConfig');
+  });
+
   it('waits for versions after the last one that is certain', () => {
     const proxy = new MeshFixture();
     // A listing tells nothing of versions that were published before it.
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -6,6 +6,9 @@
 /** Items of one page, fewer than the platform's, so that tests see several. */
 const PAGE_ITEMS = 3;
 
+/** How often a waiting watch looks for events. */
+const WATCH_POLL_MS = 5;
+
 interface Item {
   readonly key: string;
   readonly value: string;
@@ -111,20 +114,42 @@
         return reply(res, 200, page);
       }
       case '/kv-watch':
-        return this.watch(Number(get('after')), get('prefix'), res);
+        return this.watch(
+          Number(get('after')),
+          get('prefix'),
+          Number(get('wait-ms')),
+          res,
+        );
       default:
         return reply(res, 404, {error: 'no such call'});
     }
   }
 
-  private watch(after: number, prefix: string, res: ServerResponse): void {
+  private watch(
+    after: number,
+    prefix: string,
+    waitMs: number,
+    res: ServerResponse,
+  ): void {
     if (after < this.oldest) {
       return reply(res, 410, {error: 'history is gone'});
     }
-    const events = this.changes.filter(
-      ({key, revision}) => revision > after && key.startsWith(prefix),
-    );
-    reply(res, 200, {events, 'store-revision': this.revision});
+    const answer = (): boolean => {
+      const events = this.changes.filter(
+        ({key, revision}) => revision > after && key.startsWith(prefix),
+      );
+      const isDue = events.length > 0 || performance.now() >= endsAt;
+      if (isDue) {
+        reply(res, 200, {events, 'store-revision': this.revision});
+      }
+      return isDue;
+    };
+    const endsAt = performance.now() + waitMs;
+    const timer = setInterval(() => {
+      if (answer() || res.destroyed) {
+        clearInterval(timer);
+      }
+    }, WATCH_POLL_MS);
   }
 }
 
