Spend a retry only where an upstream is left for it; the schedule's state apart

A second send that found no upstream left a token fewer than before (the test failed first). source_schedule and mesh_state imported each other; what is noted of reads now stands in schedule_state, and the ranking in source_schedule.

--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -19,7 +19,7 @@
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState} from './mesh_state.js';
 import {AttemptOutcome, MeshEmit, MeshEvent} from './mesh_types.js';
-import {trySpendRetry} from './retry_tokens.js';
+import {canRetry, trySpendRetry} from './retry_tokens.js';
 
 type Stamp = Pick<MeshEvent, 'at' | 'entropy'>;
 
@@ -180,13 +180,16 @@
   }
   const proxies = fleet.instances.size;
   const {at} = stamp;
-  if (!trySpendRetry(retries, settings, proxies, call.service, at, reserve)) {
+  if (!canRetry(retries, settings, proxies, call.service, at, reserve)) {
     emit({kind: 'count', counter: 'call_retried', reason: 'no_budget'});
     return false;
   }
   // The owners that were asked in vain before leave room for this one.
   call.asked = Math.min(call.asked, MAX_ASKED - 1);
   const sent = trySend(state, stamp, call, emit);
+  if (sent) {
+    trySpendRetry(retries, settings, proxies, call.service, at);
+  }
   emit({
     kind: 'count',
     counter: 'call_retried',
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -8,7 +8,7 @@
 import {RetryTokens} from './retry_tokens.js';
 import {MeshRouteTable} from './route_table.js';
 import {RunEstimates, createRunEstimates} from './run_estimates.js';
-import {SourceSchedule, createSourceSchedule} from './source_schedule.js';
+import {SourceSchedule, createSourceSchedule} from './schedule_state.js';
 import {UpstreamHealth, createUpstreamHealth} from './upstream_health.js';
 import {WorkQueue, createWorkQueue} from './work_queue.js';
 
--- a/src/core/mesh/retry_tokens.ts
+++ b/src/core/mesh/retry_tokens.ts
@@ -63,8 +63,23 @@
 }
 
 /**
- * Takes one second send from the budget.
+ * Tells whether the budget allows a second send.
  * @param reserve - Tokens that must be left over.
+ */
+export function canRetry(
+  retries: RetryTokens,
+  settings: MeshSettings,
+  proxies: number,
+  service: string,
+  at: number,
+  reserve = 0,
+): boolean {
+  const bucket = getBucket(retries, settings, proxies, service, at);
+  return bucket.tokens >= 1 + reserve;
+}
+
+/**
+ * Takes one second send from the budget.
  * @returns True where it may be made.
  */
 export function trySpendRetry(
@@ -73,10 +88,9 @@
   proxies: number,
   service: string,
   at: number,
-  reserve = 0,
 ): boolean {
   const bucket = getBucket(retries, settings, proxies, service, at);
-  if (bucket.tokens < 1 + reserve) {
+  if (bucket.tokens < 1) {
     return false;
   }
   bucket.tokens -= 1;
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -15,12 +15,11 @@
 } from './mesh_types.js';
 import {getZonePeers} from './news_tree.js';
 import {
-  CONFIG_WAIT_MS,
-  isReadDue,
   noteConfigMark,
   noteReadAnswered,
   noteReadFailed,
-} from './source_schedule.js';
+} from './schedule_state.js';
+import {CONFIG_WAIT_MS, isReadDue} from './source_schedule.js';
 import {tellNews} from './spreading.js';
 
 /**
--- a/test/mesh/calls.test.ts
+++ b/test/mesh/calls.test.ts
@@ -68,6 +68,17 @@
     expect(run(0)).to.deep.equal(['answerCall']);
   });
 
+  it('spends no retry where no upstream is left for it', () => {
+    const entry = new MeshFixture();
+    entry.learn([createInstance(2)]);
+    entry.call('c-1');
+    const getTokens = () => entry.state.retries.get('desk')?.tokens;
+    const before = getTokens();
+    entry.answer('c-1.1', 500);
+    expect(entry.take()).to.include('answerCall c-1 500');
+    expect(getTokens()).to.equal(before);
+  });
+
   it('gives the upstream its own failure back where nothing is left', () => {
     const proxy = new MeshFixture({retryShare: 0, retryExtra: 0});
     proxy.learn(NEAR);
