A soak of the mesh cores: seeded faults on a virtual clock

Six proxies with upstreams, a source, links and callers; kills, planned stops, crashes, cuts, source outages, drains and new versions are drawn from the seed. Checked: charges at most once, 'not run' true for all time, one answer in time, no version back, drains kept, stops within their grace, one view at the end.

--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -97,7 +97,7 @@
   };
 }
 
-const SETTINGS: MeshSettings = {
+export const SETTINGS: MeshSettings = {
   address: `${SELF}:${LINK_PORT}`,
   zone: 'north',
   startedAt: 1,
--- /dev/null
+++ b/test/mesh/soak/soak.test.ts
@@ -0,0 +1,23 @@
+/**
+ * Cores under drawn faults. A few seeds run always; `SOAK_SEEDS=1-50` plays a
+ * range by hand. A broken promise names its seed, which plays the same again.
+ */
+import {expect} from '../../support/chai_setup.js';
+import {runSoak} from './run_soak.js';
+
+const USUAL_SEEDS = '1-6';
+
+function getSeeds(range: string): number[] {
+  const [first, last = first] = range.split('-').map(Number);
+  return Array.from({length: last - first + 1}, (_, n) => first + n);
+}
+
+describe('mesh soak', () => {
+  for (const seed of getSeeds(process.env.SOAK_SEEDS ?? USUAL_SEEDS)) {
+    it(`keeps its promises with seed ${seed}`, () => {
+      const {broken, faults, answered} = runSoak(seed);
+      expect(broken, `after ${faults.join('; ')}`).to.deep.equal([]);
+      expect(answered).to.be.above(500);
+    });
+  }
+});
--- /dev/null
+++ b/test/mesh/soak/soak_world.ts
@@ -0,0 +1,431 @@
+/**
+ * A fleet on a virtual clock: real cores of proxies, with a source, links,
+ * upstreams and callers that fail as a seed says. Nothing here decides what a
+ * proxy does, so what it does wrong is the core's doing.
+ */
+import {reduceMesh} from '../../../src/core/mesh/mesh_core.js';
+import {MeshState, createMeshState} from '../../../src/core/mesh/mesh_state.js';
+import {
+  MeshEffect,
+  MeshEventBody,
+  SourceRequest,
+} from '../../../src/core/mesh/mesh_types.js';
+import {Chance} from '../../../src/experiments/chance.js';
+import {VirtualClock} from '../../../src/experiments/virtual_clock.js';
+import {Instance, MeshAttempt, MeshConfig} from '../../../src/model/mesh.js';
+import {SETTINGS, createConfig, createInstance} from '../mesh_fixture.js';
+import {SoakAudit} from './soak_audit.js';
+
+const TICK_MS = 25;
+const LINK_MS = 1;
+const SOURCE_MS = 4;
+
+/** Time in which the transport gives up an attempt whose link is cut. */
+const LOST_AFTER_MS = 800;
+
+const MEAN_WORK_MS = 60;
+const SLOTS = 4;
+const UPSTREAM_QUEUE = 2;
+
+/** Shares of runs whose answer is lost, and that fail. */
+const LOST_SHARE = 0.02;
+const FAILED_SHARE = 0.01;
+
+interface SentAttempt {
+  readonly entry: Node;
+  /** Start of the entry's process. */
+  readonly startedAt: number;
+  readonly owner: Node;
+  ended: boolean;
+}
+
+/** One VM: an upstream and the proxy beside it. */
+export interface Node {
+  readonly host: number;
+  readonly address: string;
+  state: MeshState;
+  /** The proxy's process runs. */
+  alive: boolean;
+  stopAt?: number;
+  /** It reaches neither peers nor the source. */
+  cut: boolean;
+  /** Listed at the source; the upstream runs as long as it is. */
+  instance: Instance;
+  upstreamDown: boolean;
+  readonly runs: Set<string>;
+}
+
+export class SoakWorld {
+  readonly clock = new VirtualClock(1_000);
+  readonly nodes: Node[] = [];
+  readonly audit = new SoakAudit();
+  config: MeshConfig = createConfig(1);
+  sourceUp = true;
+  private revision = 10;
+  private configRevision = 10;
+  private readonly attempts = new Map<string, SentAttempt>();
+  private readonly requests = new Map<string, MeshAttempt>();
+
+  constructor(
+    readonly chance: Chance,
+    size: number,
+  ) {
+    for (let host = 1; host <= size; host += 1) {
+      const zone = host % 2 === 0 ? 'north' : 'south';
+      const instance = createInstance(host, {
+        zone,
+        slots: SLOTS,
+        incarnation: host,
+      });
+      const node: Node = {
+        host,
+        address: `10.0.0.${host}:7000`,
+        state: this.createState(host, zone),
+        alive: true,
+        cut: false,
+        instance,
+        upstreamDown: false,
+        runs: new Set(),
+      };
+      this.nodes.push(node);
+      this.startTicks(node);
+    }
+  }
+
+  private createState(host: number, zone: string): MeshState {
+    return createMeshState({
+      ...SETTINGS,
+      address: `10.0.0.${host}:7000`,
+      upstreamAddress: `10.0.0.${host}:8000`,
+      zone,
+      startedAt: this.clock.now + 1,
+    });
+  }
+
+  private startTicks(node: Node): void {
+    const {state} = node;
+    const tick = () => {
+      if (node.alive && node.state === state) {
+        this.post(node, {kind: 'tick'});
+        this.after(TICK_MS, tick);
+      }
+    };
+    this.after(this.chance.getShare() * TICK_MS, tick);
+  }
+
+  post(node: Node, body: MeshEventBody): void {
+    if (!node.alive) {
+      return;
+    }
+    const at = this.clock.now;
+    const entropy = this.chance.getEntropy();
+    const [, effects] = reduceMesh(node.state, {...body, at, entropy});
+    effects.forEach(effect => this.perform(node, effect));
+    this.audit.noteVersion(node, at);
+  }
+
+  /** Does something when a time has passed. */
+  after(ms: number, run: () => void): void {
+    this.clock.plan(this.clock.now + ms, run);
+  }
+
+  /** Posts later, unless the process has ended or was replaced. */
+  private postLater(node: Node, ms: number, body: MeshEventBody): void {
+    const {state} = node;
+    this.after(ms, () => {
+      if (node.state === state) {
+        this.post(node, body);
+      }
+    });
+  }
+
+  private isReachable(from: Node, to: Node): boolean {
+    return to.alive && (from === to || (!from.cut && !to.cut));
+  }
+
+  private perform(node: Node, effect: MeshEffect): void {
+    switch (effect.kind) {
+      case 'readSource':
+        return this.readSource(node, effect.request);
+      case 'openLink':
+        return this.openLink(node, effect.to);
+      case 'sendMessage': {
+        const to = this.find(effect.to);
+        const {message, config} = effect;
+        if (to !== undefined && this.isReachable(node, to)) {
+          this.postLater(to, LINK_MS, {
+            kind: 'messageReceived',
+            from: node.address,
+            message: message as never,
+            config,
+          });
+        }
+        return;
+      }
+      case 'sendAttempt':
+        return this.sendAttempt(node, effect.to, effect.attempt);
+      case 'cancelAttempt': {
+        const sent = this.attempts.get(effect.attemptId);
+        if (sent !== undefined) {
+          sent.ended = true;
+          const {attemptId} = effect;
+          this.postLater(sent.owner, LINK_MS, {
+            kind: 'attemptCancelled',
+            attemptId,
+          });
+        }
+        return;
+      }
+      case 'answerCall':
+        return this.audit.noteResult(
+          effect.callId,
+          effect.result,
+          this.clock.now,
+        );
+      case 'finishAttempt':
+        return this.finish(effect.attemptId, {
+          kind: 'attemptEnded',
+          attemptId: effect.attemptId,
+          outcome: effect.outcome,
+        });
+      case 'dispatch':
+        return this.run(node, effect);
+      case 'abortDispatch':
+        node.runs.delete(effect.attemptId);
+        return this.postLater(node, 0, {
+          kind: 'upstreamFailed',
+          attemptId: effect.attemptId,
+          failure: 'timeout',
+        });
+      case 'probeConnect':
+        return this.postLater(node, LINK_MS, {
+          kind: 'connectProbed',
+          accepted: !node.upstreamDown,
+        });
+      case 'stopped':
+        this.audit.noteStopped(node, this.clock.now);
+        return this.endProcess(node);
+      default:
+        return;
+    }
+  }
+
+  private find(address: string): Node | undefined {
+    return this.nodes.find(node => node.address === address);
+  }
+
+  private openLink(node: Node, address: string): void {
+    const to = this.find(address);
+    if (to !== undefined && this.isReachable(node, to)) {
+      this.sayHello(node, to);
+      this.sayHello(to, node);
+    }
+  }
+
+  private sayHello(from: Node, to: Node): void {
+    const {settings, config, fleet, leaving} = from.state;
+    this.postLater(to, LINK_MS, {
+      kind: 'messageReceived',
+      from: from.address,
+      message: {
+        kind: 'hello',
+        address: from.address,
+        zone: settings.zone,
+        incarnation: settings.startedAt,
+        version: config?.version ?? 0,
+        revision: fleet.revision,
+        leaving,
+      },
+    });
+  }
+
+  private readSource(node: Node, request: SourceRequest): void {
+    if (!this.sourceUp || node.cut) {
+      const detail = 'down';
+      this.postLater(node, 50, {kind: 'sourceFailed', request, detail});
+      return;
+    }
+    const {revision, configRevision, config} = this;
+    const answered = (ms: number, later: boolean) =>
+      this.postLater(node, ms, {
+        kind: 'sourceAnswered',
+        request,
+        answer: {kind: 'config', revision, config: later ? config : undefined},
+      });
+    switch (request.kind) {
+      case 'fleet': {
+        const instances = this.nodes.map(({instance}) => instance);
+        const answer = {kind: 'fleet', revision, instances} as const;
+        const event = {kind: 'sourceAnswered', request, answer} as const;
+        return this.postLater(node, SOURCE_MS, event);
+      }
+      case 'config':
+        return answered(SOURCE_MS, true);
+      case 'nextConfig': {
+        const isLater = configRevision > request.after;
+        return answered(isLater ? SOURCE_MS : request.waitMs, isLater);
+      }
+    }
+  }
+
+  private sendAttempt(
+    entry: Node,
+    to: string | undefined,
+    attempt: MeshAttempt,
+  ): void {
+    const {attemptId} = attempt;
+    const owner = to === undefined ? entry : this.find(to);
+    if (owner === undefined || !owner.alive) {
+      const event = {kind: 'attemptLost', attemptId, sent: false} as const;
+      return this.postLater(entry, LINK_MS, event);
+    }
+    const {startedAt} = entry.state.settings;
+    this.attempts.set(attemptId, {entry, startedAt, owner, ended: false});
+    this.requests.set(attemptId, attempt);
+    if (this.isReachable(entry, owner)) {
+      this.postLater(owner, LINK_MS, {kind: 'attemptArrived', attempt});
+    } else {
+      this.lose(attemptId, LOST_AFTER_MS);
+    }
+  }
+
+  private lose(attemptId: string, ms: number): void {
+    this.after(ms, () =>
+      this.finish(attemptId, {kind: 'attemptLost', attemptId, sent: true}),
+    );
+  }
+
+  /** Tells the entry how its attempt ended, once its link allows. */
+  private finish(attemptId: string, event: MeshEventBody): void {
+    const sent = this.attempts.get(attemptId);
+    if (sent === undefined || sent.ended) {
+      return;
+    }
+    const {entry, owner, startedAt} = sent;
+    if (event.kind === 'attemptEnded' && !this.isReachable(owner, entry)) {
+      return this.lose(attemptId, LOST_AFTER_MS);
+    }
+    sent.ended = true;
+    if (entry.alive && entry.state.settings.startedAt === startedAt) {
+      this.postLater(entry, LINK_MS, event);
+    }
+  }
+
+  private run(
+    node: Node,
+    {
+      attemptId,
+      instanceId,
+      timeoutMs,
+    }: {
+      readonly attemptId: string;
+      readonly instanceId: string;
+      readonly timeoutMs: number;
+    },
+  ): void {
+    const {instance, runs} = node;
+    const fail = (ms: number, failure: 'connect' | 'reset' | 'timeout') =>
+      this.postLater(node, ms, {kind: 'upstreamFailed', attemptId, failure});
+    const answer = (ms: number, status: number, facts: object = {}) =>
+      this.postLater(node, ms, {
+        kind: 'upstreamAnswered',
+        attemptId,
+        answer: {
+          kind: 'answer',
+          status,
+          headers: {},
+          body: new Uint8Array(0),
+        },
+        facts: {notRun: false, otherInstance: false, ...facts},
+      });
+    if (node.upstreamDown) {
+      return fail(LINK_MS, 'connect');
+    }
+    if (instance.id !== instanceId) {
+      return answer(LINK_MS, 421, {notRun: true, otherInstance: true});
+    }
+    if (runs.size >= SLOTS + UPSTREAM_QUEUE) {
+      return answer(LINK_MS, 503, {notRun: true});
+    }
+    const at = this.clock.now;
+    this.audit.noteRun(this.requests.get(attemptId)!, node, at);
+    runs.add(attemptId);
+    const workMs = this.chance.getExponential(MEAN_WORK_MS);
+    const endMs = Math.min(workMs, timeoutMs);
+    this.after(endMs, () => {
+      if (!runs.delete(attemptId)) {
+        return;
+      }
+      const luck = this.chance.getShare();
+      if (workMs > timeoutMs) {
+        fail(0, 'timeout');
+      } else if (luck < LOST_SHARE) {
+        fail(0, 'reset');
+      } else {
+        answer(0, luck < LOST_SHARE + FAILED_SHARE ? 500 : 200);
+      }
+    });
+  }
+
+  /** Publishes the next version. */
+  publish(): void {
+    this.config = createConfig(this.config.version + 1);
+    this.revision += 1;
+    this.configRevision = this.revision;
+  }
+
+  /** Writes an upstream's entry. */
+  register(node: Node, over: Partial<Instance>): void {
+    const heartbeat = node.instance.heartbeat + 1;
+    node.instance = {...node.instance, heartbeat, ...over};
+    this.revision += 1;
+  }
+
+  /** Ends an upstream at once; another process follows later. */
+  crash(node: Node, backAfterMs: number): void {
+    node.upstreamDown = true;
+    for (const attemptId of [...node.runs]) {
+      node.runs.delete(attemptId);
+      const failure = 'reset';
+      this.postLater(node, 0, {kind: 'upstreamFailed', attemptId, failure});
+    }
+    this.after(backAfterMs, () => {
+      const incarnation = node.instance.incarnation + 1_000;
+      const id = `i-${node.host}-${incarnation}`;
+      this.register(node, {id, incarnation, state: 'ready'});
+      node.upstreamDown = false;
+    });
+  }
+
+  /** Kills a proxy; another process follows, with nothing in memory. */
+  kill(node: Node, backAfterMs: number): void {
+    this.endProcess(node);
+    this.after(backAfterMs, () => {
+      node.state = this.createState(node.host, node.state.settings.zone);
+      node.alive = true;
+      node.stopAt = undefined;
+      this.audit.noteStart(node);
+      this.startTicks(node);
+    });
+  }
+
+  stop(node: Node): void {
+    node.stopAt = this.clock.now;
+    this.post(node, {kind: 'stopRequested'});
+  }
+
+  private endProcess(node: Node): void {
+    node.alive = false;
+    node.runs.clear();
+    this.audit.noteEnd(node);
+    for (const peer of this.nodes) {
+      const {address} = node;
+      this.postLater(peer, LINK_MS, {kind: 'linkClosed', address});
+    }
+    for (const [attemptId, {owner, ended}] of this.attempts) {
+      if (owner === node && !ended) {
+        this.lose(attemptId, LINK_MS);
+      }
+    }
+  }
+}
