--- a/test/platform/store_client.test.ts
+++ b/test/platform/store_client.test.ts
@@ -67,6 +67,22 @@
     expect(rejected).to.deep.equal(['config_document']);
   });
 
+  it('reads no version that a later one replaces, and none twice', async () => {
+    const after = store.put('servers/i-1', createEntry('10.0.0.1:80'));
+    store.put('op/config', createDocument(8, {routes: 'none'}));
+    store.put('op/config', createDocument(9));
+    const request = {kind: 'nextConfig', after, waitMs: 1} as const;
+    const [first, second] = [
+      await client.read(request),
+      await client.read(request),
+    ].map(read => read._unsafeUnwrap());
+    expect(rejected).to.deep.equal([]);
+    expect(first).to.nested.include({'config.version': 9});
+    expect(first.kind === 'config' && first.config).to.equal(
+      second.kind === 'config' && second.config,
+    );
+  });
+
   it('says that the history is gone', async () => {
     store.compact();
     const next = await client.read({kind: 'nextConfig', after: 1, waitMs: 1});
