--- a/test/mesh/soak/soak_world.ts
+++ b/test/mesh/soak/soak_world.ts
@@ -156,6 +156,7 @@
           this.postLater(to, LINK_MS, {
             kind: 'messageReceived',
             from: node.address,
+            // Attempts and their ends take the ways below, never this one.
             message: message as never,
             config,
           });
