--- a/src/mesh/attempt_exchange.ts
+++ b/src/mesh/attempt_exchange.ts
@@ -6,7 +6,7 @@
 import {createRefusal, isRefusalReason} from '../core/refusals.js';
 import {AttemptOutcome, MeshEventBody} from '../core/mesh/mesh_types.js';
 import {LinkMessage, MeshAttempt} from '../model/mesh.js';
-import {OutboundRequest} from '../proxy/caller_server.js';
+import {OutboundRequest} from '../proxy/pending_calls.js';
 import {Link} from './link.js';
 import {LinkHub} from './link_hub.js';
 
--- a/src/mesh/mesh_callers.ts
+++ b/src/mesh/mesh_callers.ts
@@ -7,27 +7,23 @@
 import {CallerLimits} from '../model/mesh.js';
 import {readBody} from '../proxy/body.js';
 import {
-  OutboundRequest,
+  badRequest,
   getFingerprint,
   parseDeadline,
 } from '../proxy/caller_server.js';
 import {HeaderRecord, copyEndToEndHeaders} from '../proxy/headers.js';
+import {OutboundRequest, PendingCalls} from '../proxy/pending_calls.js';
 import {writeCallResult} from '../proxy/results.js';
 import {WireNames} from './wire_names.js';
 
 /** Largest body that is taken before a configuration sets a limit. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 
-interface PendingCall {
-  readonly res: ServerResponse;
-  readonly outbound: OutboundRequest;
-}
-
 export class MeshCallers {
   /** Set while the proxy stops, so that connections end after their answer. */
   stopping = false;
   limits?: CallerLimits;
-  private readonly pending = new Map<string, PendingCall>();
+  private readonly pending: PendingCalls;
   private readonly openBySocket = new WeakMap<Socket, number>();
   private nextCall = 1;
 
@@ -46,7 +42,11 @@
     private readonly getService: () => string,
     private readonly post: (event: MeshEventBody) => void,
     private readonly onBadInput: (kind: string) => void,
-  ) {}
+  ) {
+    this.pending = new PendingCalls(callId =>
+      post({kind: 'callerGone', callId}),
+    );
+  }
 
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     this.countOpen(req.socket, 1);
@@ -110,6 +110,9 @@
     call: MeshCallInfo,
     body: Uint8Array,
   ): void {
+    if (res.destroyed || req.socket.destroyed) {
+      return;
+    }
     const callId = `${this.prefix}-${this.nextCall++}`;
     const headers: HeaderRecord = {
       ...copyEndToEndHeaders(req.headers),
@@ -117,16 +120,7 @@
     };
     const {path} = call;
     const outbound = {method: req.method ?? 'GET', path, headers, body};
-    this.pending.set(callId, {res, outbound});
-    res.once('close', () => {
-      if (this.pending.delete(callId)) {
-        this.post({kind: 'callerGone', callId});
-      }
-    });
-    if (res.destroyed || req.socket.destroyed) {
-      this.pending.delete(callId);
-      return;
-    }
+    this.pending.add(callId, res, outbound);
     this.post({kind: 'callArrived', callId, call});
   }
 
@@ -150,7 +144,7 @@
    * @returns The request, or undefined where the caller went away.
    */
   getOutbound(callId: string): OutboundRequest | undefined {
-    return this.pending.get(callId)?.outbound;
+    return this.pending.getOutbound(callId);
   }
 
   /**
@@ -159,13 +153,10 @@
    * @param result - The answer or refusal.
    */
   answer(callId: string, result: Answer | Refusal): void {
-    const call = this.pending.get(callId);
-    if (call === undefined) {
-      return;
+    const res = this.pending.take(callId);
+    if (res !== undefined) {
+      writeCallResult(res, result, this.shouldClose(res), 'fractions');
     }
-    this.pending.delete(callId);
-    const close = this.shouldClose(call.res);
-    writeCallResult(call.res, result, close, 'fractions');
   }
 }
 
@@ -176,7 +167,3 @@
   const end = requestId.lastIndexOf(separator);
   return end > 0 ? requestId.slice(0, end) : undefined;
 }
-
-function badRequest(detail: string): Refusal {
-  return createRefusal('bad_request', undefined, detail);
-}
--- a/src/mesh/mesh_upstream.ts
+++ b/src/mesh/mesh_upstream.ts
@@ -2,7 +2,7 @@
 import {connect} from 'node:net';
 import {AnswerFacts, MeshEventBody} from '../core/mesh/mesh_types.js';
 import {parseAddress} from '../proxy/addresses.js';
-import {OutboundRequest} from '../proxy/caller_server.js';
+import {OutboundRequest} from '../proxy/pending_calls.js';
 import {ConnectionPools} from '../proxy/connections.js';
 import {HeaderRecord, copyEndToEndHeaders} from '../proxy/headers.js';
 import {
--- a/src/proxy/attempt_sender.ts
+++ b/src/proxy/attempt_sender.ts
@@ -1,7 +1,7 @@
 /** Sends attempts to the proxies that own their upstreams. */
 import {EventBody} from '../core/types.js';
 import {Attempt} from '../model/peer.js';
-import {OutboundRequest} from './caller_server.js';
+import {OutboundRequest} from './pending_calls.js';
 import {ConnectionPools} from './connections.js';
 import {ATTEMPT_HEADER} from './headers.js';
 import {RunningExchange, startExchange} from './http_exchange.js';
--- a/src/proxy/caller_server.ts
+++ b/src/proxy/caller_server.ts
@@ -9,10 +9,10 @@
 import {
   copyEndToEndHeaders,
   DEADLINE_HEADER,
-  HeaderRecord,
   IDEMPOTENCY_KEY_HEADER,
   RETRY_LAYER_HEADER,
 } from './headers.js';
+import {OutboundRequest, PendingCalls} from './pending_calls.js';
 import {writeCallResult} from './results.js';
 
 const MAX_KEY_LENGTH = 200;
@@ -20,22 +20,8 @@
 const UUID_BYTES = 16;
 const RANDOM_POOL_BYTES = 256 * UUID_BYTES;
 
-/** A caller's request as it will be sent on. */
-export interface OutboundRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: HeaderRecord;
-  readonly body: Uint8Array;
-}
-
-interface PendingCall {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  readonly outbound: OutboundRequest;
-}
-
 export class CallerServer {
-  private readonly pending = new Map<string, PendingCall>();
+  private readonly pending: PendingCalls;
   private readonly randomPool = new Uint8Array(RANDOM_POOL_BYTES);
   private randomUsed = RANDOM_POOL_BYTES;
 
@@ -46,7 +32,11 @@
     private readonly limits: Settings['limits'],
     private readonly post: (event: EventBody) => void,
     private readonly count: (reason: string) => void,
-  ) {}
+  ) {
+    this.pending = new PendingCalls(callId =>
+      post({kind: 'callerGone', callId}),
+    );
+  }
 
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await readBody(req, this.limits.maxRequestBytes);
@@ -77,12 +67,7 @@
       headers: copyEndToEndHeaders(req.headers),
       body,
     };
-    this.pending.set(callId, {req, res, outbound});
-    res.on('close', () => {
-      if (this.pending.delete(callId)) {
-        this.post({kind: 'callerGone', callId});
-      }
-    });
+    this.pending.add(callId, res, outbound);
     this.post({kind: 'callArrived', callId, call: info});
   }
 
@@ -116,7 +101,7 @@
    * @returns The request, or undefined where the caller went away.
    */
   getOutbound(callId: string): OutboundRequest | undefined {
-    return this.pending.get(callId)?.outbound;
+    return this.pending.getOutbound(callId);
   }
 
   /**
@@ -125,12 +110,10 @@
    * @param result - The answer or refusal.
    */
   answer(callId: string, result: Answer | Refusal): void {
-    const call = this.pending.get(callId);
-    if (call === undefined) {
-      return;
+    const res = this.pending.take(callId);
+    if (res !== undefined) {
+      writeCallResult(res, result, this.closing);
     }
-    this.pending.delete(callId);
-    writeCallResult(call.res, result, this.closing);
   }
 }
 
@@ -165,7 +148,8 @@
   return {kind: 'call', info};
 }
 
-function badRequest(detail: string): Refusal {
+/** Refuses malformed input; the detail names what to send instead. */
+export function badRequest(detail: string): Refusal {
   return createRefusal('bad_request', undefined, detail);
 }
 
--- a/src/proxy/peer_server.ts
+++ b/src/proxy/peer_server.ts
@@ -11,7 +11,7 @@
 } from '../model/peer.js';
 import {Settings} from '../model/settings.js';
 import {readBody} from './body.js';
-import {OutboundRequest} from './caller_server.js';
+import {OutboundRequest} from './pending_calls.js';
 import {
   ControlTraffic,
   CONTROL_PATH,
--- a/src/proxy/upstream_client.ts
+++ b/src/proxy/upstream_client.ts
@@ -2,7 +2,7 @@
 import * as z from 'zod';
 import {EventBody} from '../core/types.js';
 import {Settings} from '../model/settings.js';
-import {OutboundRequest} from './caller_server.js';
+import {OutboundRequest} from './pending_calls.js';
 import {ConnectionPools} from './connections.js';
 import {
   ATTEMPT_HEADER,
