One check tells why nothing may reach an upstream any more

Arriving work was checked against another instance, a drain and a lost entry, and waiting work against each of them again in ways of its own. What waits for another instance is now refused at once, no longer at its turn. RunningAttempt.instanceId was never read.

--- a/src/core/mesh/owner_flow.ts
+++ b/src/core/mesh/owner_flow.ts
@@ -64,13 +64,9 @@
   attempt: MeshAttempt,
 ): Refusal | undefined {
   const {health, suspects} = state;
-  const own = getOwnInstance(state);
-  const isOther = own !== undefined && own.id !== attempt.instanceId;
-  if (isOther || health.otherThan === attempt.instanceId) {
-    return createRefusal('wrong_home', DOWN_RETRY_AFTER_MS);
-  }
-  if (own?.state === 'draining' || health.leftId === attempt.instanceId) {
-    return createRefusal('upstream_leaving', DOWN_RETRY_AFTER_MS);
+  const gone = findGone(state, attempt);
+  if (gone !== undefined) {
+    return createRefusal(gone, DOWN_RETRY_AFTER_MS);
   }
   if (isQuarantined(suspects, attempt.fingerprint, at)) {
     return createRefusal('crash_suspected', state.settings.quarantineMs);
@@ -85,6 +81,22 @@
   return undefined;
 }
 
+/** Why nothing may reach the upstream of an attempt any more. */
+function findGone(
+  state: MeshState,
+  {instanceId}: MeshAttempt,
+): 'wrong_home' | 'upstream_leaving' | undefined {
+  const {otherThan, leftId} = state.health;
+  const own = getOwnInstance(state);
+  const isOther = own !== undefined && own.id !== instanceId;
+  if (isOther || otherThan === instanceId) {
+    return 'wrong_home';
+  }
+  return own?.state === 'draining' || leftId === instanceId
+    ? 'upstream_leaving'
+    : undefined;
+}
+
 function getSlots(own: Instance | undefined): number {
   return own?.slots ?? UNREGISTERED_SLOTS;
 }
@@ -184,29 +196,16 @@
   at: number,
   emit: MeshEmit,
 ): void {
-  const {work, estimates, health} = state;
+  const {work, estimates} = state;
   refuseHopeless(state, at, emit);
-  const own = getOwnInstance(state);
-  if (own?.state === 'draining') {
-    return refuseQueue(state, at, 'upstream_leaving', emit);
-  }
-  if (health.down) {
-    return refuseQueue(state, at, 'upstream_down', emit);
-  }
-  refuseLeft(state, at, emit);
+  refuseGone(state, at, emit);
+  const slots = getSlots(getOwnInstance(state));
   for (;;) {
-    const id = own?.id ?? work.queue[0]?.attempt.instanceId ?? '';
-    const next = tryStart(work, estimates, getSlots(own), id, at);
+    const next = tryStart(work, estimates, slots, at);
     if (next === undefined) {
       return;
     }
     const {attemptId, instanceId} = next.attempt;
-    if (own !== undefined && own.id !== instanceId) {
-      work.running.delete(attemptId);
-      const refusal = createRefusal('wrong_home', DOWN_RETRY_AFTER_MS);
-      refuseAttempt(state, at, next.attempt, refusal, emit);
-      continue;
-    }
     const timeoutMs = next.deadlineAt - at;
     const waitedSeconds = (at - next.arrivedAt) / 1_000;
     emit({kind: 'dispatch', attemptId, instanceId, timeoutMs});
@@ -222,16 +221,17 @@
   }
 }
 
-/** Refuses what waits for an upstream that is no longer registered. */
-function refuseLeft(state: MeshState, at: number, emit: MeshEmit): void {
+/** Refuses what waits for an upstream that it can no longer reach. */
+function refuseGone(state: MeshState, at: number, emit: MeshEmit): void {
   const {work, health} = state;
-  const left = work.queue.filter(
-    ({attempt}) => attempt.instanceId === health.leftId,
-  );
-  for (const {attempt} of left) {
-    removeWaiting(work, attempt.attemptId);
-    const refusal = createRefusal('upstream_leaving', DOWN_RETRY_AFTER_MS);
-    refuseAttempt(state, at, attempt, refusal, emit);
+  for (const {attempt} of [...work.queue]) {
+    const reason =
+      findGone(state, attempt) ?? (health.down ? 'upstream_down' : undefined);
+    if (reason !== undefined) {
+      removeWaiting(work, attempt.attemptId);
+      const refusal = createRefusal(reason, DOWN_RETRY_AFTER_MS);
+      refuseAttempt(state, at, attempt, refusal, emit);
+    }
   }
 }
 
@@ -239,7 +239,7 @@
 export function refuseQueue(
   state: MeshState,
   at: number,
-  reason: 'upstream_leaving' | 'upstream_down' | 'wrong_home',
+  reason: 'upstream_down' | 'wrong_home',
   emit: MeshEmit,
 ): void {
   for (const {attempt} of state.work.queue.splice(0)) {
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -34,7 +34,6 @@
 
 export interface RunningAttempt extends QueuedAttempt {
   readonly startedAt: number;
-  readonly instanceId: string;
 }
 
 export interface WorkQueue {
@@ -178,7 +177,6 @@
  * @param work - This part's state.
  * @param estimates - The upstream's estimates.
  * @param slots - The upstream's slots.
- * @param instanceId - The upstream's process.
  * @param at - Now, in milliseconds.
  * @returns The attempt, counted as running, or undefined.
  */
@@ -186,7 +184,6 @@
   work: WorkQueue,
   estimates: RunEstimates,
   slots: number,
-  instanceId: string,
   at: number,
 ): RunningAttempt | undefined {
   if (countUsedSlots(work, estimates, at) >= slots) {
@@ -207,7 +204,7 @@
     return undefined;
   }
   work.queue.splice(work.queue.indexOf(next), 1);
-  const running = {...next, startedAt: at, instanceId};
+  const running = {...next, startedAt: at};
   work.running.set(next.attempt.attemptId, running);
   return running;
 }
--- a/test/mesh/overload.test.ts
+++ b/test/mesh/overload.test.ts
@@ -74,7 +74,7 @@
   const start = (at: number) => {
     removeHopeless(work, estimates, at).forEach(q => refuse(q.attempt, at));
     for (;;) {
-      const run = tryStart(work, estimates, SLOTS, 'i-1', at);
+      const run = tryStart(work, estimates, SLOTS, at);
       if (run === undefined) {
         return;
       }
