--- a/src/core/mesh/fleet_view.ts
+++ b/src/core/mesh/fleet_view.ts
@@ -28,6 +28,8 @@
   readonly tombstones: Map<string, Order>;
   /** Until then a missing entry may come back, in milliseconds. */
   holdUntil: number;
+  /** The latest instance at each address; rebuilt on change. */
+  byAddress: ReadonlyMap<string, Instance>;
   /** Instances of each service that take new work; rebuilt on change. */
   takingByService: ReadonlyMap<string, readonly Instance[]>;
 }
@@ -39,6 +41,7 @@
     missing: new Map(),
     tombstones: new Map(),
     holdUntil: 0,
+    byAddress: new Map(),
     takingByService: new Map(),
   };
 }
@@ -187,6 +190,7 @@
       taking.set(instance.service, peers);
     }
   }
+  view.byAddress = byAddress;
   view.takingByService = taking;
 }
 
@@ -200,15 +204,7 @@
   view: FleetView,
   address: string,
 ): Instance | undefined {
-  let found: Instance | undefined;
-  for (const instance of view.instances.values()) {
-    const later =
-      found === undefined || found.incarnation < instance.incarnation;
-    if (instance.address === address && later) {
-      found = instance;
-    }
-  }
-  return found;
+  return view.byAddress.get(address);
 }
 
 /**
--- a/src/core/mesh/source_schedule.ts
+++ b/src/core/mesh/source_schedule.ts
@@ -51,11 +51,17 @@
   entropy: number,
 ): boolean {
   const {schedule, settings} = state;
-  if (schedule.reading || at < schedule.notBefore) {
+  const ageMs = at - schedule.freshAt;
+  // The ranking goes through the whole fleet, so it comes last.
+  if (
+    schedule.reading ||
+    at < schedule.notBefore ||
+    ageMs < settings.readIntervalMs
+  ) {
     return false;
   }
   const rank = getRank(state);
   const spread = rank < LAST_RANK ? 0 : (entropy / 2 ** 32) * LATE_SPREAD_MS;
   const waitMs = settings.readIntervalMs + rank * RANK_STEP_MS + spread;
-  return at - schedule.freshAt >= waitMs;
+  return ageMs >= waitMs;
 }
