--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -19,7 +19,7 @@
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState} from './mesh_state.js';
 import {AttemptOutcome, MeshEmit, MeshEvent} from './mesh_types.js';
-import {canRetry, trySpendRetry} from './retry_tokens.js';
+import {canRetry, spendRetry} from './retry_tokens.js';
 
 type Stamp = Pick<MeshEvent, 'at' | 'entropy'>;
 
@@ -188,7 +188,7 @@
   call.asked = Math.min(call.asked, MAX_ASKED - 1);
   const sent = trySend(state, stamp, call, emit);
   if (sent) {
-    trySpendRetry(retries, settings, proxies, call.service, at);
+    spendRetry(retries, settings, proxies, call.service, at);
   }
   emit({
     kind: 'count',
--- a/src/core/mesh/retry_tokens.ts
+++ b/src/core/mesh/retry_tokens.ts
@@ -78,21 +78,13 @@
   return bucket.tokens >= 1 + reserve;
 }
 
-/**
- * Takes one second send from the budget.
- * @returns True where it may be made.
- */
-export function trySpendRetry(
+/** Takes from the budget a second send that {@link canRetry} allowed. */
+export function spendRetry(
   retries: RetryTokens,
   settings: MeshSettings,
   proxies: number,
   service: string,
   at: number,
-): boolean {
-  const bucket = getBucket(retries, settings, proxies, service, at);
-  if (bucket.tokens < 1) {
-    return false;
-  }
-  bucket.tokens -= 1;
-  return true;
+): void {
+  getBucket(retries, settings, proxies, service, at).tokens -= 1;
 }
--- a/test/mesh/retry_tokens.test.ts
+++ b/test/mesh/retry_tokens.test.ts
@@ -2,8 +2,9 @@
 import {MeshSettings} from '../../src/core/mesh/mesh_settings.js';
 import {
   RetryTokens,
+  canRetry,
   earnRetry,
-  trySpendRetry,
+  spendRetry,
 } from '../../src/core/mesh/retry_tokens.js';
 import {expect} from '../support/chai_setup.js';
 
@@ -15,6 +16,14 @@
 
 const WINDOW_MS = 10_000;
 
+function trySpend(retries: RetryTokens, proxies: number, at: number): boolean {
+  const may = canRetry(retries, SETTINGS, proxies, 'desk', at);
+  if (may) {
+    spendRetry(retries, SETTINGS, proxies, 'desk', at);
+  }
+  return may;
+}
+
 /** Second sends of a whole fleet in which every call asks for one. */
 function spendAll(proxies: number, callsPerSecond: number, seconds: number) {
   const spentAt: number[] = [];
@@ -24,7 +33,7 @@
     for (let n = 0; n < calls; n += 1) {
       const at = (n / calls) * seconds * 1_000;
       earnRetry(retries, SETTINGS, proxies, 'desk', at);
-      if (trySpendRetry(retries, SETTINGS, proxies, 'desk', at)) {
+      if (trySpend(retries, proxies, at)) {
         spentAt.push(at);
       }
     }
@@ -60,7 +69,7 @@
       earnRetry(retries, SETTINGS, 1, 'desk', n * 10);
     }
     let spent = 0;
-    while (trySpendRetry(retries, SETTINGS, 1, 'desk', 40_000)) {
+    while (trySpend(retries, 1, 40_000)) {
       spent += 1;
     }
     // 1,000 calls came in the window before.
