Name the messages between cores once; test fixtures for hello and news

Kinds of messages about calls stood in three places, one of them as cases that cannot come; telling every peer was written three times, hello and news in tests seven times, and the wait of the fleet stand-in repeated the harness's.

--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -3,6 +3,7 @@
  * event to the parts that it concerns and collects their effects. The state
  * is owned: the object passed in is changed and returned.
  */
+import {Hello} from '../../model/mesh.js';
 import {getLoad, noteDown, noteSuccess} from '../entry/load_view.js';
 import {expireSuspects, mergeSuspect} from '../owner/crash_suspects.js';
 import {assertNever} from '../types.js';
@@ -180,11 +181,6 @@
       return noteLeaving(state, from, emit);
     case 'upstreamState':
       return takeUpstreamState(state, at, message.instanceId, message.up);
-    case 'cancel':
-    case 'resume':
-    case 'refusal':
-      // The transport deals with these.
-      return;
     default:
       return assertNever(message);
   }
@@ -193,10 +189,7 @@
 function takeHello(
   state: MeshState,
   from: string,
-  hello: Extract<
-    Extract<MeshEvent, {kind: 'messageReceived'}>['message'],
-    {kind: 'hello'}
-  >,
+  hello: Hello,
   emit: MeshEmit,
 ): void {
   const {zone, incarnation, leaving} = hello;
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -3,6 +3,7 @@
  * effects that it asks for: closed unions told apart by `kind`.
  */
 import {
+  CallMessageKind,
   Instance,
   LinkMessage,
   MeshAttempt,
@@ -54,6 +55,9 @@
   /** The changes asked for are no longer available. */
   | {readonly kind: 'compacted'};
 
+/** What the cores of two proxies tell each other; the rest is about calls. */
+export type PeerMessage = Exclude<LinkMessage, {kind: CallMessageKind}>;
+
 /** What an attempt came to at its owner. */
 export interface AttemptOutcome {
   readonly result: Answer | Refusal;
@@ -89,10 +93,7 @@
   | {
       readonly kind: 'messageReceived';
       readonly from: string;
-      readonly message: Exclude<
-        LinkMessage,
-        {kind: 'attempt' | 'answer' | 'ping' | 'pong'}
-      >;
+      readonly message: PeerMessage;
       /** The configuration that a `state` message carried. */
       readonly config?: MeshConfig;
     }
@@ -164,7 +165,7 @@
   | {
       readonly kind: 'sendMessage';
       readonly to: string;
-      readonly message: LinkMessage;
+      readonly message: PeerMessage;
       /** Sent, compressed, with a `state` message. */
       readonly config?: MeshConfig;
     }
--- a/src/core/mesh/owner_crashes.ts
+++ b/src/core/mesh/owner_crashes.ts
@@ -8,6 +8,7 @@
 import {MeshEmit} from './mesh_types.js';
 import {endRun, finishRun, refuseQueue, startWaiting} from './owner_flow.js';
 import {learnEnd} from './run_estimates.js';
+import {tellPeers} from './tell_peers.js';
 import {takeLostRuns, tryStartProbe} from './upstream_health.js';
 import {RunningAttempt} from './work_queue.js';
 
@@ -101,10 +102,7 @@
   if (instanceId === undefined) {
     return;
   }
-  const message = {kind: 'upstreamState', instanceId, up} as const;
-  for (const to of state.peers.keys()) {
-    emit({kind: 'sendMessage', to, message});
-  }
+  tellPeers(state, {kind: 'upstreamState', instanceId, up}, emit);
 }
 
 /** Suspects every request that was cut when the upstream went down. */
@@ -146,7 +144,5 @@
   const suspects = [...new Set(fingerprints)]
     .flatMap(fingerprint => known.get(fingerprint) ?? [])
     .slice(0, 64);
-  for (const to of state.peers.keys()) {
-    emit({kind: 'sendMessage', to, message: {kind: 'suspects', suspects}});
-  }
+  tellPeers(state, {kind: 'suspects', suspects}, emit);
 }
--- a/src/core/mesh/stopping.ts
+++ b/src/core/mesh/stopping.ts
@@ -4,6 +4,7 @@
 import {MeshState, getOwnInstance} from './mesh_state.js';
 import {MeshEmit, MeshEvent} from './mesh_types.js';
 import {getStopEnd} from './stop_time.js';
+import {tellPeers} from './tell_peers.js';
 
 /**
  * Time that a stopping proxy goes on taking work: the platform asks every
@@ -46,7 +47,7 @@
   at: number,
   emit: MeshEmit,
 ): void {
-  const {stopRequestedAt, leaving, settings, peers} = state;
+  const {stopRequestedAt, leaving, settings} = state;
   if (
     stopRequestedAt === undefined ||
     leaving ||
@@ -55,10 +56,7 @@
     return;
   }
   state.leaving = true;
-  const {address} = settings;
-  for (const to of peers.keys()) {
-    emit({kind: 'sendMessage', to, message: {kind: 'leaving', address}});
-  }
+  tellPeers(state, {kind: 'leaving', address: settings.address}, emit);
 }
 
 /** Ends a planned stop once nothing arrives and nothing is under way. */
--- /dev/null
+++ b/src/core/mesh/tell_peers.ts
@@ -0,0 +1,14 @@
+/** What concerns every peer at once goes over the links that are open. */
+import {MeshState} from './mesh_state.js';
+import {MeshEmit, PeerMessage} from './mesh_types.js';
+
+/** Sends a message to each proxy with an open link. */
+export function tellPeers(
+  {peers}: MeshState,
+  message: PeerMessage,
+  emit: MeshEmit,
+): void {
+  for (const to of peers.keys()) {
+    emit({kind: 'sendMessage', to, message});
+  }
+}
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -4,7 +4,7 @@
  * compressed JSON, then the body.
  */
 import {Socket} from 'node:net';
-import {LinkMessage} from '../model/mesh.js';
+import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
 import {MessageCodec} from './message_codec.js';
 
 const LENGTH_BYTES = 4;
@@ -26,16 +26,7 @@
 
 const EMPTY = new Uint8Array(0);
 
-/** Messages of which each call needs some; the others are few and long. */
-const CALL_KINDS: ReadonlySet<LinkMessage['kind']> = new Set([
-  'attempt',
-  'cancel',
-  'resume',
-  'answer',
-  'refusal',
-  'ping',
-  'pong',
-] as const);
+const CALL_KINDS: ReadonlySet<string> = new Set(CALL_MESSAGE_KINDS);
 
 export interface LinkHandlers {
   onMessage(link: Link, message: LinkMessage, body: Uint8Array): void;
--- a/src/mesh/link_hub.ts
+++ b/src/mesh/link_hub.ts
@@ -1,6 +1,6 @@
 /** The links of one proxy, by the address of the peer. */
 import {Server, Socket, connect, createServer} from 'node:net';
-import {LinkMessage} from '../model/mesh.js';
+import {Hello, LinkMessage} from '../model/mesh.js';
 import {parseAddress} from '../proxy/addresses.js';
 import {MessageCodec} from './message_codec.js';
 import {Link, LinkHandlers, LinkTraffic} from './link.js';
@@ -11,8 +11,6 @@
 /** Interval at which silent links are looked for. */
 const CHECK_INTERVAL_MS = 100;
 
-type Hello = Extract<LinkMessage, {kind: 'hello'}>;
-
 export interface HubHandlers {
   /** Says who this proxy is; the first message on each link. */
   createHello(): Hello;
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -6,11 +6,13 @@
 import {
   MeshEffect,
   MeshEventBody,
+  PeerMessage,
   SourceRequest,
 } from '../core/mesh/mesh_types.js';
 import {DEFAULT_POLICY} from '../core/policy.js';
 import {
   CallerLimits,
+  Hello,
   LinkMessage,
   MeshConfig,
   MeshConfigSchema,
@@ -225,9 +227,7 @@
     this.log.write('daemon', 'warn', 'Unusable input ignored.', {kind, detail});
   }
 
-  private createHello(
-    startedAt: number,
-  ): Extract<LinkMessage, {kind: 'hello'}> {
+  private createHello(startedAt: number): Hello {
     const state = this.loop?.state;
     return {
       kind: 'hello',
@@ -334,7 +334,7 @@
 
   private async sendMessage(
     to: string,
-    message: LinkMessage,
+    message: PeerMessage,
     config?: MeshConfig,
   ): Promise<void> {
     if (to === this.settings.listen.peers) {
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -121,6 +121,19 @@
   z.union([z.string(), z.array(z.string())]),
 );
 
+/** Messages of which each call needs some; the others are few and long. */
+export const CALL_MESSAGE_KINDS = [
+  'attempt',
+  'cancel',
+  'resume',
+  'answer',
+  'refusal',
+  'ping',
+  'pong',
+] as const;
+
+export type CallMessageKind = (typeof CALL_MESSAGE_KINDS)[number];
+
 /** Messages on the link between two proxies; bodies travel beside them. */
 export const LinkMessageSchema = z.discriminatedUnion('kind', [
   z.strictObject({
@@ -214,3 +227,4 @@
 export type ConfigDelta = z.infer<typeof ConfigDeltaSchema>;
 export type MeshAttempt = z.infer<typeof MeshAttemptSchema>;
 export type LinkMessage = z.infer<typeof LinkMessageSchema>;
+export type Hello = Extract<LinkMessage, {kind: 'hello'}>;
--- a/test/mesh/attempt_exchange.test.ts
+++ b/test/mesh/attempt_exchange.test.ts
@@ -8,7 +8,7 @@
 import {LinkHub} from '../../src/mesh/link_hub.js';
 import {MessageCodec} from '../../src/mesh/message_codec.js';
 import {expect} from '../support/chai_setup.js';
-import {createAttempt} from './mesh_fixture.js';
+import {createAttempt, createHello} from './mesh_fixture.js';
 
 const OUTBOUND = {
   method: 'POST',
@@ -30,15 +30,7 @@
   ) {
     this.hub = new LinkHub(
       {
-        createHello: () => ({
-          kind: 'hello',
-          address: this.address,
-          zone: 'north',
-          incarnation,
-          version: 1,
-          revision: 1,
-          leaving: false,
-        }),
+        createHello: () => createHello({address: this.address, incarnation}),
         onClose: (_address, link) => this.exchange.takeClosed(link),
         onMessage: (link, message: LinkMessage, body) =>
           this.exchange.takeMessage(link, message, body),
--- a/test/mesh/calls.test.ts
+++ b/test/mesh/calls.test.ts
@@ -1,6 +1,11 @@
 /** The entry role: where calls go, what is repeated, what callers are told. */
 import {expect} from '../support/chai_setup.js';
-import {MeshFixture, createAttempt, createInstance} from './mesh_fixture.js';
+import {
+  MeshFixture,
+  createAttempt,
+  createHello,
+  createInstance,
+} from './mesh_fixture.js';
 
 const NEAR = [2, 3, 4].map(host => createInstance(host));
 
@@ -157,15 +162,7 @@
     proxy.post({
       kind: 'messageReceived',
       from,
-      message: {
-        kind: 'hello',
-        address: from,
-        zone: 'north',
-        incarnation: 1,
-        version: 1,
-        revision: 10,
-        leaving: false,
-      },
+      message: createHello(),
     });
     proxy.post({
       kind: 'messageReceived',
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -10,6 +10,7 @@
 import {DEFAULT_POLICY} from '../../src/core/policy.js';
 import {createRefusal, RefusalReason} from '../../src/core/refusals.js';
 import {
+  Hello,
   Instance,
   MeshAttempt,
   MeshConfig,
@@ -97,6 +98,20 @@
   };
 }
 
+/** What a peer says of itself when a link opens. */
+export function createHello(over: Partial<Hello> = {}): Hello {
+  return {
+    kind: 'hello',
+    address: '10.0.0.2:7000',
+    zone: 'north',
+    incarnation: 1,
+    version: 1,
+    revision: 10,
+    leaving: false,
+    ...over,
+  };
+}
+
 export const SETTINGS: MeshSettings = {
   address: `${SELF}:${LINK_PORT}`,
   zone: 'north',
--- a/test/mesh/owner.test.ts
+++ b/test/mesh/owner.test.ts
@@ -1,6 +1,11 @@
 /** The owner role: what the upstream runs, and what is turned away. */
 import {expect} from '../support/chai_setup.js';
-import {MeshFixture, createAttempt, createInstance} from './mesh_fixture.js';
+import {
+  MeshFixture,
+  createAttempt,
+  createHello,
+  createInstance,
+} from './mesh_fixture.js';
 
 const PLAIN_FACTS = {notRun: false, otherInstance: false};
 
@@ -158,15 +163,7 @@
     owner.post({
       kind: 'messageReceived',
       from: '10.0.0.2:7000',
-      message: {
-        kind: 'hello',
-        address: '10.0.0.2:7000',
-        zone: 'north',
-        incarnation: 1,
-        version: 1,
-        revision: 10,
-        leaving: false,
-      },
+      message: createHello(),
     });
     owner.take();
     owner.post({kind: 'stopRequested'});
--- a/test/mesh/soak/soak_world.ts
+++ b/test/mesh/soak/soak_world.ts
@@ -13,7 +13,12 @@
 import {Chance} from '../../../src/experiments/chance.js';
 import {VirtualClock} from '../../../src/experiments/virtual_clock.js';
 import {Instance, MeshAttempt, MeshConfig} from '../../../src/model/mesh.js';
-import {SETTINGS, createConfig, createInstance} from '../mesh_fixture.js';
+import {
+  SETTINGS,
+  createConfig,
+  createHello,
+  createInstance,
+} from '../mesh_fixture.js';
 import {SoakAudit} from './soak_audit.js';
 
 const TICK_MS = 25;
@@ -156,8 +161,7 @@
           this.postLater(to, LINK_MS, {
             kind: 'messageReceived',
             from: node.address,
-            // Attempts and their ends take the ways below, never this one.
-            message: message as never,
+            message,
             config,
           });
         }
@@ -228,15 +232,14 @@
     this.postLater(to, LINK_MS, {
       kind: 'messageReceived',
       from: from.address,
-      message: {
-        kind: 'hello',
+      message: createHello({
         address: from.address,
         zone: settings.zone,
         incarnation: settings.startedAt,
         version: config?.version ?? 0,
         revision: fleet.revision,
         leaving,
-      },
+      }),
     });
   }
 
--- a/test/mesh/spreading.test.ts
+++ b/test/mesh/spreading.test.ts
@@ -7,7 +7,7 @@
   createRoute,
 } from './mesh_fixture.js';
 import {SourceAnswer, SourceRequest} from '../../src/core/mesh/mesh_types.js';
-import {Instance} from '../../src/model/mesh.js';
+import {Instance, LinkMessage} from '../../src/model/mesh.js';
 
 const FLEET = [1, 2, 3].map(host =>
   createInstance(host, {
@@ -32,6 +32,26 @@
   return taking.map(({id}) => id);
 }
 
+type News = Extract<LinkMessage, {kind: 'news'}>;
+
+/** Brings a peer's news of the fleet, and perhaps of a version. */
+function postNews(
+  proxy: MeshFixture,
+  over: Pick<News, 'fleet'> & Partial<News>,
+): void {
+  const from = '10.0.0.2:7000';
+  const message: News = {
+    kind: 'news',
+    root: from,
+    relay: false,
+    ageMs: 0,
+    version: 1,
+    configRevision: 0,
+    ...over,
+  };
+  proxy.post({kind: 'messageReceived', from, message});
+}
+
 describe('mesh spreading', () => {
   it('lets the first of the ranking read, and the next one where it fails', () => {
     const first = new MeshFixture();
@@ -102,26 +122,17 @@
     proxy.take();
     const limits = createConfig().limits;
     const post = (base: number, version: number) =>
-      proxy.post({
-        kind: 'messageReceived',
-        from: '10.0.0.2:7000',
-        message: {
-          kind: 'news',
-          root: '10.0.0.2:7000',
-          relay: false,
-          ageMs: 0,
-          fleet: {base: 10, revision: 10, changed: [], removed: []},
+      postNews(proxy, {
+        fleet: {base: 10, revision: 10, changed: [], removed: []},
+        version,
+        delta: {
+          base,
           version,
-          configRevision: 0,
-          delta: {
-            base,
-            version,
-            routes: [createRoute({name: 'new', pathPrefix: '/new/'})],
-            removedRoutes: ['read'],
-            services: [],
-            removedServices: [],
-            limits,
-          },
+          routes: [createRoute({name: 'new', pathPrefix: '/new/'})],
+          removedRoutes: ['read'],
+          services: [],
+          removedServices: [],
+          limits,
         },
       });
     post(6, 8);
@@ -138,18 +149,8 @@
     const proxy = new MeshFixture();
     proxy.learn(FLEET);
     proxy.take();
-    proxy.post({
-      kind: 'messageReceived',
-      from: '10.0.0.2:7000',
-      message: {
-        kind: 'news',
-        root: '10.0.0.2:7000',
-        relay: false,
-        ageMs: 0,
-        fleet: {base: 20, revision: 21, changed: [], removed: ['i-3']},
-        version: 1,
-        configRevision: 0,
-      },
+    postNews(proxy, {
+      fleet: {base: 20, revision: 21, changed: [], removed: ['i-3']},
     });
     expect(getTaking(proxy)).to.deep.equal(['i-1', 'i-2', 'i-3']);
     expect(proxy.take()).to.include('sendMessage pull to 10.0.0.2:7000');
--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -8,6 +8,7 @@
   READY_PATH,
 } from '../../platform/header_names.js';
 import {StoreClient} from '../../platform/store_client.js';
+import {untilTrue} from '../../src/standins/harness/until.js';
 import {MeshRuntime} from '../../src/mesh/mesh_runtime.js';
 import {MeshSettingsSchema} from '../../src/model/mesh_settings.js';
 import {StoreStandin, createDocument, createEntry} from './store_standin.js';
@@ -165,11 +166,9 @@
   }
 }
 
-/** Asks again until something holds; only mocha's limit ends it. */
-export async function until(holds: () => Promise<boolean>): Promise<void> {
-  while (!(await holds())) {
-    await new Promise(resolve => setTimeout(resolve, 20));
-  }
+/** Asks again until something holds. */
+export function until(holds: () => Promise<boolean>): Promise<void> {
+  return untilTrue('the fleet on the stand-in store', holds);
 }
 
 async function findPorts(): Promise<{callers: number; peers: number}> {
