Serve uploads, survive a restored store, interleave large bodies

Cause: routes of kind upload made every version invalid, so a fleet was left without a configuration. Revisions were compared alone: a store that returns from a copy gives them out again. A body of hundreds of kilobytes was one frame, and small calls waited behind it.

Change: kinds of routes are a table; an unknown one runs at most once, with a warning and the counter unknown_input. Positions (era, then revision) order listings, long polls and peers' updates; registrations that the copy lacks are held for two seconds; what is known as draining or gone stays so until a later report. Bodies above 8 KB are sent in chunks in turn with other messages, and dropped when the caller leaves. The store stand-in can be restored. An older listing no longer undoes a peer's newer update.

Tests: restores (core, client, fleet of real proxies), one slow link, an upstream that falls silent on a connection.

--- a/src/core/mesh/fleet_view.ts
+++ b/src/core/mesh/fleet_view.ts
@@ -1,14 +1,17 @@
 /**
  * The registered upstreams, as this proxy knows them. Reports may arrive late,
  * twice, or from a process that has ended since, so the reports of an instance
- * are ordered by incarnation, then by heartbeat.
+ * are ordered by incarnation, then by registration, then by heartbeat. After a
+ * restore of the source, registrations of instances that have left may be back,
+ * and registrations of running instances may be missing.
  */
 import {FleetUpdate, Instance} from '../../model/mesh.js';
+import {getEra} from './source_position.js';
 
 /**
- * Time for which upstreams whose registrations expired during an outage of the
- * source are kept, in milliseconds. The platform specifies that they register
- * again within about two seconds.
+ * Time for which upstreams whose registrations are missing after an outage or a
+ * restore of the source are kept, in milliseconds. The platform specifies that
+ * they register again within about two seconds.
  */
 export const REREGISTRATION_MS = 2_000;
 
@@ -18,11 +21,12 @@
 /** Position of a report among those of one instance. */
 interface ReportOrder {
   readonly incarnation: number;
+  readonly registeredAt: number;
   readonly heartbeat: number;
 }
 
 export interface FleetView {
-  /** Revision of the source up to which all changes are known; 0: none. */
+  /** Position of the source up to which all changes are known; 0: none. */
   revision: number;
   readonly instances: Map<string, Instance>;
   /**
@@ -30,6 +34,7 @@
    * which each is removed unless it registers again.
    */
   readonly missingUntil: Map<string, number>;
+  /** The earliest report that shows that a removed instance is running. */
   readonly tombstones: Map<string, ReportOrder>;
   /** Until this time, an unlisted instance is kept in `missingUntil`. */
   removalsHeldUntil: number;
@@ -58,23 +63,59 @@
   readonly instance: Instance;
 }
 
-function isStale(instance: Instance, known: ReportOrder | undefined): boolean {
-  if (known === undefined) {
-    return false;
-  }
+/**
+ * Compares two reports of one instance. Registrations of different eras cannot
+ * be compared, because revisions are given out again after a restore.
+ * @returns Negative if the first report is earlier; 0 if they are the same.
+ */
+function compareReports(first: ReportOrder, second: ReportOrder): number {
+  const sameEra = getEra(first.registeredAt) === getEra(second.registeredAt);
   return (
-    instance.incarnation < known.incarnation ||
-    (instance.incarnation === known.incarnation &&
-      instance.heartbeat < known.heartbeat)
+    first.incarnation - second.incarnation ||
+    (sameEra ? first.registeredAt - second.registeredAt : 0) ||
+    first.heartbeat - second.heartbeat
   );
 }
 
+/** Reports whether a report adds nothing to what is known of its instance. */
+function isStale(view: FleetView, instance: Instance): boolean {
+  const known = view.instances.get(instance.id);
+  if (known !== undefined) {
+    const order = compareReports(instance, known);
+    const endsDrain = known.state === 'draining' && instance.state === 'ready';
+    return order < 0 || (order === 0 && endsDrain);
+  }
+  const removed = view.tombstones.get(instance.id);
+  return removed !== undefined && !outlivesRemoval(view, instance, removed);
+}
+
+/**
+ * Reports whether an instance was reported after its removal. A restored source
+ * may list it once more, with a report that is later than the last one known
+ * here; only a further report in the same era shows that it is running.
+ */
+function outlivesRemoval(
+  view: FleetView,
+  instance: Instance,
+  removed: ReportOrder,
+): boolean {
+  if (getEra(instance.registeredAt) > getEra(removed.registeredAt)) {
+    const {incarnation, registeredAt} = instance;
+    const heartbeat = instance.heartbeat + 1;
+    view.tombstones.set(instance.id, {incarnation, registeredAt, heartbeat});
+    return false;
+  }
+  return compareReports(instance, removed) >= 0;
+}
+
 /** Gets the kind of a change, or undefined for a heartbeat alone. */
 function classifyChange(known: Instance | undefined, next: Instance) {
   if (known === undefined) {
     return 'added';
   }
-  if (next.incarnation !== known.incarnation) {
+  const sameEra = getEra(next.registeredAt) === getEra(known.registeredAt);
+  const reregistered = sameEra && next.registeredAt !== known.registeredAt;
+  if (next.incarnation !== known.incarnation || reregistered) {
     return 'restarted';
   }
   if (next.state !== known.state) {
@@ -90,7 +131,8 @@
 
 /**
  * Applies an update to the view. An update with base 0 lists the whole fleet,
- * so instances that it does not list are removed.
+ * so instances that it does not list are removed. One that is older than the
+ * view changes nothing.
  * @param view - The view.
  * @param update - The update; its base must not be above the view's revision.
  * @param at - Now, in milliseconds.
@@ -101,6 +143,12 @@
   update: FleetUpdate,
   at: number,
 ): FleetChange[] {
+  if (update.revision < view.revision) {
+    return [];
+  }
+  if (view.revision > 0 && getEra(update.revision) > getEra(view.revision)) {
+    view.removalsHeldUntil = at + REREGISTRATION_MS;
+  }
   const changes: FleetChange[] = [];
   for (const instance of update.changed) {
     const change = applyInstance(view, instance);
@@ -117,7 +165,7 @@
       removeInstance(view, id, changes);
     }
   }
-  view.revision = Math.max(view.revision, update.revision);
+  view.revision = update.revision;
   if (changes.length > 0) {
     rebuildIndexes(view);
   }
@@ -131,7 +179,10 @@
 ): FleetChange | undefined {
   const {id} = instance;
   const known = view.instances.get(id);
-  if (isStale(instance, known ?? view.tombstones.get(id))) {
+  if (isStale(view, instance)) {
+    if (known !== undefined) {
+      view.missingUntil.delete(id);
+    }
     return undefined;
   }
   view.missingUntil.delete(id);
@@ -158,8 +209,8 @@
   }
   view.instances.delete(id);
   view.missingUntil.delete(id);
-  const {incarnation, heartbeat} = instance;
-  view.tombstones.set(id, {incarnation, heartbeat});
+  const {incarnation, registeredAt, heartbeat} = instance;
+  view.tombstones.set(id, {incarnation, registeredAt, heartbeat});
   if (view.tombstones.size > MAX_TOMBSTONES) {
     const [oldest] = view.tombstones.keys();
     view.tombstones.delete(oldest);
@@ -187,11 +238,11 @@
 }
 
 function rebuildIndexes(view: FleetView): void {
-  // Of two instances with one address, the one that started later has it.
+  // Of two instances with one address, the later one has it.
   const byAddress = new Map<string, Instance>();
   for (const instance of view.instances.values()) {
     const other = byAddress.get(instance.address);
-    if (other === undefined || other.incarnation < instance.incarnation) {
+    if (other === undefined || isEarlier(other, instance)) {
       byAddress.set(instance.address, instance);
     }
   }
@@ -207,6 +258,17 @@
   view.acceptingByService = accepting;
 }
 
+/**
+ * Reports whether one instance started before another; where that is unknown,
+ * whether it registered before it.
+ */
+export function isEarlier(first: Instance, second: Instance): boolean {
+  const order =
+    first.incarnation - second.incarnation ||
+    first.registeredAt - second.registeredAt;
+  return order < 0;
+}
+
 /**
  * Finds the instance that is registered at an address.
  * @param view - The view.
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -43,7 +43,7 @@
       readonly waitMs: number;
     };
 
-/** Result of a read, with the source's revision at the time of the read. */
+/** Result of a read, with the source's position at the time of the read. */
 export type SourceAnswer =
   | {
       readonly kind: 'fleet';
@@ -55,7 +55,10 @@
       readonly revision: number;
       readonly config?: MeshConfig;
     }
-  /** The source has discarded the history after the requested revision. */
+  /**
+   * The source has no history after the requested position: it has discarded
+   * it, or was restored.
+   */
   | {readonly kind: 'compacted'};
 
 /** Messages that the core handles; the link layer handles those of calls. */
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -26,6 +26,7 @@
 } from './source_read_state.js';
 import {CONFIG_LONG_POLL_MS, isReadDue} from './source_schedule.js';
 import {broadcastUpdate} from './peer_updates.js';
+import {getEra} from './source_position.js';
 
 /**
  * Knowledge age in heartbeat intervals above which registrations may have expired
@@ -155,7 +156,8 @@
 ): void {
   const {sourceReads, fleet, settings} = state;
   logSourceRecovery(state, at, emit);
-  const knowledgeAgeMs = at - sourceReads.freshAt;
+  const {freshAt} = sourceReads;
+  const knowledgeAgeMs = at - freshAt;
   const mayHaveExpired =
     knowledgeAgeMs > settings.heartbeatMs * EXPIRY_SUSPECTED_HEARTBEATS;
   if (fleet.revision > 0 && mayHaveExpired) {
@@ -165,12 +167,35 @@
   sourceReads.firstListedAt ??= at;
   const knownRevision = fleet.revision;
   const {revision, instances: changed} = answer;
+  if (revision < knownRevision) {
+    // A peer's update of a later read arrived first.
+    emit({kind: 'count', counter: 'update_ignored', reason: 'old_listing'});
+    sourceReads.freshAt = freshAt;
+    return;
+  }
+  logRestore(knownRevision, revision, emit);
   const listing = {base: 0, revision, changed, removed: []};
   const changes = applyFleetUpdate(state, listing, at, 'source', emit);
   const peerUpdate = createPeerUpdate(knownRevision, revision, changes);
   broadcastUpdate(state, peerUpdate, undefined, 0, undefined, emit);
 }
 
+/** Logs that the source continues from an earlier copy of its data. */
+function logRestore(known: number, revision: number, emit: MeshEmit): void {
+  if (known === 0 || getEra(revision) === getEra(known)) {
+    return;
+  }
+  emit({kind: 'count', counter: 'source_call', reason: 'restored'});
+  emit({
+    kind: 'log',
+    level: 'warn',
+    part: 'source',
+    message:
+      'Source was restored from a copy; keeping upstreams until they register again.',
+    fields: {knownRevision: known, revision, heldMs: REREGISTRATION_MS},
+  });
+}
+
 /** Adopts a configuration and broadcasts its difference to the previous one. */
 function handleConfigAnswer(
   state: MeshState,
--- a/src/core/mesh/source_schedule.ts
+++ b/src/core/mesh/source_schedule.ts
@@ -5,6 +5,7 @@
  * broadcasts an update, which restarts the others' delays. If it cannot read or
  * has gone, the delay of rank 1 ends next.
  */
+import {isEarlier} from './fleet_view.js';
 import {MeshState, getLinkAddress, getOwnInstance} from './mesh_state.js';
 
 /** Delay that each rank adds; covers a read and the broadcast of its update. */
@@ -32,8 +33,7 @@
   let rank = 0;
   for (const other of state.fleet.instances.values()) {
     const earlier =
-      other.incarnation < own.incarnation ||
-      (other.incarnation === own.incarnation && other.id < own.id);
+      isEarlier(other, own) || (!isEarlier(own, other) && other.id < own.id);
     const peer = state.peers.get(getLinkAddress(state, other));
     if (earlier && peer?.leaving !== true) {
       rank += 1;
--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -115,7 +115,7 @@
       path,
       headers,
     };
-    link.send(message, body);
+    link.send(message, body, attemptId);
   }
 
   private attachLink(sentAttempt: SentAttempt, link: Link): void {
@@ -136,6 +136,7 @@
     const sentAttempt = this.sent.get(attemptId);
     if (sentAttempt !== undefined) {
       this.sent.delete(attemptId);
+      sentAttempt.link?.discard(attemptId);
       sentAttempt.link?.send({kind: 'cancel', attemptId});
       this.detachLink(sentAttempt);
       return;
--- /dev/null
+++ b/src/mesh/body_transfers.ts
@@ -0,0 +1,115 @@
+/**
+ * Large bodies on a link between two proxies. They are sent in chunks, in turn,
+ * and only while few bytes wait in the socket, so that a small message never
+ * waits behind a whole upload on a slow link.
+ */
+import {Frame, TransferFrame, WholeFrame} from './frames.js';
+
+const CHUNK_BYTES = 8_192;
+
+/** Unsent bytes in the socket up to which the next chunk is written. */
+const MAX_WAITING_BYTES = 16_384;
+
+/** The part of a socket that transfers use. */
+export interface FrameSink {
+  /** @param onFlushed - Called when the operating system has the frame. */
+  write(frame: Frame, onFlushed?: () => void): void;
+  /** Bytes that were written and not yet passed to the operating system. */
+  getUnsentBytes(): number;
+}
+
+interface Outgoing {
+  readonly transfer: number;
+  readonly key?: string;
+  readonly message: Uint8Array;
+  readonly body: Uint8Array;
+  sentBytes: number;
+}
+
+interface Incoming {
+  readonly message: Uint8Array;
+  readonly chunks: Uint8Array[];
+}
+
+const NOTHING = new Uint8Array(0);
+
+/** The bodies that one link sends and receives in chunks. */
+export class BodyTransfers {
+  /** Transfers in the order of their next chunks. */
+  private readonly outgoing: Outgoing[] = [];
+  private readonly incoming = new Map<number, Incoming>();
+  private nextTransfer = 1;
+
+  constructor(private readonly sink: FrameSink) {}
+
+  /** Begins to send a message and its body. */
+  send(message: Uint8Array, body: Uint8Array, key?: string): void {
+    const transfer = this.nextTransfer;
+    this.nextTransfer += 1;
+    this.outgoing.push({transfer, key, message, body, sentBytes: 0});
+    this.sendChunks();
+  }
+
+  /** Sends chunks until the socket has enough to write. */
+  sendChunks(): void {
+    while (this.sink.getUnsentBytes() <= MAX_WAITING_BYTES) {
+      const next = this.outgoing.shift();
+      if (next === undefined) {
+        return;
+      }
+      this.sendChunk(next);
+    }
+  }
+
+  private sendChunk(outgoing: Outgoing): void {
+    const {transfer, message, body, sentBytes} = outgoing;
+    const end = Math.min(body.length, sentBytes + CHUNK_BYTES);
+    const last = end === body.length;
+    outgoing.sentBytes = end;
+    if (!last) {
+      this.outgoing.push(outgoing);
+    }
+    const frame: Frame = {
+      kind: 'chunk',
+      transfer,
+      message: sentBytes === 0 ? message : NOTHING,
+      body: body.subarray(sentBytes, end),
+      last,
+    };
+    this.sink.write(frame, () => this.sendChunks());
+  }
+
+  /** Stops sending the message that was given this key. */
+  discard(key: string): void {
+    const index = this.outgoing.findIndex(other => other.key === key);
+    if (index < 0) {
+      return;
+    }
+    const [{transfer, sentBytes}] = this.outgoing.splice(index, 1);
+    if (sentBytes > 0) {
+      this.sink.write({kind: 'discarded', transfer});
+    }
+  }
+
+  /**
+   * Handles a received part of a message.
+   * @returns The whole message, once its last chunk has arrived.
+   */
+  receive(frame: TransferFrame): WholeFrame | undefined {
+    if (frame.kind === 'discarded') {
+      this.incoming.delete(frame.transfer);
+      return undefined;
+    }
+    const {transfer, body, last} = frame;
+    const known = this.incoming.get(transfer);
+    const incoming = known ?? {message: frame.message, chunks: []};
+    incoming.chunks.push(body);
+    if (!last) {
+      this.incoming.set(transfer, incoming);
+      return undefined;
+    }
+    this.incoming.delete(transfer);
+    const whole = Buffer.concat(incoming.chunks);
+    return {kind: 'whole', message: incoming.message, body: whole};
+  }
+}
--- a/src/mesh/fleet_source.ts
+++ b/src/mesh/fleet_source.ts
@@ -24,5 +24,10 @@
   close(): Promise<void>;
 }
 
-/** Called for each stored entry that is invalid and therefore ignored. */
-export type RejectListener = (kind: string, detail: string) => void;
+/** Receives what a source client finds in stored documents. */
+export interface SourceListener {
+  /** A stored document is invalid and therefore ignored. */
+  onReject(kind: string, detail: string): void;
+  /** A stored document has a value that this build does not know. */
+  onUnknown(kind: string, detail: string): void;
+}
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -1,17 +1,13 @@
 /**
- * Framing and liveness checks for a TCP connection between two proxies. Each
- * frame consists of the message length and the body length (32-bit big-endian
- * each), the encoded message, and the body.
+ * Messages over a TCP connection between two proxies, and its liveness checks.
+ * Small messages overtake the remaining chunks of large bodies.
  */
 import {Socket} from 'node:net';
 import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
+import {BodyTransfers} from './body_transfers.js';
+import {Frame, FrameReader, encodeFrame} from './frames.js';
 import {MessageCodec} from './message_codec.js';
 
-const LENGTH_BYTES = 4;
-const PREFIX_BYTES = 2 * LENGTH_BYTES;
-const MAX_MESSAGE_BYTES = 8 * 1_048_576;
-const MAX_BODY_BYTES = 128 * 1_048_576;
-
 /** Size of the send buffer above which the link is closed. */
 const MAX_UNSENT_BYTES = 64 * 1_048_576;
 
@@ -26,6 +22,9 @@
 
 const EMPTY_BODY = new Uint8Array(0);
 
+/** Bodies above this size are sent in chunks, in bytes. */
+const MAX_WHOLE_BODY_BYTES = 8_192;
+
 const CALL_KINDS: ReadonlySet<string> = new Set(CALL_MESSAGE_KINDS);
 
 export interface LinkHandlers {
@@ -53,9 +52,8 @@
   /** Number of attempts sent on this link that the peer has not answered. */
   pendingAnswers = 0;
   closed = false;
-  private buffered: Buffer[] = [];
-  private bufferedBytes = 0;
-  private neededBytes = PREFIX_BYTES;
+  private readonly reader = new FrameReader();
+  private readonly transfers: BodyTransfers;
   private lastReceivedAt: number;
   private pingSentAt?: number;
   private pingId = 0;
@@ -68,6 +66,10 @@
     private readonly now: () => number,
   ) {
     this.lastReceivedAt = now();
+    this.transfers = new BodyTransfers({
+      write: (frame, onFlushed) => this.write(frame, onFlushed),
+      getUnsentBytes: () => socket.writableLength,
+    });
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
     socket.on('error', () => this.close());
@@ -78,22 +80,41 @@
    * Sends a message; does nothing if the link is closed.
    * @param message - The message.
    * @param body - The request or answer body, or a compressed configuration.
+   * @param key - With it, {@link discard} stops sending the body.
    */
-  send(message: LinkMessage, body: Uint8Array = EMPTY_BODY): void {
+  send(
+    message: LinkMessage,
+    body: Uint8Array = EMPTY_BODY,
+    key?: string,
+  ): void {
     if (this.closed) {
       return;
     }
     const compress = this.compressesCalls || !CALL_KINDS.has(message.kind);
     const encoded = this.codec.encode(message, compress);
-    const frame = Buffer.allocUnsafe(
-      PREFIX_BYTES + encoded.length + body.length,
-    );
-    frame.writeUInt32BE(encoded.length, 0);
-    frame.writeUInt32BE(body.length, LENGTH_BYTES);
-    encoded.copy(frame, PREFIX_BYTES);
-    frame.set(body, PREFIX_BYTES + encoded.length);
-    this.traffic.sentBytes += frame.length;
-    this.socket.write(frame);
+    if (body.length <= MAX_WHOLE_BODY_BYTES) {
+      this.write({kind: 'whole', message: encoded, body});
+      return;
+    }
+    this.transfers.send(encoded, body, key);
+  }
+
+  /**
+   * Stops sending a body that the peer no longer needs. Without it, an
+   * abandoned upload would take the bandwidth of the calls behind it.
+   * @param key - The key that was given to {@link send}.
+   */
+  discard(key: string): void {
+    this.transfers.discard(key);
+  }
+
+  private write(frame: Frame, onFlushed?: () => void): void {
+    if (this.closed) {
+      return;
+    }
+    const bytes = encodeFrame(frame);
+    this.traffic.sentBytes += bytes.length;
+    this.socket.write(bytes, onFlushed);
     if (this.socket.writableLength > MAX_UNSENT_BYTES) {
       this.close();
     }
@@ -132,45 +153,28 @@
     this.lastReceivedAt = this.now();
     this.pingSentAt = undefined;
     this.traffic.receivedBytes += chunk.length;
-    this.buffered.push(chunk);
-    this.bufferedBytes += chunk.length;
-    while (!this.closed && this.bufferedBytes >= this.neededBytes) {
-      this.readFrame();
+    this.reader.push(chunk);
+    while (!this.closed) {
+      const frame = this.reader.read();
+      if (frame === undefined) {
+        return;
+      }
+      if ('error' in frame) {
+        this.handlers.onBadFrame(frame.error);
+        this.close();
+        return;
+      }
+      this.handleFrame(frame);
     }
   }
 
-  private readFrame(): void {
-    const received =
-      this.buffered.length === 1
-        ? this.buffered[0]
-        : Buffer.concat(this.buffered);
-    this.buffered = [received];
-    const messageBytes = received.readUInt32BE(0);
-    const bodyBytes = received.readUInt32BE(LENGTH_BYTES);
-    if (messageBytes > MAX_MESSAGE_BYTES || bodyBytes > MAX_BODY_BYTES) {
-      this.handlers.onBadFrame(
-        `frame too large: message of ${messageBytes} bytes (limit ${MAX_MESSAGE_BYTES}), body of ${bodyBytes} bytes (limit ${MAX_BODY_BYTES}); check that the peer address belongs to a proxy`,
-      );
-      this.close();
-      return;
-    }
-    const bodyAt = PREFIX_BYTES + messageBytes;
-    const end = bodyAt + bodyBytes;
-    if (received.length < end) {
-      this.neededBytes = end;
+  private handleFrame(frame: Frame): void {
+    const whole =
+      frame.kind === 'whole' ? frame : this.transfers.receive(frame);
+    if (whole === undefined) {
       return;
     }
-    this.buffered = received.length > end ? [received.subarray(end)] : [];
-    this.bufferedBytes = received.length - end;
-    this.neededBytes = PREFIX_BYTES;
-    this.handleFrame(
-      received.subarray(PREFIX_BYTES, bodyAt),
-      received.subarray(bodyAt, end),
-    );
-  }
-
-  private handleFrame(encoded: Uint8Array, body: Uint8Array): void {
-    const decoded = this.codec.decode(encoded);
+    const decoded = this.codec.decode(whole.message);
     if (decoded.isErr()) {
       this.handlers.onBadFrame(decoded.error);
       return;
@@ -179,7 +183,7 @@
     if (message.kind === 'ping') {
       this.send({kind: 'pong', id: message.id});
     } else if (message.kind !== 'pong') {
-      this.handlers.onMessage(this, message, body);
+      this.handlers.onMessage(this, message, whole.body);
     }
   }
 }
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -4,7 +4,8 @@
 import {REFUSALS} from '../core/refusals.js';
 
 type HistogramName = Extract<MeshEffect, {kind: 'observe'}>['histogram'];
-type CounterName = MeshCounter | 'bad_input' | 'log_dropped' | 'reload';
+type CounterName =
+  MeshCounter | 'bad_input' | 'unknown_input' | 'log_dropped' | 'reload';
 
 const COUNTER_HELP: Readonly<Record<CounterName, string>> = {
   call_refused: 'Calls that got no upstream answer, by reason.',
@@ -20,6 +21,7 @@
   upstream_failed: 'Dispatches that got no whole answer, by failure.',
   link_changed: 'Links to peers opened or closed.',
   bad_input: 'Malformed input refused, by kind.',
+  unknown_input: 'Values that this build does not know, by kind.',
   log_dropped: 'Log lines dropped because too many came at once.',
   reload: 'Settings files read again, by outcome.',
 };
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -24,7 +24,7 @@
 import {Listener, listen} from '../proxy/listener.js';
 import {AttemptTransport} from './attempt_transport.js';
 import {BoundedLog} from './bounded_log.js';
-import {FleetSource} from './fleet_source.js';
+import {FleetSource, SourceListener} from './fleet_source.js';
 import {Link} from './link.js';
 import {LinkManager} from './link_manager.js';
 import {MeshCallerHandler} from './mesh_caller_handler.js';
@@ -67,10 +67,7 @@
   /** Path of the platform's readiness check. */
   readonly readyPath: string;
   /** Creates the client of the platform's source. */
-  createSource(
-    address: string,
-    onReject: (kind: string, detail: string) => void,
-  ): FleetSource;
+  createSource(address: string, listener: SourceListener): FleetSource;
 }
 
 type Loop = CoreLoop<MeshState, MeshEventBody, MeshEffect>;
@@ -133,9 +130,10 @@
       adapter.headerNames,
       post,
     );
-    this.source = adapter.createSource(settings.source, (kind, detail) =>
-      this.reportBadInput(kind, detail),
-    );
+    this.source = adapter.createSource(settings.source, {
+      onReject: (kind, detail) => this.reportBadInput(kind, detail),
+      onUnknown: (kind, detail) => this.reportUnknownInput(kind, detail),
+    });
     this.loop = new CoreLoop<MeshState, MeshEventBody, MeshEffect>(
       createMeshState(createCoreSettings(settings, startedAt)),
       reduceMesh,
@@ -252,6 +250,14 @@
     this.log.write('daemon', 'warn', 'Invalid input ignored.', {kind, detail});
   }
 
+  private reportUnknownInput(kind: string, detail: string): void {
+    this.metrics.count('unknown_input', kind);
+    this.log.write('daemon', 'warn', 'Unknown input handled with caution.', {
+      kind,
+      detail,
+    });
+  }
+
   private createHello(startedAt: number): Hello {
     const state = this.loop?.state;
     return {
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -69,8 +69,10 @@
   state: z.enum(['ready', 'draining']),
   /** Remaining time of its slow start. */
   coldMs: DurationMsSchema,
-  /** Start of its process, in Unix milliseconds; orders the incarnations. */
+  /** Start of its process, in Unix milliseconds; 0 if it does not report it. */
   incarnation: z.number(),
+  /** Position of the source at which its registration was created. */
+  registeredAt: SequenceSchema,
   /** Increases with each report of one incarnation. */
   heartbeat: z.number(),
 });
--- /dev/null
+++ b/test/mesh/link.test.ts
@@ -0,0 +1,137 @@
+/** Links between proxies: messages beside large bodies on a slow connection. */
+import {Socket} from 'node:net';
+import {Duplex} from 'node:stream';
+import {Link} from '../../src/mesh/link.js';
+import {MessageCodec} from '../../src/mesh/message_codec.js';
+import {LinkMessage} from '../../src/model/mesh.js';
+import {expect} from '../support/chai_setup.js';
+import {createAttempt} from './mesh_fixture.js';
+
+const UPLOAD_BYTES = 360_000;
+
+/** A connection that passes bytes on only when the test lets it. */
+class SlowConnection extends Duplex {
+  passedBytes = 0;
+  peer?: SlowConnection;
+  private readonly waiting: Array<{
+    readonly bytes: Buffer;
+    readonly done: () => void;
+  }> = [];
+
+  constructor() {
+    super({highWaterMark: 16_384});
+  }
+
+  setNoDelay(): this {
+    return this;
+  }
+
+  override _read(): void {}
+
+  override _write(bytes: Buffer, _encoding: string, done: () => void): void {
+    this.waiting.push({bytes, done});
+  }
+
+  /** Passes one write on to the peer; returns whether there was one. */
+  async pass(): Promise<boolean> {
+    const next = this.waiting.shift();
+    if (next === undefined) {
+      return false;
+    }
+    this.passedBytes += next.bytes.length;
+    this.peer?.push(next.bytes);
+    next.done();
+    await new Promise(resolve => setImmediate(resolve));
+    return true;
+  }
+}
+
+describe('link between proxies', () => {
+  let connection: SlowConnection;
+  let sender: Link;
+  let received: Array<{
+    readonly kind: string;
+    readonly bodyBytes: number;
+    readonly passedBytes: number;
+  }>;
+
+  function createLink(
+    socket: SlowConnection,
+    onMessage: (message: LinkMessage, body: Uint8Array) => void,
+  ): Link {
+    return new Link(
+      socket as unknown as Socket,
+      {
+        onMessage: (_link, message, body) => onMessage(message, body),
+        onClose: () => undefined,
+        onBadFrame: detail => {
+          throw new Error(detail);
+        },
+      },
+      new MessageCodec([]),
+      {sentBytes: 0, receivedBytes: 0},
+      () => 0,
+    );
+  }
+
+  beforeEach(() => {
+    received = [];
+    connection = new SlowConnection();
+    const far = new SlowConnection();
+    connection.peer = far;
+    sender = createLink(connection, () => undefined);
+    createLink(far, ({kind}, body) => {
+      const {passedBytes} = connection;
+      received.push({kind, bodyBytes: body.length, passedBytes});
+    });
+  });
+
+  function sendUpload(attemptId: string): void {
+    const message: LinkMessage = {
+      kind: 'attempt',
+      attempt: createAttempt({attemptId}),
+      method: 'POST',
+      path: '/upload/1',
+      headers: {},
+    };
+    sender.send(message, Buffer.alloc(UPLOAD_BYTES, 7), attemptId);
+  }
+
+  async function passAll(): Promise<void> {
+    while (await connection.pass()) {
+      // Each write is passed on before the next.
+    }
+  }
+
+  it('delivers small messages before the rest of a large body', async () => {
+    sendUpload('a-1');
+    await connection.pass();
+    const before = connection.passedBytes;
+    sender.send({kind: 'cancel', attemptId: 'a-2'});
+    await passAll();
+    expect(received.map(({kind}) => kind)).to.deep.equal(['cancel', 'attempt']);
+    expect(received[0].passedBytes - before).to.be.below(33_000);
+    expect(received[1].bodyBytes).to.equal(UPLOAD_BYTES);
+  });
+
+  it('sends two large bodies in turn', async () => {
+    sendUpload('a-1');
+    sendUpload('a-2');
+    await passAll();
+    expect(received.map(({bodyBytes}) => bodyBytes)).to.deep.equal([
+      UPLOAD_BYTES,
+      UPLOAD_BYTES,
+    ]);
+    expect(received[0].passedBytes).to.be.above(UPLOAD_BYTES * 1.9);
+  });
+
+  it('stops sending a body that is discarded', async () => {
+    sendUpload('a-1');
+    await connection.pass();
+    sender.discard('a-1');
+    sender.send({kind: 'cancel', attemptId: 'a-1'});
+    await passAll();
+    expect(received.map(({kind}) => kind)).to.deep.equal(['cancel']);
+    expect(connection.passedBytes).to.be.below(33_000);
+  });
+});
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -75,6 +75,7 @@
     state: 'ready',
     coldMs: 0,
     incarnation: 1,
+    registeredAt: 1,
     heartbeat: 1,
     ...overrides,
   };
--- a/test/mesh/peer_updates.test.ts
+++ b/test/mesh/peer_updates.test.ts
@@ -7,6 +7,7 @@
   createRoute,
 } from './mesh_fixture.js';
 import {SourceAnswer, SourceRequest} from '../../src/core/mesh/mesh_types.js';
+import {createPosition} from '../../src/core/mesh/source_position.js';
 import {Instance, LinkMessage} from '../../src/model/mesh.js';
 
 const FLEET = [1, 2, 3].map(host =>
@@ -216,6 +217,133 @@
     expect(getAcceptingIds(proxy)).to.deep.equal(['i-1', 'i-2']);
   });
 
+  describe('after a restore of the source', () => {
+    const RESTORED = createPosition(1, 5);
+
+    it('keeps upstreams that the copy lacks until they can register again', () => {
+      const proxy = new MeshFixture();
+      proxy.loadFromSource(FLEET);
+      proxy.advance(600);
+      proxy.readFleet(listFleetWith([], ['i-2', 'i-3']), RESTORED);
+      expect(getAcceptingIds(proxy)).to.deep.equal(['i-1', 'i-2', 'i-3']);
+      proxy.advance(1_500);
+      const again = createInstance(2, {
+        incarnation: 2,
+        registeredAt: RESTORED + 2,
+        heartbeat: 9,
+      });
+      proxy.readFleet(listFleetWith([again], ['i-3']), RESTORED + 3);
+      proxy.advance(500);
+      expect(getAcceptingIds(proxy)).to.deep.equal(['i-1', 'i-2']);
+    });
+
+    it('keeps upstreams that a peer with the copy does not list', () => {
+      const proxy = new MeshFixture();
+      proxy.loadFromSource(FLEET);
+      const changed = listFleetWith([], ['i-2']);
+      const fleet = {base: 0, revision: RESTORED, changed, removed: []};
+      proxy.post({
+        kind: 'messageReceived',
+        from: '10.0.0.2:7000',
+        message: {
+          kind: 'state',
+          ageMs: 0,
+          fleet,
+          configRevision: RESTORED,
+          hasConfig: false,
+        },
+      });
+      expect(getAcceptingIds(proxy)).to.include('i-2');
+      proxy.advance(2_000);
+      expect(getAcceptingIds(proxy)).not.to.include('i-2');
+    });
+
+    it('sends nothing to an upstream known as draining that the copy lists as ready', () => {
+      const proxy = new MeshFixture();
+      proxy.loadFromSource(FLEET);
+      const known = {incarnation: 2, registeredAt: 4};
+      const draining = createInstance(2, {
+        ...known,
+        state: 'draining',
+        heartbeat: 9,
+      });
+      proxy.readFleet(listFleetWith([draining]), 11);
+      for (const heartbeat of [8, 9]) {
+        const listed = createInstance(2, {
+          ...known,
+          registeredAt: createPosition(1, 4),
+          heartbeat,
+        });
+        proxy.readFleet(listFleetWith([listed]), RESTORED + heartbeat);
+        expect(getAcceptingIds(proxy)).to.deep.equal(['i-1', 'i-3']);
+      }
+    });
+
+    it('sends nothing to an upstream known as gone until it reports again', () => {
+      const proxy = new MeshFixture();
+      proxy.loadFromSource(FLEET);
+      proxy.advance(600);
+      proxy.readFleet(listFleetWith([], ['i-2']), 11);
+      // This proxy did not hear of every heartbeat that the copy holds.
+      const listed = (heartbeat: number) =>
+        createInstance(2, {
+          incarnation: 2,
+          registeredAt: createPosition(1, 4),
+          heartbeat,
+        });
+      proxy.readFleet(listFleetWith([listed(40)]), RESTORED);
+      proxy.readFleet(listFleetWith([listed(40)]), RESTORED + 1);
+      expect(getAcceptingIds(proxy)).to.deep.equal(['i-1', 'i-3']);
+      proxy.readFleet(listFleetWith([listed(41)]), RESTORED + 2);
+      expect(getAcceptingIds(proxy)).to.include('i-2');
+    });
+
+    it('orders reports without a start time by heartbeat, not by revision', () => {
+      const proxy = new MeshFixture();
+      const report = (registeredAt: number, heartbeat: number) => [
+        createInstance(1, {incarnation: 0, registeredAt, heartbeat}),
+      ];
+      proxy.loadFromSource(report(90, 7), undefined, 100);
+      proxy.readFleet(report(createPosition(1, 60), 8), createPosition(1, 61));
+      expect(getAcceptingIds(proxy)).to.deep.equal(['i-1']);
+      const {heartbeat} = proxy.state.fleet.instances.get('i-1')!;
+      expect(heartbeat).to.equal(8);
+    });
+
+    it('ignores updates of peers that were cut off since before it', () => {
+      const proxy = new MeshFixture();
+      proxy.loadFromSource(FLEET, undefined, RESTORED);
+      postUpdate(proxy, {
+        fleet: {base: 900, revision: 901, changed: [], removed: ['i-3']},
+      });
+      expect(getAcceptingIds(proxy)).to.deep.equal(['i-1', 'i-2', 'i-3']);
+    });
+
+    it('keeps its version, and adopts the next one that is written', () => {
+      const proxy = new MeshFixture();
+      proxy.loadFromSource(FLEET, createConfig(7), 90);
+      const request = {kind: 'nextConfig', after: 90, waitMs: 1_000} as const;
+      const answer = {kind: 'compacted'} as const;
+      proxy.post({kind: 'sourceAnswered', request, answer});
+      proxy.readConfig(createConfig(5), RESTORED);
+      expect(proxy.state.config?.version).to.equal(7);
+      expect(proxy.state.sourceReads.configRevision).to.equal(RESTORED);
+      proxy.readConfig(createConfig(9), RESTORED + 1);
+      expect(proxy.state.config?.version).to.equal(9);
+    });
+  });
+
+  it('ignores a listing that is older than what peers have told', () => {
+    const proxy = new MeshFixture();
+    proxy.loadFromSource(FLEET);
+    const added = createInstance(4, {incarnation: 4});
+    postUpdate(proxy, {
+      fleet: {base: 10, revision: 12, changed: [added], removed: []},
+    });
+    proxy.readFleet(FLEET, 11);
+    expect(getAcceptingIds(proxy)).to.include('i-4');
+  });
+
   it('reads the latest configuration where the history was compacted', () => {
     const proxy = new MeshFixture();
     proxy.loadFromSource(FLEET);
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -82,6 +82,7 @@
         zone,
         slots: SLOTS,
         incarnation: host,
+        registeredAt: host,
       });
       const node: Node = {
         host,
--- a/test/platform/fleet.test.ts
+++ b/test/platform/fleet.test.ts
@@ -80,6 +80,36 @@
     }
   });
 
+  it('keeps versions and upstreams while the store returns from a copy', async () => {
+    const copy = fleet.store.createCopy();
+    fleet.store.put('op/config', createConfigDocument(5, {routes: {}}));
+    fleet.register(2, {state: 'draining', seq: 2});
+    const [first, second, third] = fleet.machines;
+    const knowsChanges = async (machine: Machine) => {
+      const {version, instances} = await fleet.readStatus(machine);
+      const drains = instances.some(i => i.id === 'i-2' && i.state !== 'ready');
+      return version === 5 && drains;
+    };
+    for (const machine of fleet.machines) {
+      await waitForFleet(() => knowsChanges(machine));
+    }
+    fleet.store.restore(copy);
+    fleet.register(1, {seq: 2});
+    fleet.register(3, {seq: 2});
+    const later = createConfigDocument(8);
+    fleet.store.put('op/config', later);
+    for (const machine of [first, third]) {
+      await waitForFleet(
+        async () => (await fleet.readStatus(machine)).version === 8,
+      );
+    }
+    for (let n = 0; n < 20; n += 1) {
+      const reply = await first.call('GET', `/read/${n}`);
+      expect(reply.status).to.equal(200);
+    }
+    expect(second.upstream.receivedPaths).to.deep.equal([]);
+  });
+
   it('becomes ready with state from its peers while the store is busy', async () => {
     const [first, second] = fleet.machines;
     await waitForFleet(
