--- a/platform/json.ts
+++ b/src/model/json.ts
@@ -1,4 +1,4 @@
-/** Parses JSON text from the platform. */
+/** Parses JSON text and names the remedy where it is none. */
 import {err, ok, Result} from 'neverthrow';
 
 /**
