Returning callers wait behind those that can be answered in time

Change: a caller that states less time than the route's other callers has tried before; its aim counts from its first try. It waits for slots that others leave, for at most three tenths of its time. Among calls that meet their aim the order is that of arrival. Attempts are admitted by their estimated end plus a margin that is learnt from how late ends were. What is taken out of the queue gets its true reason and the time in which the queue is worked off. Uploads leave their zone only when it would make them late: the penalty is by the bytes of the call. Link addresses are computed once for each upstream.

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -7,6 +7,7 @@
 import {isQuarantined} from '../owner/crash_suspects.js';
 import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
 import {Answer} from '../types.js';
+import {recordCallerBudget} from './caller_budgets.js';
 import {chooseInstance} from './choose_instance.js';
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
@@ -86,14 +87,19 @@
     return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
   }
   const timeoutMs = Math.min(route.timeoutMs, info.timeoutMs ?? Infinity);
+  const nested = isNested(state, info);
+  const spentMs = nested
+    ? 0
+    : recordCallerBudget(state.callerBudgets, route.name, info.timeoutMs);
   return {
     callId,
     info,
     route,
     service: chooseBackend(route, entropy),
     version: routeTable.version,
-    nested: isNested(state, info),
+    nested,
     arrivedAt: at,
+    aimAt: at + route.aimMs - spentMs,
     deadlineAt: at + timeoutMs,
     tried: new Set(),
     inFlight: new Map(),
@@ -151,11 +157,13 @@
   call: MeshCall,
   emit: MeshEmit,
 ): boolean {
-  const {route, service, tried} = call;
+  const {route, service, tried, info} = call;
   if (call.deadlineAt - at < MIN_ATTEMPT_MS || call.asked >= MAX_OWNERS_ASKED) {
     return false;
   }
-  const instance = chooseInstance(state, service, route, tried, at, entropy);
+  const {bodyBytes} = info;
+  const query = {service, route, tried, bodyBytes};
+  const instance = chooseInstance(state, query, at, entropy);
   if (instance === undefined) {
     return false;
   }
@@ -193,7 +201,7 @@
     priority: route.priority,
     // The work of a run is wasted if a call that it made is refused, so such
     // a call has until its deadline instead of until its aim.
-    aimMs: call.nested ? timeoutMs : call.arrivedAt + route.aimMs - at,
+    aimMs: call.nested ? timeoutMs : call.aimAt - at,
     timeoutMs,
     routeAimMs: route.aimMs,
     fingerprint: info.fingerprint,
@@ -319,6 +327,8 @@
       nested: call.nested ? call.info.parentId : undefined,
       asked: call.asked,
       reached: call.reached,
+      timeoutMs: call.info.timeoutMs,
+      aimLeftMs: Math.round(call.aimAt - call.arrivedAt),
       tookMs: Math.round(at - call.arrivedAt),
       knowledgeAgeMs: getKnowledgeAgeMs(state, at),
       ...fields,
--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -102,9 +102,9 @@
     }
   }
   if (!failed) {
-    const bytes = call.info.bodyBytes + answer.body.byteLength;
     updateAverage(state.answerMsByRoute, call.route.name, at - sent.sentAt);
-    updateAverage(state.callBytesByRoute, call.route.name, bytes);
+    const {byteLength} = answer.body;
+    updateAverage(state.answerBytesByRoute, call.route.name, byteLength);
   }
   answerMeshCall(state, call, answer, sent, at, emit);
 }
--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -7,21 +7,22 @@
   isEjected,
 } from '../entry/load_view.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
-import {getPriorRunMs} from './run_estimates.js';
+import {RUN_SHARE_OF_AIM, getPriorRunMs} from './run_estimates.js';
 
 /**
  * Penalty that is added to the estimate of an upstream of another zone, as a
  * multiple of {@link getPriorRunMs}: latency is higher, and traffic between
  * zones is billed by the byte. At the users' prices, the traffic of a call of
- * 6 KB costs a tenth of the value of the call, and that of a call of 1 KB costs
- * less than the wait that another zone saves.
+ * 6 KB costs a tenth of the value of the call, that of an upload of 60 KB as much
+ * as a late answer, and that of a call of 1 KB less than the wait that another
+ * zone saves. The largest penalty is one aim.
  */
 const CROSS_ZONE_PENALTY = 0.35;
 const CROSS_ZONE_PENALTY_PER_KB = 0.25;
-const MAX_CROSS_ZONE_PENALTY = 2;
+const MAX_CROSS_ZONE_PENALTY = 1 / RUN_SHARE_OF_AIM;
 
-/** Assumed bytes of request and answer until the route's average is known. */
-const DEFAULT_CALL_BYTES = 2_000;
+/** Assumed bytes of an answer until the route's average is known. */
+const DEFAULT_ANSWER_BYTES = 2_000;
 
 /** Largest share of a service's upstreams that outlier ejection may exclude. */
 const MAX_EJECTED_SHARE = 0.5;
@@ -44,25 +45,32 @@
 /** Bound of the failure rate that keeps estimates finite. */
 const MAX_FAILURE_RATE = 0.9;
 
+/** What the choice depends on, beside the state of the fleet. */
+export interface InstanceQuery {
+  readonly service: string;
+  readonly route: MeshRoute;
+  /** Instances that must not be chosen. */
+  readonly tried: ReadonlySet<string>;
+  /** Bytes of the request's body. */
+  readonly bodyBytes: number;
+}
+
 /**
  * Chooses the upstream for an attempt. One of another zone is preferred only
  * if its estimate, penalty included, is lower.
  * @param state - This proxy's state.
- * @param service - The service.
- * @param route - The call's route.
- * @param tried - Instances that must not be chosen.
+ * @param query - The call.
  * @param at - Now, in milliseconds.
  * @param entropy - A random unsigned 32-bit integer.
  * @returns The instance, or undefined where none accepts new work.
  */
 export function chooseInstance(
   state: MeshState,
-  service: string,
-  route: MeshRoute,
-  tried: ReadonlySet<string>,
+  query: InstanceQuery,
   at: number,
   entropy: number,
 ): Instance | undefined {
+  const {service, tried} = query;
   const all = state.fleet.acceptingByService.get(service) ?? [];
   const candidates = getCandidates(state, all, tried, at);
   if (candidates.length === 0) {
@@ -73,7 +81,7 @@
     return toExplore;
   }
   const getEstimate = (instance: Instance) =>
-    estimateAnswerMs(state, instance, route, at);
+    estimateAnswerMs(state, instance, query, at);
   const {chooser} = state.settings.policy;
   const sameZone = candidates.filter(({zone}) => zone === state.settings.zone);
   const otherZones = candidates.filter(
@@ -153,9 +161,10 @@
 function estimateAnswerMs(
   state: MeshState,
   instance: Instance,
-  route: MeshRoute,
+  query: InstanceQuery,
   at: number,
 ): number {
+  const {route} = query;
   const load = getOrCreateLoad(state.loads, instance.id);
   const priorMs = getPriorRunMs(route.aimMs);
   const runMs = priorMs * getSlowness(load, instance);
@@ -169,16 +178,18 @@
     (1 - failureRate);
   const isSameZone = instance.zone === state.settings.zone;
   return (
-    answerMs + (isSameZone ? 0 : priorMs * getCrossZonePenalty(state, route))
+    answerMs + (isSameZone ? 0 : priorMs * getCrossZonePenalty(state, query))
   );
 }
 
 /** Gets the penalty for another zone, which grows with the bytes of a call. */
 function getCrossZonePenalty(
-  {callBytesByRoute}: MeshState,
-  {name}: MeshRoute,
+  {answerBytesByRoute}: MeshState,
+  {route, bodyBytes}: InstanceQuery,
 ): number {
-  const bytes = callBytesByRoute.get(name) ?? DEFAULT_CALL_BYTES;
+  const answerBytes =
+    answerBytesByRoute.get(route.name) ?? DEFAULT_ANSWER_BYTES;
+  const bytes = bodyBytes + answerBytes;
   const penalty =
     CROSS_ZONE_PENALTY + (bytes / 1_000) * CROSS_ZONE_PENALTY_PER_KB;
   return Math.min(MAX_CROSS_ZONE_PENALTY, penalty);
--- a/src/core/mesh/dispatch_results.ts
+++ b/src/core/mesh/dispatch_results.ts
@@ -16,6 +16,7 @@
   refuseAllWaiting,
   removeRun,
 } from './owner_attempts.js';
+import {recordFinish} from './finish_errors.js';
 import {recordOutcome, recordRunTime} from './run_estimates.js';
 import {RunningAttempt} from './work_queue.js';
 
@@ -93,6 +94,9 @@
   const tookMs = at - run.startedAt;
   if (!failed) {
     recordRunTime(state.estimates, run.attempt, tookMs);
+    const {finishErrors} = state.work;
+    const errorMs = at - (run.expectedEndAt ?? at);
+    recordFinish(finishErrors, run.attempt.routeAimMs, errorMs);
   }
   clearSuspect(state.suspects, run.attempt.fingerprint, effect => {
     if (effect.kind === 'count') {
--- a/src/core/mesh/known_state.ts
+++ b/src/core/mesh/known_state.ts
@@ -4,6 +4,7 @@
  * Each change is counted and logged with its origin.
  */
 import {FleetUpdate, MeshConfig} from '../../model/mesh.js';
+import {retainRoutes} from './caller_budgets.js';
 import {FleetChange, updateFleetView} from './fleet_view.js';
 import {MeshState, getOwnInstance} from './mesh_state.js';
 import {MeshEmit} from './mesh_types.js';
@@ -116,6 +117,7 @@
   }
   state.config = config;
   state.routeTable = createMeshRouteTable(config);
+  retainRoutes(state.callerBudgets, new Set(config.routes.map(r => r.name)));
   emit({kind: 'configAdopted', config});
   emit({
     kind: 'count',
--- a/src/core/mesh/mesh_calls.ts
+++ b/src/core/mesh/mesh_calls.ts
@@ -24,6 +24,8 @@
   /** A request that runs at the upstream beside this proxy made the call. */
   readonly nested: boolean;
   readonly arrivedAt: number;
+  /** Until then, counted from the caller's first try, an answer is in time. */
+  readonly aimAt: number;
   readonly deadlineAt: number;
   /** Instances to which attempts were sent; none gets a second one. */
   readonly tried: Set<string>;
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -2,6 +2,7 @@
 import {Instance, MeshConfig} from '../../model/mesh.js';
 import {LoadView} from '../entry/load_view.js';
 import {CrashSuspects, createCrashSuspects} from '../owner/crash_suspects.js';
+import {CallerBudgets} from './caller_budgets.js';
 import {FleetView, createFleetView, findInstanceAt} from './fleet_view.js';
 import {MeshCall} from './mesh_calls.js';
 import {MeshSettings} from './mesh_settings.js';
@@ -35,15 +36,18 @@
   /** Load of each upstream as this entry knows it, by instance. */
   readonly loads: LoadView;
   readonly retries: RetryTokens;
+  readonly callerBudgets: CallerBudgets;
   /** Moving average of the time to an answer, for the calls of this entry. */
   readonly answerMsByRoute: Map<string, number>;
-  /** Moving average of the bytes of request and answer, for the same calls. */
-  readonly callBytesByRoute: Map<string, number>;
+  /** Moving average of the bytes of an answer, for the same calls. */
+  readonly answerBytesByRoute: Map<string, number>;
   /** Attempts that wait or run at the upstream beside this proxy. */
   readonly work: WorkQueue;
   readonly estimates: RunEstimates;
   readonly health: UpstreamHealth;
   readonly suspects: CrashSuspects;
+  /** Link addresses that were computed; each call looks up many of them. */
+  readonly linkAddresses: WeakMap<Instance, string>;
   /** Earliest time at which missing links to neighbours are opened again. */
   nextLinkOpenAt: number;
   stopRequestedAt?: number;
@@ -64,12 +68,14 @@
     callByAttempt: new Map(),
     loads: new Map(),
     retries: new Map(),
+    callerBudgets: new Map(),
     answerMsByRoute: new Map(),
-    callBytesByRoute: new Map(),
+    answerBytesByRoute: new Map(),
     work: createWorkQueue(),
     estimates: createRunEstimates(),
     health: createUpstreamHealth(),
     suspects: createCrashSuspects(),
+    linkAddresses: new WeakMap(),
     nextLinkOpenAt: 0,
     leaving: false,
     lastWorkAt: 0,
@@ -90,9 +96,14 @@
  * @returns `IP:port`.
  */
 export function getLinkAddress(state: MeshState, instance: Instance): string {
-  const {address} = instance;
-  const host = address.slice(0, address.lastIndexOf(':'));
-  return `${host}:${state.settings.linkPort}`;
+  let link = state.linkAddresses.get(instance);
+  if (link === undefined) {
+    const {address} = instance;
+    const host = address.slice(0, address.lastIndexOf(':'));
+    link = `${host}:${state.settings.linkPort}`;
+    state.linkAddresses.set(instance, link);
+  }
+  return link;
 }
 
 /**
--- /dev/null
+++ b/src/core/mesh/overload_admission.ts
@@ -0,0 +1,177 @@
+/**
+ * Admits attempts to the queue of one upstream, or refuses them. Load pattern:
+ * demand above capacity for seconds, with callers that return after a refusal.
+ * An attempt that cannot be served is refused on arrival, because time spent in
+ * a queue before a refusal is lost. Callers that ask for the first time and can be
+ * answered in time come first; one that has returned gets what they leave.
+ */
+import {getFinishMarginMs} from './finish_errors.js';
+import {RunEstimates, estimateRunMs} from './run_estimates.js';
+import {
+  QueuedAttempt,
+  WorkQueue,
+  estimateDrainMs,
+  estimateWaitMs,
+  willMissAim,
+} from './work_queue.js';
+
+/**
+ * Longest wait of an attempt that will miss its aim, as a share of its route's
+ * aim. A refusal after so short a wait costs the caller nothing.
+ */
+const MAX_LATE_WAIT_SHARE = 0.125;
+
+/**
+ * Least share of its estimated run time that an attempt must have left before
+ * its deadline. Estimates are means, and half of all runs are shorter.
+ */
+const MIN_RUN_SHARE = 0.6;
+
+/**
+ * Attempts that can meet their aim, as a multiple of the slots. While so many
+ * wait, one that cannot would be passed over until its deadline.
+ */
+const PUNCTUAL_ROUNDS = 2;
+
+/**
+ * Longest wait for a slot that others leave, as a share of the time until the
+ * deadline. A caller that gets none is told while it can still do something else.
+ */
+const MAX_SPARE_WAIT_SHARE = 0.3;
+
+/** Share of its aim that a caller has spent if it was refused before. */
+const SPENT_AIM_SHARE = 0.1;
+
+/** Bounds of the retry delay advised to callers, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 60;
+const MAX_RETRY_AFTER_MS = 2_000;
+
+/** Why an attempt was not queued, and the retry delay to advise. */
+export interface QueueRefusal {
+  readonly reason: 'queue_full' | 'deadline_too_short';
+  readonly retryAfterMs: number;
+}
+
+/**
+ * Queues an attempt, unless it cannot finish before its deadline, or would wait
+ * long and still miss its aim.
+ * @param work - The running and waiting attempts.
+ * @param estimates - The upstream's estimates.
+ * @param slots - The upstream's slots.
+ * @param arriving - The attempt.
+ * @param at - Now, in milliseconds.
+ * @returns Why it was refused, or undefined if it was queued.
+ */
+export function tryEnqueue(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  slots: number,
+  arriving: QueuedAttempt,
+  at: number,
+): QueueRefusal | undefined {
+  const {routeAimMs} = arriving.attempt;
+  const waitMs = estimateWaitMs(work, estimates, slots, arriving, at);
+  const runMs = estimateRunMs(estimates, arriving.attempt);
+  const retryAfterMs = clampRetryAfterMs(waitMs);
+  if (at + waitMs + runMs * MIN_RUN_SHARE > arriving.deadlineAt) {
+    return {reason: 'deadline_too_short', retryAfterMs};
+  }
+  const marginMs = getFinishMarginMs(work.finishErrors, routeAimMs);
+  const meetsAim = at + waitMs + runMs + marginMs <= arriving.aimAt;
+  const punctual = countPunctual(work, estimates, at);
+  const mayWaitLate = maySpareSlot(arriving, punctual, slots, at);
+  if (!meetsAim && !mayWaitLate && waitMs > routeAimMs * MAX_LATE_WAIT_SHARE) {
+    return {reason: 'queue_full', retryAfterMs};
+  }
+  arriving.expectedEndAt = at + waitMs + runMs;
+  work.queue.push(arriving);
+  return undefined;
+}
+
+/**
+ * Reports whether an attempt that misses its aim may wait for a slot that others
+ * leave. Only one whose caller has returned may: a late answer is the best that
+ * it can still get, while others can ask another upstream or return.
+ */
+function maySpareSlot(
+  {attempt, arrivedAt, deadlineAt}: QueuedAttempt,
+  punctual: number,
+  slots: number,
+  at: number,
+): boolean {
+  const {aimMs, routeAimMs} = attempt;
+  return (
+    aimMs < routeAimMs * (1 - SPENT_AIM_SHARE) &&
+    at - arrivedAt <= (deadlineAt - arrivedAt) * MAX_SPARE_WAIT_SHARE &&
+    punctual < slots * PUNCTUAL_ROUNDS
+  );
+}
+
+/** Counts the waiting attempts that can still meet their aim. */
+function countPunctual(
+  {queue}: WorkQueue,
+  estimates: RunEstimates,
+  at: number,
+): number {
+  return queue.filter(other => !willMissAim(other, estimates, at)).length;
+}
+
+/** A waiting attempt that was removed, and why. */
+export interface UnservableAttempt {
+  readonly queued: QueuedAttempt;
+  readonly reason: QueueRefusal['reason'];
+}
+
+/**
+ * Removes waiting attempts that can no longer finish before their deadline.
+ * While enough other waiting attempts can meet their aim, also removes those
+ * that cannot: they would be passed over until their deadline, although another
+ * upstream may have a free slot.
+ * @param work - The running and waiting attempts.
+ * @param estimates - The upstream's estimates.
+ * @param slots - The upstream's slots.
+ * @param at - Now, in milliseconds.
+ * @returns The removed attempts and their refusals.
+ */
+export function removeUnservable(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  slots: number,
+  at: number,
+): UnservableAttempt[] {
+  const punctual = countPunctual(work, estimates, at);
+  const unservable: UnservableAttempt[] = [];
+  for (const queued of work.queue) {
+    const runMs = estimateRunMs(estimates, queued.attempt);
+    const yieldsToOthers =
+      punctual > 0 &&
+      willMissAim(queued, estimates, at) &&
+      !maySpareSlot(queued, punctual, slots, at);
+    if (at + runMs * MIN_RUN_SHARE > queued.deadlineAt) {
+      unservable.push({queued, reason: 'deadline_too_short'});
+    } else if (yieldsToOthers) {
+      unservable.push({queued, reason: 'queue_full'});
+    }
+  }
+  for (const {queued} of unservable) {
+    work.queue.splice(work.queue.indexOf(queued), 1);
+  }
+  return unservable;
+}
+
+/** Limits an estimated wait to the bounds of an advised retry delay. */
+export function clampRetryAfterMs(waitMs: number): number {
+  return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+}
+
+/**
+ * Gets the retry delay to advise to callers whose attempts are removed: the time
+ * in which the queue is worked off.
+ */
+export function getRetryAfterMs(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  slots: number,
+): number {
+  return clampRetryAfterMs(estimateDrainMs(work, estimates, slots));
+}
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -13,14 +13,16 @@
 import {estimateRunMs} from './run_estimates.js';
 import {finishesBeforeStop} from './stop_deadline.js';
 import {tryStartProbe} from './upstream_health.js';
+import {
+  getRetryAfterMs,
+  removeUnservable,
+  tryEnqueue,
+} from './overload_admission.js';
 import {
   QueuedAttempt,
   RunningAttempt,
-  clampRetryAfterMs,
   countUsedSlots,
-  removeUnservable,
   removeWaiting,
-  tryEnqueue,
   tryStartNext,
 } from './work_queue.js';
 
@@ -181,8 +183,10 @@
       attemptId: attempt.attemptId,
       route: attempt.route,
       priority: attempt.priority,
+      aimMs: Math.round(attempt.aimMs),
+      timeoutMs: Math.round(attempt.timeoutMs),
       reason: refusal.reason,
-      retryAfterMs: refusal.retryAfterMs,
+      retryAfterMs: refusal.retryAfterMs && Math.round(refusal.retryAfterMs),
       queued: state.work.queue.length,
       running: state.work.running.size,
       slowness: roundToHundredths(state.estimates.slowness),
@@ -221,10 +225,12 @@
 }
 
 function refuseUnservable(state: MeshState, at: number, emit: MeshEmit): void {
-  for (const {attempt} of removeUnservable(state.work, state.estimates, at)) {
-    const retryAfterMs = clampRetryAfterMs(0);
-    const refusal = createRefusal('deadline_too_short', retryAfterMs);
-    refuseAttempt(state, at, attempt, refusal, emit);
+  const {work, estimates} = state;
+  const slots = getSlots(getOwnInstance(state));
+  for (const {queued, reason} of removeUnservable(work, estimates, slots, at)) {
+    const retryAfterMs = getRetryAfterMs(work, estimates, slots);
+    const refusal = createRefusal(reason, retryAfterMs);
+    refuseAttempt(state, at, queued.attempt, refusal, emit);
   }
 }
 
--- a/src/core/mesh/run_estimates.ts
+++ b/src/core/mesh/run_estimates.ts
@@ -10,7 +10,7 @@
  * route's aim. Operators set aims to about three times the run time, so this is
  * right within a factor of two.
  */
-const RUN_SHARE_OF_AIM = 0.35;
+export const RUN_SHARE_OF_AIM = 0.35;
 
 /** Weight of one run in the moving average of a factor. */
 const SAMPLE_WEIGHT = 0.1;
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -1,32 +1,15 @@
 /**
- * Slots and queue of one upstream, designed for overload. Each free slot goes
- * to the most urgent route and, among equals, to an attempt that can still meet
- * its aim (target latency). An attempt that cannot be served is refused on
- * arrival, because time spent in a queue before a refusal is lost.
+ * Slots and queue of one upstream. Each free slot goes to the most urgent route
+ * and, among equals, to an attempt that can still meet its aim (target latency).
  */
 import {MeshAttempt} from '../../model/mesh.js';
+import {FinishErrors, createFinishErrors} from './finish_errors.js';
 import {
   RunEstimates,
   estimateRunMs,
   getStuckThresholdMs,
 } from './run_estimates.js';
 
-/**
- * Longest wait of an attempt that will miss its aim, as a share of its route's
- * aim. A refusal after so short a wait costs the caller nothing.
- */
-const MAX_LATE_WAIT_SHARE = 0.125;
-
-/**
- * Least share of its estimated run time that an attempt must have left before
- * its deadline. Estimates are means, and half of all runs are shorter.
- */
-const MIN_RUN_SHARE = 0.6;
-
-/** Bounds of the retry delay advised to callers, in milliseconds. */
-const MIN_RETRY_AFTER_MS = 60;
-const MAX_RETRY_AFTER_MS = 2_000;
-
 export interface QueuedAttempt {
   readonly attempt: MeshAttempt;
   readonly arrivedAt: number;
@@ -34,6 +17,8 @@
   readonly deadlineAt: number;
   /** This request was running at a crash; only one suspect runs at a time. */
   readonly suspect: boolean;
+  /** When it was expected to end, on arrival. */
+  expectedEndAt?: number;
 }
 
 export interface RunningAttempt extends QueuedAttempt {
@@ -44,10 +29,11 @@
   readonly running: Map<string, RunningAttempt>;
   /** Waiting attempts, in order of arrival. */
   readonly queue: QueuedAttempt[];
+  readonly finishErrors: FinishErrors;
 }
 
 export function createWorkQueue(): WorkQueue {
-  return {running: new Map(), queue: []};
+  return {running: new Map(), queue: [], finishErrors: createFinishErrors()};
 }
 
 /**
@@ -72,10 +58,20 @@
   if (willFirstMissAim !== willMissAim(second, estimates, at)) {
     return !willFirstMissAim;
   }
-  return first.aimAt < second.aimAt;
+  return getTurnAt(first) < getTurnAt(second);
 }
 
-function willMissAim(
+/**
+ * Gets the time by which attempts that can meet their aim are ordered. The time
+ * that a returning caller has spent before gives it no precedence: it would take
+ * the slots of callers that have not been refused yet, and make them late.
+ */
+function getTurnAt({attempt, arrivedAt}: QueuedAttempt): number {
+  return arrivedAt + attempt.routeAimMs;
+}
+
+/** Reports whether an attempt would miss its aim even if it ran at once. */
+export function willMissAim(
   {attempt, aimAt}: QueuedAttempt,
   estimates: RunEstimates,
   at: number,
@@ -124,6 +120,25 @@
   if (used + ahead.length < slots) {
     return 0;
   }
+  return estimateTurnMs(work, ahead, estimates, slots);
+}
+
+/** Estimates the time until all waiting attempts have started. */
+export function estimateDrainMs(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  slots: number,
+): number {
+  return estimateTurnMs(work, work.queue, estimates, slots);
+}
+
+/** Estimates the time until a slot is free behind some waiting attempts. */
+function estimateTurnMs(
+  work: WorkQueue,
+  ahead: readonly QueuedAttempt[],
+  estimates: RunEstimates,
+  slots: number,
+): number {
   const aheadMs = ahead.reduce(
     (sum, {attempt}) => sum + estimateRunMs(estimates, attempt),
     0,
@@ -143,49 +158,6 @@
   return sum / Math.max(1, work.running.size);
 }
 
-/** Why an attempt was not queued, and the retry delay to advise. */
-export interface QueueRefusal {
-  readonly reason: 'queue_full' | 'deadline_too_short';
-  readonly retryAfterMs: number;
-}
-
-/**
- * Queues an attempt, unless it cannot finish before its deadline, or would wait
- * long and still miss its aim.
- * @param work - The running and waiting attempts.
- * @param estimates - The upstream's estimates.
- * @param slots - The upstream's slots.
- * @param arriving - The attempt.
- * @param at - Now, in milliseconds.
- * @returns Why it was refused, or undefined if it was queued.
- */
-export function tryEnqueue(
-  work: WorkQueue,
-  estimates: RunEstimates,
-  slots: number,
-  arriving: QueuedAttempt,
-  at: number,
-): QueueRefusal | undefined {
-  const {routeAimMs} = arriving.attempt;
-  const waitMs = estimateWaitMs(work, estimates, slots, arriving, at);
-  const runMs = estimateRunMs(estimates, arriving.attempt);
-  const retryAfterMs = clampRetryAfterMs(waitMs);
-  if (at + waitMs + runMs * MIN_RUN_SHARE > arriving.deadlineAt) {
-    return {reason: 'deadline_too_short', retryAfterMs};
-  }
-  const meetsAim = at + waitMs + runMs <= arriving.aimAt;
-  if (!meetsAim && waitMs > routeAimMs * MAX_LATE_WAIT_SHARE) {
-    return {reason: 'queue_full', retryAfterMs};
-  }
-  work.queue.push(arriving);
-  return undefined;
-}
-
-/** Limits an estimated wait to the bounds of an advised retry delay. */
-export function clampRetryAfterMs(waitMs: number): number {
-  return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
-}
-
 /**
  * Moves the next attempt that may run from the queue to a free slot.
  * @param work - The running and waiting attempts.
@@ -225,35 +197,6 @@
   return running;
 }
 
-/**
- * Removes waiting attempts that can no longer finish before their deadline.
- * While other waiting attempts can meet their aim, also removes those that
- * cannot: they would be passed over until their deadline, although another
- * upstream may have a free slot.
- * @param work - The running and waiting attempts.
- * @param estimates - The upstream's estimates.
- * @param at - Now, in milliseconds.
- * @returns The removed attempts, which the caller must refuse.
- */
-export function removeUnservable(
-  work: WorkQueue,
-  estimates: RunEstimates,
-  at: number,
-): QueuedAttempt[] {
-  const someMeetAim = work.queue.some(
-    other => !willMissAim(other, estimates, at),
-  );
-  const unservable = work.queue.filter(other => {
-    const runMs = estimateRunMs(estimates, other.attempt);
-    const yieldsToOthers = someMeetAim && willMissAim(other, estimates, at);
-    return yieldsToOthers || at + runMs * MIN_RUN_SHARE > other.deadlineAt;
-  });
-  for (const other of unservable) {
-    work.queue.splice(work.queue.indexOf(other), 1);
-  }
-  return unservable;
-}
-
 /** Removes an attempt from the queue and returns it, if it was waiting. */
 export function removeWaiting(
   work: WorkQueue,
