Ask further owners only where reports make room likely; keep slow slots busy

Load patterns: a service whose upstreams are all full (each refused call asked 3 or 4 owners, which costs two proxies a message each way, at the worst time), and an upstream that is too slow for the aim, such as just after its start (nothing could wait there, so its slots stood idle between two calls).

Change: after queue_full, a further owner is asked only if its report of the last half second leaves room within the useful time. An owner with nothing that can meet its aim queues up to half a round of late attempts.

Ruled out: upstreams that slow down when full.

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -8,7 +8,7 @@
 import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
 import {Answer} from '../types.js';
 import {recordCallerBudget} from './caller_budgets.js';
-import {chooseInstance} from './choose_instance.js';
+import {chooseInstance, hasRoom} from './choose_instance.js';
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 import {MeshCallInfo, MeshEmit, MeshEvent} from './mesh_types.js';
@@ -167,6 +167,13 @@
   if (instance === undefined) {
     return false;
   }
+  const wasTurnedAway = call.lastRefusal?.reason === 'queue_full';
+  if (
+    wasTurnedAway &&
+    !hasRoom(state, instance, query, getUsefulMs(call, at), at)
+  ) {
+    return false;
+  }
   call.asked += 1;
   tried.add(instance.id);
   const address = getLinkAddress(state, instance);
@@ -181,6 +188,16 @@
   return true;
 }
 
+/**
+ * Gets the time in which an answer is useful: until the aim, or until the deadline
+ * where a run waits for the answer or the aim was missed by an earlier try.
+ */
+function getUsefulMs(call: MeshCall, at: number): number {
+  const hasReturned = call.aimAt < call.arrivedAt + call.route.aimMs;
+  const endsAt = call.nested || hasReturned ? call.deadlineAt : call.aimAt;
+  return endsAt - at;
+}
+
 function createAttempt(
   state: MeshState,
   call: MeshCall,
--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -42,6 +42,12 @@
 /** Age above which a load report is too old to judge an upstream by. */
 const LOAD_REPORT_STALE_MS = 3_000;
 
+/** Age up to which a load report tells whether an upstream has room. */
+const ROOM_REPORT_AGE_MS = 500;
+
+/** Margin that owners keep until the aim, as a share of it. */
+const ROOM_MARGIN_SHARE = 0.15;
+
 /** Bound of the failure rate that keeps estimates finite. */
 const MAX_FAILURE_RATE = 0.9;
 
@@ -97,6 +103,28 @@
     : bestNearby;
 }
 
+/**
+ * Reports whether an upstream probably answers a call in time. Load
+ * pattern: a service whose upstreams are all full. Each further owner that is
+ * asked then costs both proxies processor time, and refuses.
+ * @param usefulMs - Time in which an answer is useful, in milliseconds.
+ * @returns True also if no recent report shows the upstream's load.
+ */
+export function hasRoom(
+  state: MeshState,
+  instance: Instance,
+  query: InstanceQuery,
+  usefulMs: number,
+  at: number,
+): boolean {
+  const load = getOrCreateLoad(state.loads, instance.id);
+  if (at - load.reportedAt > ROOM_REPORT_AGE_MS) {
+    return true;
+  }
+  const answerMs = estimateLoadedMs(state, instance, query, at);
+  return answerMs <= usefulMs - query.route.aimMs * ROOM_MARGIN_SHARE;
+}
+
 /** For a small share of calls, picks an upstream without a recent report. */
 function chooseForExploration(
   state: MeshState,
@@ -164,7 +192,20 @@
   query: InstanceQuery,
   at: number,
 ): number {
-  const {route} = query;
+  const isSameZone = instance.zone === state.settings.zone;
+  const penaltyMs = isSameZone
+    ? 0
+    : getPriorRunMs(query.route.aimMs) * getCrossZonePenalty(state, query);
+  return estimateLoadedMs(state, instance, query, at) + penaltyMs;
+}
+
+/** Estimates the same without the penalty for another zone. */
+function estimateLoadedMs(
+  state: MeshState,
+  instance: Instance,
+  {route}: InstanceQuery,
+  at: number,
+): number {
   const load = getOrCreateLoad(state.loads, instance.id);
   const priorMs = getPriorRunMs(route.aimMs);
   const runMs = priorMs * getSlowness(load, instance);
@@ -173,12 +214,9 @@
   const waitMs = (waiting / instance.slots) * runMs;
   const utilization = Math.min(1, requests / instance.slots);
   const failureRate = Math.min(MAX_FAILURE_RATE, load.report?.failing ?? 0);
-  const answerMs =
-    (runMs * (1 + FULL_LOAD_SLOWDOWN * utilization) + waitMs) /
-    (1 - failureRate);
-  const isSameZone = instance.zone === state.settings.zone;
   return (
-    answerMs + (isSameZone ? 0 : priorMs * getCrossZonePenalty(state, query))
+    (runMs * (1 + FULL_LOAD_SLOWDOWN * utilization) + waitMs) /
+    (1 - failureRate)
   );
 }
 
--- a/src/core/mesh/overload_admission.ts
+++ b/src/core/mesh/overload_admission.ts
@@ -39,6 +39,13 @@
  */
 const MAX_SPARE_WAIT_SHARE = 0.3;
 
+/**
+ * Attempts that may wait although all will miss their aim, as a multiple of the
+ * slots. An upstream that is slow, such as after its start, can answer none in
+ * time; without a short queue its slots would also be idle between two arrivals.
+ */
+const BUSY_ROUNDS = 0.5;
+
 /** Share of its aim that a caller has spent if it was refused before. */
 const SPENT_AIM_SHARE = 0.1;
 
@@ -79,7 +86,10 @@
   const marginMs = getFinishMarginMs(work.finishErrors, routeAimMs);
   const meetsAim = at + waitMs + runMs + marginMs <= arriving.aimAt;
   const punctual = countPunctual(work, estimates, at);
-  const mayWaitLate = maySpareSlot(arriving, punctual, slots, at);
+  const keepsSlotsBusy =
+    punctual === 0 && work.queue.length < slots * BUSY_ROUNDS;
+  const mayWaitLate =
+    keepsSlotsBusy || maySpareSlot(arriving, punctual, slots, at);
   if (!meetsAim && !mayWaitLate && waitMs > routeAimMs * MAX_LATE_WAIT_SHARE) {
     return {reason: 'queue_full', retryAfterMs};
   }
--- /dev/null
+++ b/test/mesh/full_service.test.ts
@@ -0,0 +1,60 @@
+/**
+ * Replays calls to a service whose upstreams are all full: each further owner
+ * that is asked costs two proxies processor time and refuses, too.
+ */
+import {
+  getOrCreateLoad,
+  recordLoadReport,
+} from '../../src/core/entry/load_view.js';
+import {LoadReport} from '../../src/model/peer.js';
+import {expect} from '../support/chai_setup.js';
+import {MeshFixture, createInstance} from './mesh_fixture.js';
+
+const UPSTREAMS = [2, 3, 4].map(host => createInstance(host));
+const FULL = {running: 2, queued: 4, slots: 2, leaving: false};
+const IDLE = {running: 0, queued: 0, slots: 2, leaving: false};
+
+/** Reports the same load for all upstreams. */
+function report(proxy: MeshFixture, load: LoadReport): void {
+  for (const {id} of UPSTREAMS) {
+    recordLoadReport(getOrCreateLoad(proxy.state.loads, id), load, proxy.at);
+  }
+}
+
+/** Calls, lets each owner refuse, and counts the owners that were asked. */
+function countAsked(
+  load: LoadReport,
+  options: {
+    readonly ageMs?: number;
+    readonly timeoutMs?: number;
+  } = {},
+): number {
+  const proxy = new MeshFixture();
+  proxy.loadFromSource([createInstance(1, {service: 'other'}), ...UPSTREAMS]);
+  proxy.call('first', '/read/1', 2_500);
+  proxy.answer('first.1');
+  report(proxy, load);
+  proxy.at += options.ageMs ?? 0;
+  proxy.drainEffects();
+  proxy.call('c', '/read/1', options.timeoutMs ?? 2_500);
+  for (let asked = 1; asked <= UPSTREAMS.length; asked += 1) {
+    proxy.refuse(`c.${asked}`, 'queue_full');
+  }
+  const lines = proxy.drainEffects();
+  return lines.filter(line => line.startsWith('sendAttempt')).length;
+}
+
+describe('calls to a service whose upstreams are all full', () => {
+  it('ask one owner where recent reports show no room elsewhere', () => {
+    expect(countAsked(FULL)).to.equal(1);
+  });
+
+  it('ask the others where reports are old or show room', () => {
+    expect(countAsked(FULL, {ageMs: 1_000})).to.equal(3);
+    expect(countAsked(IDLE)).to.equal(3);
+  });
+
+  it('ask the others where the caller has returned and may be answered late', () => {
+    expect(countAsked(FULL, {timeoutMs: 1_900})).to.equal(3);
+  });
+});
--- a/test/mesh/returning_callers.test.ts
+++ b/test/mesh/returning_callers.test.ts
@@ -40,6 +40,8 @@
   readonly callsPerSecond: number;
   /** Whether the entry tells returning callers from first tries. */
   readonly knowsReturns: boolean;
+  /** Mean run time of the upstream. */
+  readonly runMs?: number;
 }
 
 interface Caller {
@@ -55,7 +57,11 @@
 }
 
 /** Plays the load and counts how the callers fared. */
-function simulate({callsPerSecond, knowsReturns}: Options): Totals {
+function simulate({
+  callsPerSecond,
+  knowsReturns,
+  runMs = MEAN_RUN_MS,
+}: Options): Totals {
   const random = new SeededRandom(7);
   const work = createWorkQueue();
   const estimates = createRunEstimates();
@@ -95,7 +101,7 @@
       if (next === undefined) {
         return;
       }
-      const tookMs = MEAN_RUN_MS * (0.5 + random.getFraction());
+      const tookMs = runMs * (0.5 + random.getFraction());
       after(tookMs, () => finish(next, tookMs));
     }
   };
@@ -160,6 +166,16 @@
   });
 });
 
+describe('an upstream that is too slow to answer in time', () => {
+  it('has its slots in use while callers ask', () => {
+    const runMs = 420;
+    const capacity = (DURATION_MS / runMs) * SLOTS;
+    const options = {callsPerSecond: 40, knowsReturns: true, runMs};
+    const {inAim, late} = simulate(options);
+    expect(inAim + late).to.be.above(capacity * 0.95);
+  });
+});
+
 describe('caller budgets', () => {
   it('count a smaller budget as time that was spent before', () => {
     const budgets: CallerBudgets = new Map();
