Choose among upstreams with room after a refusal, in any zone

Cause: the chosen upstream includes the penalty for its zone; one of the same zone without room hid one of another zone with room, and the call was given up.

Test: a full upstream in the zone, an idle one elsewhere (one owner asked before, two after).

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -8,7 +8,7 @@
 import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
 import {Answer} from '../types.js';
 import {recordCallerBudget} from './caller_budgets.js';
-import {chooseInstance, hasRoom} from './choose_instance.js';
+import {chooseInstance} from './choose_instance.js';
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 import {MeshCallInfo, MeshEmit, MeshEvent} from './mesh_types.js';
@@ -162,18 +162,13 @@
     return false;
   }
   const {bodyBytes} = info;
-  const query = {service, route, tried, bodyBytes};
+  const wasTurnedAway = call.lastRefusal?.reason === 'queue_full';
+  const usefulMs = wasTurnedAway ? getUsefulMs(call, at) : undefined;
+  const query = {service, route, tried, bodyBytes, usefulMs};
   const instance = chooseInstance(state, query, at, entropy);
   if (instance === undefined) {
     return false;
   }
-  const wasTurnedAway = call.lastRefusal?.reason === 'queue_full';
-  if (
-    wasTurnedAway &&
-    !hasRoom(state, instance, query, getUsefulMs(call, at), at)
-  ) {
-    return false;
-  }
   call.asked += 1;
   tried.add(instance.id);
   const address = getLinkAddress(state, instance);
--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -59,6 +59,11 @@
   readonly tried: ReadonlySet<string>;
   /** Bytes of the request's body. */
   readonly bodyBytes: number;
+  /**
+   * Only upstreams that probably answer within this time are chosen, in
+   * milliseconds; undefined: all.
+   */
+  readonly usefulMs?: number;
 }
 
 /**
@@ -78,7 +83,9 @@
 ): Instance | undefined {
   const {service, tried} = query;
   const all = state.fleet.acceptingByService.get(service) ?? [];
-  const candidates = getCandidates(state, all, tried, at);
+  const candidates = getCandidates(state, all, tried, at).filter(instance =>
+    hasRoom(state, instance, query, at),
+  );
   if (candidates.length === 0) {
     return undefined;
   }
@@ -104,25 +111,26 @@
 }
 
 /**
- * Reports whether an upstream probably answers a call in time. Load
- * pattern: a service whose upstreams are all full. Each further owner that is
- * asked then costs both proxies processor time, and refuses.
- * @param usefulMs - Time in which an answer is useful, in milliseconds.
- * @returns True also if no recent report shows the upstream's load.
+ * Reports whether an upstream probably answers a call in time, or no recent report
+ * shows its load. Load pattern: a service whose upstreams are all full. Each
+ * further owner that is asked then costs both proxies processor time, and refuses.
  */
-export function hasRoom(
+function hasRoom(
   state: MeshState,
   instance: Instance,
   query: InstanceQuery,
-  usefulMs: number,
   at: number,
 ): boolean {
+  const {usefulMs, route} = query;
+  if (usefulMs === undefined) {
+    return true;
+  }
   const load = getOrCreateLoad(state.loads, instance.id);
   if (at - load.reportedAt > ROOM_REPORT_AGE_MS) {
     return true;
   }
   const answerMs = estimateLoadedMs(state, instance, query, at);
-  return answerMs <= usefulMs - query.route.aimMs * ROOM_MARGIN_SHARE;
+  return answerMs <= usefulMs - route.aimMs * ROOM_MARGIN_SHARE;
 }
 
 /** For a small share of calls, picks an upstream without a recent report. */
--- a/test/mesh/full_service.test.ts
+++ b/test/mesh/full_service.test.ts
@@ -44,6 +44,21 @@
   return lines.filter(line => line.startsWith('sendAttempt')).length;
 }
 
+/** Calls from a zone whose upstream is full, while one elsewhere may have room. */
+function findSecondAsked(farLoad: LoadReport): string[] {
+  const near = createInstance(2);
+  const far = createInstance(3, {zone: 'south'});
+  const proxy = new MeshFixture();
+  proxy.loadFromSource([createInstance(1, {service: 'other'}), near, far]);
+  const {loads} = proxy.state;
+  recordLoadReport(getOrCreateLoad(loads, near.id), FULL, proxy.at);
+  recordLoadReport(getOrCreateLoad(loads, far.id), farLoad, proxy.at);
+  proxy.drainEffects();
+  proxy.call('c', '/read/1', 2_500);
+  proxy.refuse('c.1', 'queue_full');
+  return proxy.drainEffects().filter(line => line.startsWith('sendAttempt'));
+}
+
 describe('calls to a service whose upstreams are all full', () => {
   it('ask one owner where recent reports show no room elsewhere', () => {
     expect(countAsked(FULL)).to.equal(1);
@@ -54,6 +69,11 @@
     expect(countAsked(IDLE)).to.equal(3);
   });
 
+  it('ask an upstream of another zone that has room', () => {
+    expect(findSecondAsked(IDLE).length).to.equal(2);
+    expect(findSecondAsked(FULL).length).to.equal(1);
+  });
+
   it('ask the others where the caller has returned and may be answered late', () => {
     expect(countAsked(FULL, {timeoutMs: 1_900})).to.equal(3);
   });
