--- a/test/mesh/full_service.test.ts
+++ b/test/mesh/full_service.test.ts
@@ -51,8 +51,11 @@
   const proxy = new MeshFixture();
   proxy.loadFromSource([createInstance(1, {service: 'other'}), near, far]);
   const {loads} = proxy.state;
-  recordLoadReport(getOrCreateLoad(loads, near.id), FULL, proxy.at);
+  const busy = {...FULL, queued: 2};
+  recordLoadReport(getOrCreateLoad(loads, near.id), busy, proxy.at);
   recordLoadReport(getOrCreateLoad(loads, far.id), farLoad, proxy.at);
+  // Large answers: the zone's own upstream is asked first.
+  proxy.state.answerBytesByRoute.set('read', 20_000);
   proxy.drainEffects();
   proxy.call('c', '/read/1', 2_500);
   proxy.refuse('c.1', 'queue_full');
