Open links to the whole fleet in advance, in small steps

Change: each proxy opens up to 8 links every half second, each proxy once, those that follow it in address order first.

--- a/src/core/mesh/broadcast_tree.ts
+++ b/src/core/mesh/broadcast_tree.ts
@@ -8,7 +8,7 @@
 const FAN_OUT = 8;
 
 /** Gets the link addresses of the proxies in each zone, sorted. */
-function getProxiesByZone(state: MeshState): Map<string, string[]> {
+export function getProxiesByZone(state: MeshState): Map<string, string[]> {
   const zones = new Map<string, Set<string>>();
   const add = (zone: string, address: string) => {
     const members = zones.get(zone) ?? new Set<string>();
--- a/src/core/mesh/known_state.ts
+++ b/src/core/mesh/known_state.ts
@@ -6,7 +6,7 @@
 import {FleetUpdate, MeshConfig} from '../../model/mesh.js';
 import {retainRoutes} from './caller_budgets.js';
 import {FleetChange, updateFleetView} from './fleet_view.js';
-import {MeshState, getOwnInstance} from './mesh_state.js';
+import {MeshState, getLinkAddress, getOwnInstance} from './mesh_state.js';
 import {MeshEmit} from './mesh_types.js';
 import {createMeshRouteTable} from './route_table.js';
 
@@ -58,6 +58,7 @@
   for (const {id, kind, instance} of changes) {
     if (kind === 'removed' || kind === 'restarted') {
       state.loads.delete(id);
+      state.preparedLinks.delete(getLinkAddress(state, instance));
     }
     if (instance.address === state.settings.upstreamAddress) {
       handleOwnInstanceChange(state, id, emit);
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -29,6 +29,7 @@
   handleDispatchFailure,
 } from './dispatch_results.js';
 import {handleConnectProbe} from './crash_detection.js';
+import {takeLinksToPrepare} from './link_preparation.js';
 import {getNeighbours, getZonePeers} from './broadcast_tree.js';
 import {
   readSourceIfDue,
@@ -131,7 +132,7 @@
   const {at, entropy} = event;
   readSourceIfDue(state, at, entropy, emit);
   removeExpiredInstances(state, at, emit);
-  openNeighbourLinks(state, at, emit);
+  openLinks(state, at, emit);
   expireSuspects(state.suspects, at);
   tickMeshOwner(state, at, emit);
   tickCalls(state, event, emit);
@@ -153,20 +154,15 @@
   }
 }
 
-/** Opens the missing links to neighbours, at intervals. */
-function openNeighbourLinks(
-  state: MeshState,
-  at: number,
-  emit: MeshEmit,
-): void {
+/** Opens missing links to neighbours, and some in advance, at intervals. */
+function openLinks(state: MeshState, at: number, emit: MeshEmit): void {
   if (at < state.nextLinkOpenAt) {
     return;
   }
   state.nextLinkOpenAt = at + LINK_OPEN_INTERVAL_MS;
-  for (const to of getNeighbours(state)) {
-    if (!state.peers.has(to)) {
-      emit({kind: 'openLink', to});
-    }
+  const missing = getNeighbours(state).filter(to => !state.peers.has(to));
+  for (const to of new Set([...missing, ...takeLinksToPrepare(state)])) {
+    emit({kind: 'openLink', to});
   }
 }
 
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -48,6 +48,8 @@
   readonly suspects: CrashSuspects;
   /** Link addresses that were computed; each call looks up many of them. */
   readonly linkAddresses: WeakMap<Instance, string>;
+  /** Proxies to which a link was opened in advance, by link address. */
+  readonly preparedLinks: Set<string>;
   /** Earliest time at which missing links to neighbours are opened again. */
   nextLinkOpenAt: number;
   stopRequestedAt?: number;
@@ -76,6 +78,7 @@
     health: createUpstreamHealth(),
     suspects: createCrashSuspects(),
     linkAddresses: new WeakMap(),
+    preparedLinks: new Set(),
     nextLinkOpenAt: 0,
     leaving: false,
     lastWorkAt: 0,
