--- a/src/core/mesh/overload_admission.ts
+++ b/src/core/mesh/overload_admission.ts
@@ -89,7 +89,7 @@
   const keepsSlotsBusy =
     punctual === 0 && work.queue.length < slots * BUSY_ROUNDS;
   const mayWaitLate =
-    keepsSlotsBusy || maySpareSlot(arriving, punctual, slots, at);
+    keepsSlotsBusy || mayWaitForSpareSlot(arriving, punctual, slots, at);
   if (!meetsAim && !mayWaitLate && waitMs > routeAimMs * MAX_LATE_WAIT_SHARE) {
     return {reason: 'queue_full', retryAfterMs};
   }
@@ -103,7 +103,7 @@
  * leave. Only one whose caller has returned may: a late answer is the best that
  * it can still get, while others can ask another upstream or return.
  */
-function maySpareSlot(
+function mayWaitForSpareSlot(
   {attempt, arrivedAt, deadlineAt}: QueuedAttempt,
   punctual: number,
   slots: number,
@@ -156,7 +156,7 @@
     const yieldsToOthers =
       punctual > 0 &&
       willMissAim(queued, estimates, at) &&
-      !maySpareSlot(queued, punctual, slots, at);
+      !mayWaitForSpareSlot(queued, punctual, slots, at);
     if (at + runMs * MIN_RUN_SHARE > queued.deadlineAt) {
       unservable.push({queued, reason: 'deadline_too_short'});
     } else if (yieldsToOthers) {
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -58,7 +58,7 @@
   if (willFirstMissAim !== willMissAim(second, estimates, at)) {
     return !willFirstMissAim;
   }
-  return getTurnAt(first) < getTurnAt(second);
+  return getTurnTime(first) < getTurnTime(second);
 }
 
 /**
@@ -66,7 +66,7 @@
  * that a returning caller has spent before gives it no precedence: it would take
  * the slots of callers that have not been refused yet, and make them late.
  */
-function getTurnAt({attempt, arrivedAt}: QueuedAttempt): number {
+function getTurnTime({attempt, arrivedAt}: QueuedAttempt): number {
   return arrivedAt + attempt.routeAimMs;
 }
 
