Become ready at once after a restart: fast ticks, no links in advance

Change: ticks stay at 40 ms until the proxy is ready; links are opened in advance only by a proxy that is ready and has no call in progress.

Test: no link in advance before the configuration is known or during a call (failed before).

--- a/src/core/mesh/link_preparation.ts
+++ b/src/core/mesh/link_preparation.ts
@@ -4,7 +4,7 @@
  * opening them all in one moment takes the processor time of the calls.
  */
 import {getProxiesByZone} from './broadcast_tree.js';
-import {MeshState} from './mesh_state.js';
+import {MeshState, isReady} from './mesh_state.js';
 
 /**
  * Links that are opened in one interval. A fleet of 80 has all within about five
@@ -16,12 +16,17 @@
  * Takes the next proxies to which a link is to be opened. Each is taken once: a
  * link that cannot be opened, or is closed later, is opened again by the next call
  * that needs it. The proxies that follow this one in address order come first, so
- * that seldom both ends open a link to each other.
+ * that seldom both ends open a link to each other. None is taken until this proxy
+ * is ready, or while calls are in progress.
  * @param state - This proxy's state.
  * @returns Link addresses.
  */
 export function takeLinksToPrepare(state: MeshState): string[] {
-  const {preparedLinks, peers, settings} = state;
+  const {preparedLinks, peers, settings, calls} = state;
+  if (!isReady(state) || calls.size > 0) {
+    // After a restart, callers are waiting: their calls open what they need.
+    return [];
+  }
   const others = state.fleet.byAddress.size - 1;
   if (preparedLinks.size >= others) {
     return [];
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -195,11 +195,12 @@
   }
 
   private scheduleTick(): void {
-    const {calls, work, stopRequestedAt} = this.loop.state;
+    const {state} = this.loop;
+    const {calls, work} = state;
     const isIdle =
       calls.size === 0 && work.running.size === 0 && work.queue.length === 0;
-    const isStopping = stopRequestedAt !== undefined;
-    this.ticksIdly = isIdle && !isStopping;
+    // A proxy that is not ready may turn callers away, so its reads are urgent.
+    this.ticksIdly = isIdle && isReady(state);
     this.timer = setTimeout(
       () => {
         this.loop.post({kind: 'tick'});
--- a/test/mesh/link_preparation.test.ts
+++ b/test/mesh/link_preparation.test.ts
@@ -1,6 +1,11 @@
 /** Replays the start of a fleet: links are open before the first calls come. */
 import {expect} from '../support/chai_setup.js';
-import {MeshFixture, createHello, createInstance} from './mesh_fixture.js';
+import {
+  MeshFixture,
+  createConfig,
+  createHello,
+  createInstance,
+} from './mesh_fixture.js';
 
 const FLEET = Array.from({length: 40}, (_, n) =>
   createInstance(n + 1, {zone: n % 2 === 0 ? 'north' : 'south'}),
@@ -29,6 +34,18 @@
     expect(new Set(opened).size).to.equal(FLEET.length - 1);
   });
 
+  it('wait until the configuration is known and no call is in progress', () => {
+    const proxy = new MeshFixture();
+    proxy.readFleet(FLEET, 10);
+    const neighbours = advance(proxy);
+    expect(neighbours.length).to.equal(3);
+    proxy.readConfig(createConfig(), 10);
+    proxy.call('c');
+    expect(advance(proxy)).to.deep.equal(neighbours);
+    proxy.answer('c.1');
+    expect(advance(proxy).length).to.be.above(3);
+  });
+
   it('leave out proxies that have opened one, and are not repeated', () => {
     const proxy = new MeshFixture();
     proxy.loadFromSource(FLEET);
