--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -23,9 +23,13 @@
   readonly body: string;
 }
 
-/** An upstream that answers with its id and records the paths it receives. */
+/** An upstream that answers with its id and records what it receives. */
 export class UpstreamStandin {
   readonly receivedPaths: string[] = [];
+  /** Arrival times of `receivedPaths`, by `performance.now()`. */
+  readonly receivedAt: number[] = [];
+  /** Headers in which it reports its own state, sent with each answer. */
+  statusHeaders: Readonly<Record<string, string>> = {};
   /** Returns the status for a path; by default 200 at once. */
   answer: (path: string) => Promise<number> = () => Promise.resolve(200);
   private readonly server: Server;
@@ -40,12 +44,14 @@
       }
       const path = req.url ?? '';
       this.receivedPaths.push(path);
+      this.receivedAt.push(performance.now());
       void this.answer(path).then(status => {
         const echo = String(req.headers[requestId]);
         const caller = String(req.headers[HEADER_NAMES.callerService]);
         res.writeHead(status, {
           [requestId]: echo,
           'x-response-signature': `signed-${this.id}`,
+          ...this.statusHeaders,
         });
         res.end(`${this.id} for ${caller}`);
       });
