Keep the limits that upstreams name, and their departures

What callers and upstreams saw: an upstream that named a limit of 8.3 requests a second got 124 in 4 s (55 allowed), and one that had reported its departure went on getting work for as long as the store listed it.

Cause: an answer's headers were passed on to the caller, and only two facts of them (not run, other instance) became inputs of decisions. Class: what an answer says of its upstream did not reach the decisions that it bears on.

Change: the upstream client turns both headers into a report, also of answers that break off. All requests of an upstream pass through its owner, so the owner enforces the limit with a token bucket; admission, removal from the queue, the order of starts and the advised delay count with it, and what cannot start in time is refused at once (rate_limited). Load reports carry limit and wait to the entries' choice, exploration and further owners; attempts carry the limit back, for an owner that has restarted. A departure is remembered by instance and start, at the owner and at each entry that was told, whatever is listed later. Log lines, counter upstream_report, two gauges.

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -162,7 +162,9 @@
     return false;
   }
   const {bodyBytes} = info;
-  const wasTurnedAway = call.lastRefusal?.reason === 'queue_full';
+  const lastReason = call.lastRefusal?.reason;
+  const wasTurnedAway =
+    lastReason === 'queue_full' || lastReason === 'rate_limited';
   const usefulMs = wasTurnedAway ? getUsefulMs(call, at) : undefined;
   const query = {service, route, tried, bodyBytes, usefulMs};
   const instance = chooseInstance(state, query, at, entropy);
@@ -201,6 +203,8 @@
 ): MeshAttempt {
   const {route, info} = call;
   const timeoutMs = call.deadlineAt - at;
+  const {report} = getOrCreateLoad(state.loads, instanceId);
+  const limitPerSecond = report?.limitPerSecond;
   return {
     attemptId: `${call.callId}.${call.tried.size}`,
     requestId: info.requestId,
@@ -217,6 +221,7 @@
     timeoutMs,
     routeAimMs: route.aimMs,
     fingerprint: info.fingerprint,
+    ...(limitPerSecond === undefined ? {} : {limitPerSecond}),
   };
 }
 
--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -19,6 +19,7 @@
   refuseCall,
   trySendAttempt,
 } from './call_lifecycle.js';
+import {markLeaving} from './fleet_view.js';
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState} from './mesh_state.js';
 import {AttemptOutcome, MeshEmit, MeshEvent} from './mesh_types.js';
@@ -67,6 +68,9 @@
   const {result, reachedUpstream} = outcome;
   const load = getOrCreateLoad(state.loads, sent.instanceId);
   recordLoadReport(load, outcome.load, stamp.at);
+  if (outcome.load?.upstreamLeaving === true) {
+    markLeaving(state.fleet, sent.instanceId);
+  }
   if (reachedUpstream) {
     call.reached += 1;
   }
--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -3,6 +3,7 @@
 import {
   UpstreamLoad,
   estimateInFlight,
+  estimateLimitDelayMs,
   getOrCreateLoad,
   isEjected,
 } from '../entry/load_view.js';
@@ -126,6 +127,9 @@
     return true;
   }
   const load = getOrCreateLoad(state.loads, instance.id);
+  if (estimateLimitDelayMs(load, at) > usefulMs) {
+    return false;
+  }
   if (at - load.reportedAt > ROOM_REPORT_AGE_MS) {
     return true;
   }
@@ -143,10 +147,12 @@
   if (entropy / 2 ** 32 >= EXPLORATION_SHARE) {
     return undefined;
   }
-  const unexplored = candidates.filter(
-    ({id}) =>
-      at - (state.loads.get(id)?.reportedAt ?? 0) > LOAD_REPORT_STALE_MS,
-  );
+  const unexplored = candidates.filter(({id}) => {
+    const load = state.loads.get(id);
+    const isStale = at - (load?.reportedAt ?? 0) > LOAD_REPORT_STALE_MS;
+    const isHeld = load !== undefined && estimateLimitDelayMs(load, at) > 0;
+    return isStale && !isHeld;
+  });
   return unexplored[entropy % Math.max(1, unexplored.length)];
 }
 
@@ -219,7 +225,8 @@
   const runMs = priorMs * getSlowness(load, instance);
   const requests = estimateInFlight(load, at);
   const waiting = Math.max(0, requests + 1 - instance.slots);
-  const waitMs = (waiting / instance.slots) * runMs;
+  const slotWaitMs = (waiting / instance.slots) * runMs;
+  const waitMs = Math.max(slotWaitMs, estimateLimitDelayMs(load, at));
   const utilization = Math.min(1, requests / instance.slots);
   const failureRate = Math.min(MAX_FAILURE_RATE, load.report?.failing ?? 0);
   return (
--- a/src/core/mesh/crash_detection.ts
+++ b/src/core/mesh/crash_detection.ts
@@ -12,6 +12,7 @@
   refuseAllWaiting,
   removeRun,
 } from './owner_attempts.js';
+import {resetRateLimit} from './rate_limit.js';
 import {recordOutcome} from './run_estimates.js';
 import {broadcastToPeers} from './broadcast_to_peers.js';
 import {clearLostRuns, tryStartProbe} from './upstream_health.js';
@@ -95,6 +96,7 @@
   const {health} = state;
   if (!health.down) {
     health.down = true;
+    resetRateLimit(state.work.limit);
     broadcastUpstreamState(state, false, emit);
     emit({
       kind: 'log',
--- a/src/core/mesh/dispatch_results.ts
+++ b/src/core/mesh/dispatch_results.ts
@@ -4,7 +4,12 @@
 import {createRefusal} from '../refusals.js';
 import {Answer, isServerError} from '../types.js';
 import {MeshState, getOwnInstance} from './mesh_state.js';
-import {AnswerFacts, DispatchFailure, MeshEmit} from './mesh_types.js';
+import {
+  AnswerFacts,
+  DispatchFailure,
+  MeshEmit,
+  UpstreamReport,
+} from './mesh_types.js';
 import {
   deferLostRun,
   markUpstreamDown,
@@ -16,6 +21,7 @@
   refuseAllWaiting,
   removeRun,
 } from './owner_attempts.js';
+import {applyUpstreamReport} from './upstream_reports.js';
 import {recordFinish} from './finish_errors.js';
 import {recordOutcome, recordRunTime} from './run_estimates.js';
 import {RunningAttempt} from './work_queue.js';
@@ -39,6 +45,11 @@
   state.lastWorkAt = at;
   state.health.answeredAt = at;
   markUpstreamUp(state, emit);
+  if (facts.report !== undefined && !facts.otherInstance) {
+    const isRegular = !facts.notRun && !isServerError(answer);
+    const {report} = facts;
+    applyUpstreamReport(state, at, run.attempt, report, isRegular, emit);
+  }
   if (facts.otherInstance) {
     handleReplacedInstance(state, at, run, emit);
   } else if (facts.notRun) {
@@ -140,12 +151,16 @@
   at: number,
   attemptId: string,
   failure: DispatchFailure,
+  report: UpstreamReport | undefined,
   emit: MeshEmit,
 ): void {
   const run = state.work.running.get(attemptId);
   if (run === undefined) {
     return;
   }
+  if (report !== undefined) {
+    applyUpstreamReport(state, at, run.attempt, report, false, emit);
+  }
   emit({kind: 'count', counter: 'upstream_failed', reason: failure});
   emit({
     kind: 'log',
--- a/src/core/mesh/fleet_view.ts
+++ b/src/core/mesh/fleet_view.ts
@@ -18,6 +18,9 @@
 /** Removed instances that are remembered, to reject their late reports. */
 const MAX_TOMBSTONES = 1_000;
 
+/** Instances that are remembered as leaving. */
+const MAX_LEAVING = 1_000;
+
 /** Position of a report among those of one instance. */
 interface ReportOrder {
   readonly incarnation: number;
@@ -36,6 +39,11 @@
   readonly missingUntil: Map<string, number>;
   /** The earliest report that shows that a removed instance is running. */
   readonly tombstones: Map<string, ReportOrder>;
+  /**
+   * Incarnations of instances that have reported in an answer that they are
+   * leaving. Kept when an instance is removed: a stale listing may show it again.
+   */
+  readonly leaving: Map<string, number>;
   /** Until this time, an unlisted instance is kept in `missingUntil`. */
   removalsHeldUntil: number;
   /** Latest instance at each address; rebuilt on each change. */
@@ -50,6 +58,7 @@
     instances: new Map(),
     missingUntil: new Map(),
     tombstones: new Map(),
+    leaving: new Map(),
     removalsHeldUntil: 0,
     byAddress: new Map(),
     acceptingByService: new Map(),
@@ -237,6 +246,36 @@
   return changes;
 }
 
+/**
+ * Excludes an instance from new work for the rest of its life, because one of its
+ * answers reported that it is leaving.
+ * @param view - The view.
+ * @param id - The instance.
+ * @returns False if this was known.
+ */
+export function markLeaving(view: FleetView, id: string): boolean {
+  const known = view.instances.get(id) ?? view.tombstones.get(id);
+  const incarnation = known?.incarnation ?? 0;
+  if ((view.leaving.get(id) ?? -Infinity) >= incarnation) {
+    return false;
+  }
+  view.leaving.set(id, incarnation);
+  if (view.leaving.size > MAX_LEAVING) {
+    const [oldest] = view.leaving.keys();
+    view.leaving.delete(oldest);
+  }
+  rebuildIndexes(view);
+  return true;
+}
+
+/** Reports whether an instance has reported in an answer that it is leaving. */
+export function isLeaving(
+  view: FleetView,
+  {id, incarnation}: Pick<Instance, 'id' | 'incarnation'>,
+): boolean {
+  return (view.leaving.get(id) ?? -Infinity) >= incarnation;
+}
+
 function rebuildIndexes(view: FleetView): void {
   // Of two instances with one address, the later one has it.
   const byAddress = new Map<string, Instance>();
@@ -248,7 +287,7 @@
   }
   const accepting = new Map<string, Instance[]>();
   for (const instance of byAddress.values()) {
-    if (instance.state === 'ready') {
+    if (instance.state === 'ready' && !isLeaving(view, instance)) {
       const instances = accepting.get(instance.service) ?? [];
       instances.push(instance);
       accepting.set(instance.service, instances);
--- a/src/core/mesh/known_state.ts
+++ b/src/core/mesh/known_state.ts
@@ -3,11 +3,12 @@
  * configuration version never decreases, and a version is adopted as a whole.
  * Each change is counted and logged with its origin.
  */
-import {FleetUpdate, MeshConfig} from '../../model/mesh.js';
+import {FleetUpdate, Instance, MeshConfig} from '../../model/mesh.js';
 import {retainRoutes} from './caller_budgets.js';
 import {FleetChange, updateFleetView} from './fleet_view.js';
 import {MeshState, getLinkAddress, getOwnInstance} from './mesh_state.js';
 import {MeshEmit} from './mesh_types.js';
+import {resetRateLimit} from './rate_limit.js';
 import {createMeshRouteTable} from './route_table.js';
 
 /** Upper bound of the ages in messages, because JSON has no infinity. */
@@ -91,7 +92,9 @@
   changedId: string,
   emit: MeshEmit,
 ): void {
-  const id = getOwnInstance(state)?.id;
+  const own = getOwnInstance(state);
+  const id = own?.id;
+  resetLimitOfEarlierProcess(state, own);
   state.health.deregisteredId = id === undefined ? changedId : undefined;
   if (id !== undefined && state.health.registeredId !== id) {
     state.health.registeredId = id;
@@ -100,6 +103,23 @@
   }
 }
 
+/** A limit that an earlier process of the upstream has named no longer holds. */
+function resetLimitOfEarlierProcess(
+  {health, work}: MeshState,
+  own: Instance | undefined,
+): void {
+  if (own === undefined) {
+    return;
+  }
+  const {registeredId, registeredIncarnation} = health;
+  const isSameProcess =
+    registeredId === own.id && registeredIncarnation === own.incarnation;
+  if (registeredId !== undefined && !isSameProcess) {
+    resetRateLimit(work.limit);
+  }
+  health.registeredIncarnation = own.incarnation;
+}
+
 /**
  * Adopts a configuration if its version is higher than the current one.
  * @param from - Link address of the sender, or `source`.
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -117,6 +117,7 @@
         at,
         event.attemptId,
         event.failure,
+        event.report,
         emit,
       );
     case 'connectProbed':
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -3,7 +3,12 @@
 import {LoadView} from '../entry/load_view.js';
 import {CrashSuspects, createCrashSuspects} from '../owner/crash_suspects.js';
 import {CallerBudgets} from './caller_budgets.js';
-import {FleetView, createFleetView, findInstanceAt} from './fleet_view.js';
+import {
+  FleetView,
+  createFleetView,
+  findInstanceAt,
+  isLeaving,
+} from './fleet_view.js';
 import {MeshCall} from './mesh_calls.js';
 import {MeshSettings} from './mesh_settings.js';
 import {RetryTokens} from './retry_tokens.js';
@@ -91,6 +96,15 @@
   return findInstanceAt(state.fleet, state.settings.upstreamAddress);
 }
 
+/** Reports whether this proxy's upstream drains or has reported that it leaves. */
+export function isUpstreamLeaving(state: MeshState): boolean {
+  const own = getOwnInstance(state);
+  return (
+    own !== undefined &&
+    (own.state === 'draining' || isLeaving(state.fleet, own))
+  );
+}
+
 /**
  * Gets the link address of the proxy beside an upstream. All proxies listen
  * for links on the same port.
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -77,12 +77,25 @@
  */
 export type DispatchFailure = FailureKind | 'foreign-answer';
 
+/** What the headers of an answer say of the upstream itself. */
+export interface UpstreamReport {
+  /**
+   * Requests per second that the upstream accepts from all proxies together;
+   * undefined: it names no limit.
+   */
+  readonly limitPerSecond?: number | 'unreadable';
+  /** The upstream is about to end and is to get no new work. */
+  readonly leaving: boolean;
+}
+
 /** What the status and the headers of the upstream's answer report. */
 export interface AnswerFacts {
   /** The upstream reports that it did not execute the request. */
   readonly notRun: boolean;
   /** Another instance than the addressed one has the address. */
   readonly otherInstance: boolean;
+  /** Undefined if the answer is not known to come from the upstream. */
+  readonly report?: UpstreamReport;
 }
 
 export type MeshEventBody =
@@ -139,6 +152,8 @@
       readonly kind: 'upstreamFailed';
       readonly attemptId: string;
       readonly failure: DispatchFailure;
+      /** Present if the answer failed after its headers had arrived. */
+      readonly report?: UpstreamReport;
     }
   | {readonly kind: 'connectProbed'; readonly accepted: boolean}
   | {readonly kind: 'stopRequested'};
@@ -166,6 +181,7 @@
   | 'peer_message'
   | 'crash_suspected'
   | 'upstream_failed'
+  | 'upstream_report'
   | 'link_changed';
 
 export type LogFields = Readonly<
--- a/src/core/mesh/overload_admission.ts
+++ b/src/core/mesh/overload_admission.ts
@@ -11,6 +11,7 @@
   QueuedAttempt,
   WorkQueue,
   estimateDrainMs,
+  estimateRateDelayMs,
   estimateWaitMs,
   willMissAim,
 } from './work_queue.js';
@@ -55,7 +56,7 @@
 
 /** Why an attempt was not queued, and the retry delay to advise. */
 export interface QueueRefusal {
-  readonly reason: 'queue_full' | 'deadline_too_short';
+  readonly reason: 'queue_full' | 'deadline_too_short' | 'rate_limited';
   readonly retryAfterMs: number;
 }
 
@@ -77,21 +78,28 @@
   at: number,
 ): QueueRefusal | undefined {
   const {routeAimMs} = arriving.attempt;
-  const waitMs = estimateWaitMs(work, estimates, slots, arriving, at);
+  const slotWaitMs = estimateWaitMs(work, estimates, slots, arriving, at);
+  const rateDelayMs = estimateRateDelayMs(work, estimates, arriving, at);
+  const isRateLimited = rateDelayMs > slotWaitMs;
+  const waitMs = Math.max(slotWaitMs, rateDelayMs);
   const runMs = estimateRunMs(estimates, arriving.attempt);
   const retryAfterMs = clampRetryAfterMs(waitMs);
   if (at + waitMs + runMs * MIN_RUN_SHARE > arriving.deadlineAt) {
-    return {reason: 'deadline_too_short', retryAfterMs};
+    const reason = isRateLimited ? 'rate_limited' : 'deadline_too_short';
+    return {reason, retryAfterMs};
   }
   const marginMs = getFinishMarginMs(work.finishErrors, routeAimMs);
   const meetsAim = at + waitMs + runMs + marginMs <= arriving.aimAt;
   const punctual = countPunctual(work, estimates, at);
   const keepsSlotsBusy =
     punctual === 0 && work.queue.length < slots * BUSY_ROUNDS;
+  // Where the rate limit makes it wait, no slot would be idle without it.
   const mayWaitLate =
-    keepsSlotsBusy || mayWaitForSpareSlot(arriving, punctual, slots, at);
+    !isRateLimited &&
+    (keepsSlotsBusy || mayWaitForSpareSlot(arriving, punctual, slots, at));
   if (!meetsAim && !mayWaitLate && waitMs > routeAimMs * MAX_LATE_WAIT_SHARE) {
-    return {reason: 'queue_full', retryAfterMs};
+    const reason = isRateLimited ? 'rate_limited' : 'queue_full';
+    return {reason, retryAfterMs};
   }
   arriving.expectedEndAt = at + waitMs + runMs;
   work.queue.push(arriving);
@@ -151,24 +159,48 @@
 ): UnservableAttempt[] {
   const punctual = countPunctual(work, estimates, at);
   const unservable: UnservableAttempt[] = [];
-  for (const queued of work.queue) {
+  for (const queued of [...work.queue]) {
     const runMs = estimateRunMs(estimates, queued.attempt);
     const yieldsToOthers =
       punctual > 0 &&
       willMissAim(queued, estimates, at) &&
       !mayWaitForSpareSlot(queued, punctual, slots, at);
+    let reason: QueueRefusal['reason'];
     if (at + runMs * MIN_RUN_SHARE > queued.deadlineAt) {
-      unservable.push({queued, reason: 'deadline_too_short'});
+      reason = 'deadline_too_short';
+    } else if (isHeldTooLong(work, estimates, queued, at)) {
+      reason = 'rate_limited';
     } else if (yieldsToOthers) {
-      unservable.push({queued, reason: 'queue_full'});
+      reason = 'queue_full';
+    } else {
+      continue;
     }
-  }
-  for (const {queued} of unservable) {
     work.queue.splice(work.queue.indexOf(queued), 1);
+    unservable.push({queued, reason});
   }
   return unservable;
 }
 
+/**
+ * Reports whether the upstream's rate limit, which may have been named or lowered
+ * after an attempt was queued, makes it wait longer than is worth it.
+ */
+function isHeldTooLong(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  queued: QueuedAttempt,
+  at: number,
+): boolean {
+  const delayMs = estimateRateDelayMs(work, estimates, queued, at);
+  if (delayMs === 0) {
+    return false;
+  }
+  const {attempt, arrivedAt, aimAt} = queued;
+  const meetsAim = at + delayMs + estimateRunMs(estimates, attempt) <= aimAt;
+  const waitMs = at - arrivedAt + delayMs;
+  return !meetsAim && waitMs > attempt.routeAimMs * MAX_LATE_WAIT_SHARE;
+}
+
 /** Limits an estimated wait to the bounds of an advised retry delay. */
 export function clampRetryAfterMs(waitMs: number): number {
   return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
@@ -182,6 +214,7 @@
   work: WorkQueue,
   estimates: RunEstimates,
   slots: number,
+  at: number,
 ): number {
-  return clampRetryAfterMs(estimateDrainMs(work, estimates, slots));
+  return clampRetryAfterMs(estimateDrainMs(work, estimates, slots, at));
 }
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -7,8 +7,10 @@
 import {isQuarantined, isSuspect} from '../owner/crash_suspects.js';
 import {Refusal, createRefusal} from '../refusals.js';
 import {Answer} from '../types.js';
-import {MeshState, getOwnInstance} from './mesh_state.js';
+import {isLeaving} from './fleet_view.js';
+import {MeshState, getOwnInstance, isUpstreamLeaving} from './mesh_state.js';
 import {AttemptOutcome, MeshEmit} from './mesh_types.js';
+import {adoptRateLimitHint, getRateDelayMs} from './rate_limit.js';
 import {roundToHundredths} from './rounding.js';
 import {estimateRunMs} from './run_estimates.js';
 import {finishesBeforeStop} from './stop_deadline.js';
@@ -53,6 +55,7 @@
     suspect: isSuspect(state.suspects, attempt.fingerprint),
   };
   const {work, estimates} = state;
+  adoptRateLimitHint(work.limit, attempt.limitPerSecond, at);
   const slots = getSlots(getOwnInstance(state));
   const rejection = tryEnqueue(work, estimates, slots, arriving, at);
   if (rejection !== undefined) {
@@ -102,30 +105,57 @@
   if (isOther || replacedId === instanceId) {
     return 'wrong_home';
   }
-  return own?.state === 'draining' || deregisteredId === instanceId
+  const isGone = deregisteredId === instanceId;
+  return isGone || isInstanceLeaving(state, instanceId)
     ? 'upstream_leaving'
     : undefined;
 }
 
+/** Reports whether an instance, registered or not, is to get no new work. */
+function isInstanceLeaving(state: MeshState, id: string): boolean {
+  const own = getOwnInstance(state);
+  return own?.id === id
+    ? isUpstreamLeaving(state)
+    : isLeaving(state.fleet, {id, incarnation: 0});
+}
+
 function getSlots(own: Instance | undefined): number {
   return own?.slots ?? UNREGISTERED_SLOTS;
 }
 
-/** Creates the load report from which entries choose an upstream. */
-export function createLoadReport(state: MeshState, at: number): LoadReport {
-  const {work, estimates, health} = state;
+/**
+ * Creates the load report from which entries choose an upstream.
+ * @param instanceId - The instance that the entry asked.
+ */
+function createLoadReport(
+  state: MeshState,
+  at: number,
+  instanceId: string,
+): LoadReport {
+  const {work, estimates, health, fleet} = state;
   const own = getOwnInstance(state);
+  const incarnation = own?.id === instanceId ? own.incarnation : 0;
+  const {limit, queue} = work;
   return {
     running: countUsedSlots(work, estimates, at),
-    queued: work.queue.length,
+    queued: queue.length,
     slots: getSlots(own),
     leaving:
-      own?.state === 'draining' ||
+      isUpstreamLeaving(state) ||
       health.replacedId !== undefined ||
       health.deregisteredId !== undefined ||
       state.leaving,
     slowness: roundToHundredths(estimates.slowness),
     failing: roundToHundredths(estimates.failing),
+    ...(limit.perSecond === undefined
+      ? {}
+      : {
+          limitPerSecond: limit.perSecond,
+          limitDelayMs: Math.round(getRateDelayMs(limit, queue.length, at)),
+        }),
+    ...(isLeaving(fleet, {id: instanceId, incarnation})
+      ? {upstreamLeaving: true}
+      : {}),
   };
 }
 
@@ -133,11 +163,11 @@
 export function finishMeshAttempt(
   state: MeshState,
   at: number,
-  attemptId: string,
+  {attemptId, instanceId}: MeshAttempt,
   outcome: Omit<AttemptOutcome, 'load'>,
   emit: MeshEmit,
 ): void {
-  const load = createLoadReport(state, at);
+  const load = createLoadReport(state, at, instanceId);
   emit({kind: 'finishAttempt', attemptId, outcome: {...outcome, load}});
 }
 
@@ -160,8 +190,7 @@
   emit: MeshEmit,
   reachedUpstream = true,
 ): void {
-  const {attemptId} = run.attempt;
-  finishMeshAttempt(state, at, attemptId, {result, reachedUpstream}, emit);
+  finishMeshAttempt(state, at, run.attempt, {result, reachedUpstream}, emit);
 }
 
 /** Refuses an attempt that was not sent to the upstream. */
@@ -190,12 +219,12 @@
       queued: state.work.queue.length,
       running: state.work.running.size,
       slowness: roundToHundredths(state.estimates.slowness),
+      limitPerSecond: state.work.limit.perSecond,
       revision: state.fleet.revision,
     },
   });
-  const {attemptId} = attempt;
   const outcome = {result: refusal, reachedUpstream: false};
-  finishMeshAttempt(state, at, attemptId, outcome, emit);
+  finishMeshAttempt(state, at, attempt, outcome, emit);
 }
 
 /**
@@ -228,7 +257,7 @@
   const {work, estimates} = state;
   const slots = getSlots(getOwnInstance(state));
   for (const {queued, reason} of removeUnservable(work, estimates, slots, at)) {
-    const retryAfterMs = getRetryAfterMs(work, estimates, slots);
+    const retryAfterMs = getRetryAfterMs(work, estimates, slots, at);
     const refusal = createRefusal(reason, retryAfterMs);
     refuseAttempt(state, at, queued.attempt, refusal, emit);
   }
--- a/src/core/mesh/upstream_health.ts
+++ b/src/core/mesh/upstream_health.ts
@@ -28,6 +28,10 @@
   crashCount: number;
   /** Identifier of the instance registered at the upstream's address. */
   registeredId?: string;
+  /** Incarnation of that instance. */
+  registeredIncarnation?: number;
+  /** The limit of the last log record about the upstream's request rate. */
+  loggedLimit?: number;
   /** Identifier of an instance that lost its registration and gets no work. */
   deregisteredId?: string;
   /** Identifier of an instance in whose place another one answered. */
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -4,6 +4,12 @@
  */
 import {MeshAttempt} from '../../model/mesh.js';
 import {FinishErrors, createFinishErrors} from './finish_errors.js';
+import {
+  RateLimit,
+  createRateLimit,
+  getRateDelayMs,
+  spendRateToken,
+} from './rate_limit.js';
 import {
   RunEstimates,
   estimateRunMs,
@@ -30,10 +36,17 @@
   /** Waiting attempts, in order of arrival. */
   readonly queue: QueuedAttempt[];
   readonly finishErrors: FinishErrors;
+  /** Rate at which the upstream lets runs start. */
+  readonly limit: RateLimit;
 }
 
 export function createWorkQueue(): WorkQueue {
-  return {running: new Map(), queue: [], finishErrors: createFinishErrors()};
+  return {
+    running: new Map(),
+    queue: [],
+    finishErrors: createFinishErrors(),
+    limit: createRateLimit(),
+  };
 }
 
 /**
@@ -101,6 +114,30 @@
   return used;
 }
 
+/**
+ * Estimates how long the upstream's rate limit makes an attempt wait, which is in
+ * the queue or is about to be added to it.
+ */
+export function estimateRateDelayMs(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  attempt: QueuedAttempt,
+  at: number,
+): number {
+  const {limit, queue} = work;
+  if (limit.perSecond === undefined) {
+    return 0;
+  }
+  const index = queue.indexOf(attempt);
+  const position = index < 0 ? queue.length : index;
+  const ahead = queue.filter(
+    (other, n) =>
+      hasPrecedence(other, attempt, estimates, at) ||
+      (n < position && !hasPrecedence(attempt, other, estimates, at)),
+  );
+  return getRateDelayMs(limit, ahead.length, at);
+}
+
 /**
  * Estimates how long an attempt waits for a slot, given the running attempts
  * and those that have precedence over it.
@@ -128,8 +165,11 @@
   work: WorkQueue,
   estimates: RunEstimates,
   slots: number,
+  at: number,
 ): number {
-  return estimateTurnMs(work, work.queue, estimates, slots);
+  const {limit, queue} = work;
+  const rateMs = getRateDelayMs(limit, queue.length, at);
+  return Math.max(rateMs, estimateTurnMs(work, queue, estimates, slots));
 }
 
 /** Estimates the time until a slot is free behind some waiting attempts. */
@@ -172,7 +212,8 @@
   slots: number,
   at: number,
 ): RunningAttempt | undefined {
-  if (countUsedSlots(work, estimates, at) >= slots) {
+  const isHeldByLimit = getRateDelayMs(work.limit, 0, at) > 0;
+  if (isHeldByLimit || countUsedSlots(work, estimates, at) >= slots) {
     return undefined;
   }
   const suspectIsRunning = [...work.running.values()].some(
@@ -194,6 +235,7 @@
   work.queue.splice(work.queue.indexOf(next), 1);
   const running = {...next, startedAt: at};
   work.running.set(next.attempt.attemptId, running);
+  spendRateToken(work.limit);
   return running;
 }
 
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -61,6 +61,10 @@
     503,
     'The upstream has no free slot and its queue is full; retry after the given time.',
   ),
+  rate_limited: notRun(
+    503,
+    'The upstream limits its request rate and cannot take the request in time; retry after the given time.',
+  ),
   upstream_leaving: notRun(
     503,
     'The upstream is draining or being removed and accepts no new requests; retry on another upstream.',
--- a/src/mesh/header_names.ts
+++ b/src/mesh/header_names.ts
@@ -10,4 +10,8 @@
   readonly callerService: string;
   /** Present if the upstream reports that it did not run the request. */
   readonly notRun: string;
+  /** Requests per second that the upstream accepts from the whole fleet. */
+  readonly rateLimit: string;
+  /** `1` if the upstream is about to end. */
+  readonly leaving: string;
 }
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -19,6 +19,8 @@
   peer_message: 'Messages from peers, by kind.',
   crash_suspected: 'Requests suspected, cleared or quarantined after a crash.',
   upstream_failed: 'Dispatches that got no whole answer, by failure.',
+  upstream_report:
+    'Limits and departures that the upstream reported in its answers, by kind.',
   link_changed: 'Links to peers opened or closed.',
   bad_input: 'Malformed input refused, by kind.',
   unknown_input: 'Values that this build does not know, by kind.',
@@ -44,6 +46,10 @@
   readonly calls: number;
   readonly running: number;
   readonly queued: number;
+  /** Requests per second that the upstream accepts; -1: no limit. */
+  readonly upstream_limit: number;
+  /** 1 if the upstream has reported that it is leaving. */
+  readonly upstream_leaving: number;
   readonly link_sent_bytes: number;
   readonly link_received_bytes: number;
   readonly processor_seconds: number;
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -2,7 +2,12 @@
 import {brotliCompressSync, brotliDecompressSync, constants} from 'node:zlib';
 import {reduceMesh} from '../core/mesh/mesh_core.js';
 import {MeshSettings} from '../core/mesh/mesh_settings.js';
-import {MeshState, createMeshState, isReady} from '../core/mesh/mesh_state.js';
+import {
+  MeshState,
+  createMeshState,
+  isReady,
+  isUpstreamLeaving,
+} from '../core/mesh/mesh_state.js';
 import {
   MeshEffect,
   MeshEventBody,
@@ -465,6 +470,8 @@
       calls: state.calls.size,
       running: state.work.running.size,
       queued: state.work.queue.length,
+      upstream_limit: state.work.limit.perSecond ?? -1,
+      upstream_leaving: Number(isUpstreamLeaving(state)),
       link_sent_bytes: sentBytes,
       link_received_bytes: receivedBytes,
       processor_seconds: (userCPUTime + systemCPUTime) / 1e6,
--- a/src/mesh/mesh_upstream_client.ts
+++ b/src/mesh/mesh_upstream_client.ts
@@ -1,6 +1,10 @@
 /** HTTP client for the upstream on the same VM. */
 import {connect} from 'node:net';
-import {AnswerFacts, MeshEventBody} from '../core/mesh/mesh_types.js';
+import {
+  AnswerFacts,
+  MeshEventBody,
+  UpstreamReport,
+} from '../core/mesh/mesh_types.js';
 import {parseAddress} from '../proxy/addresses.js';
 import {OutboundRequest} from '../proxy/pending_calls.js';
 import {ConnectionPools} from '../proxy/connection_pools.js';
@@ -24,6 +28,11 @@
 /** Statuses with which an upstream may refuse a request without running it. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([421, 429, 503]);
 
+/** Value of the header in which an upstream reports that it is leaving. */
+const LEAVING_VALUE = '1';
+
+const DECIMAL = /^\d{1,9}(\.\d{1,9})?$/;
+
 /** Dispatches attempts to the upstream and posts their results as events. */
 export class MeshUpstreamClient {
   private readonly pools = new ConnectionPools(undefined);
@@ -65,7 +74,17 @@
     const result = await exchange.result;
     this.running.delete(attemptId);
     if (result.isErr()) {
-      this.post({kind: 'upstreamFailed', attemptId, failure: result.error});
+      const {headers} = exchange;
+      const {requestId} = headerNames;
+      const isOwn =
+        headers !== undefined &&
+        headers[requestId] === outbound.headers[requestId];
+      this.post({
+        kind: 'upstreamFailed',
+        attemptId,
+        failure: result.error,
+        report: isOwn ? this.readReport(headers) : undefined,
+      });
       return;
     }
     this.handleAnswer(attemptId, result.value, outbound);
@@ -93,6 +112,7 @@
     const facts: AnswerFacts = {
       notRun: claimsNotRun && NOT_RUN_STATUSES.has(status),
       otherInstance: status === STATUS_MISDIRECTED,
+      report: this.readReport(answer.headers),
     };
     const headers: HeaderRecord = copyEndToEndHeaders(answer.headers);
     const unframed = isUnframed(answer);
@@ -104,6 +124,14 @@
     });
   }
 
+  private readReport(headers: HeaderRecord): UpstreamReport {
+    const {rateLimit, leaving} = this.headerNames;
+    return {
+      limitPerSecond: parseRate(headers[rateLimit]),
+      leaving: headers[leaving] === LEAVING_VALUE,
+    };
+  }
+
   /** Aborts an attempt; closing its connection makes the upstream stop. */
   abort(attemptId: string): void {
     this.running.get(attemptId)?.abort();
@@ -139,6 +167,18 @@
   }
 }
 
+/** Parses a rate, a decimal number per second; the lowest if it is repeated. */
+function parseRate(
+  header: string | readonly string[] | undefined,
+): number | 'unreadable' | undefined {
+  if (header === undefined) {
+    return undefined;
+  }
+  const values = typeof header === 'string' ? [header] : header;
+  const rates = values.filter(value => DECIMAL.test(value)).map(Number);
+  return rates.length === 0 ? 'unreadable' : Math.min(...rates);
+}
+
 /**
  * Returns true if only the end of the connection delimited the answer's body,
  * else undefined.
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -120,6 +120,8 @@
   /** The route's `aimMs`, from which the run time is estimated. */
   routeAimMs: z.number().min(1),
   fingerprint: z.string().max(128),
+  /** The upstream's rate limit, in requests per second, as the entry knows it. */
+  limitPerSecond: z.number().min(0).optional(),
 });
 
 const HeadersSchema = z.record(
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -26,6 +26,12 @@
   slowness: z.number().min(0).optional(),
   /** Fraction of recent requests that failed or were shed. */
   failing: z.number().min(0).max(1).optional(),
+  /** Requests per second that the upstream accepts; absent: no limit. */
+  limitPerSecond: z.number().min(0).optional(),
+  /** Time until the limit allows another request, in milliseconds. */
+  limitDelayMs: z.number().min(0).optional(),
+  /** The upstream that was asked has reported that it is leaving. */
+  upstreamLeaving: z.boolean().optional(),
 });
 
 /** One attempt of a call, sent by the entry to an owner. */
--- a/src/proxy/http_exchange.ts
+++ b/src/proxy/http_exchange.ts
@@ -30,6 +30,8 @@
 /** An exchange in progress. */
 export interface RunningExchange {
   readonly result: Promise<ExchangeResult>;
+  /** Headers of the answer, once they have arrived. */
+  readonly headers?: HeaderRecord;
   /** Fails the exchange immediately with `timeout`, unless it has ended. */
   abort(): void;
 }
@@ -43,7 +45,7 @@
   private readonly timer: NodeJS.Timeout;
   private settled = false;
   private status = 0;
-  private headers: HeaderRecord = {};
+  headers?: HeaderRecord;
   private readonly chunks: Uint8Array[] = [];
   private receivedBytes = 0;
 
@@ -113,7 +115,7 @@
   }
 
   onResponseEnd(): void {
-    const {status, headers, chunks} = this;
+    const {status, headers = {}, chunks} = this;
     const body = chunks.length > 1 ? Buffer.concat(chunks) : chunks[0];
     this.settle(ok({status, headers, body: body ?? EMPTY_BODY}));
   }
--- a/test/mesh/returning_callers.test.ts
+++ b/test/mesh/returning_callers.test.ts
@@ -97,7 +97,7 @@
     for (const {queued} of removeUnservable(work, estimates, SLOTS, now)) {
       const {tries} = callerByAttempt.get(queued.attempt.attemptId)!;
       totals.heldInVain += Number(tries === 0);
-      const retryAfterMs = getRetryAfterMs(work, estimates, SLOTS);
+      const retryAfterMs = getRetryAfterMs(work, estimates, SLOTS, now);
       refuse(queued.attempt.attemptId, retryAfterMs);
     }
     for (;;) {
--- a/test/mesh/soak/invariant_checker.ts
+++ b/test/mesh/soak/invariant_checker.ts
@@ -2,7 +2,12 @@
 import {Refusal} from '../../../src/core/refusals.js';
 import {Answer} from '../../../src/core/types.js';
 import {MeshAttempt} from '../../../src/model/mesh.js';
-import {Node} from './simulated_fleet.js';
+import {
+  INSTANCE_HEADER,
+  LEAVING_HEADER,
+  LIMIT_HEADER,
+  Node,
+} from './simulated_fleet.js';
 
 /** Most time from the deadline of a call to its answer: two ticks of a core. */
 const MAX_LATENESS_MS = 60;
@@ -10,8 +15,24 @@
 /** Time within which all proxies must know that an upstream drains. */
 const MAX_DRAIN_DELAY_MS = 2_000;
 
+/** The users' rule on rate limits: span, time from the first naming, slack. */
+const LIMIT_WINDOW_MS = 4_000;
+const LIMIT_STABLE_MS = 3_000;
+const LIMIT_FACTOR = 1.5;
+const LIMIT_EXTRA = 5;
+/** Time after which a proxy that passed on a limit counts as told. */
+const TOLD_AFTER_MS = 500;
+
+/** Rate limits that an upstream has named, with the time of each. */
+interface LimitHistory {
+  namedAt: number;
+  changes: Array<{readonly at: number; readonly perSecond: number}>;
+  arrivals: number[];
+}
+
 interface SoakCall {
   readonly node: Node;
+  readonly startedAt: number;
   readonly idempotent: boolean;
   readonly attempts: number;
   readonly dueAt: number;
@@ -26,11 +47,17 @@
   private readonly calls = new Map<string, SoakCall>();
   private readonly versions = new Map<Node, number>();
   private readonly drainingSince = new Map<string, number>();
+  /** By upstream's instance. */
+  private readonly limits = new Map<string, LimitHistory>();
+  /** When each proxy first passed on a limit, by proxy and instance. */
+  private readonly toldLimitAt = new Map<string, number>();
+  /** When each proxy passed on that an upstream is leaving, likewise. */
+  private readonly toldLeavingAt = new Map<string, number>();
   private outageUntil = 0;
 
   recordCall(
     callId: string,
-    call: Pick<SoakCall, 'node' | 'idempotent' | 'attempts' | 'dueAt'>,
+    call: Omit<SoakCall, 'result' | 'lost' | 'runs'>,
   ): void {
     this.calls.set(callId, {...call, lost: false, runs: 0});
   }
@@ -90,6 +117,89 @@
     }
   }
 
+  recordLimit(node: Node, perSecond: number | undefined, at: number): void {
+    const {id} = node.instance;
+    if (perSecond === undefined) {
+      this.limits.delete(id);
+      return;
+    }
+    const history = this.limits.get(id) ?? {
+      namedAt: at,
+      changes: [],
+      arrivals: [],
+    };
+    history.changes.push({at, perSecond});
+    this.limits.set(id, history);
+  }
+
+  /** Forgets what an earlier process with the same id has reported. */
+  recordUpstreamStart(id: string): void {
+    this.drainingSince.delete(id);
+    for (const told of [this.toldLimitAt, this.toldLeavingAt]) {
+      [...told.keys()]
+        .filter(key => key.endsWith(`/${id}`))
+        .forEach(key => told.delete(key));
+    }
+  }
+
+  /** Records what an answer that a proxy passes on says of its upstream. */
+  recordPassedReport(node: Node, result: Answer | Refusal, at: number): void {
+    if (result.kind !== 'answer') {
+      return;
+    }
+    const {headers} = result;
+    const key = `${node.host}/${String(headers[INSTANCE_HEADER])}`;
+    if (headers[LIMIT_HEADER] !== undefined && !this.toldLimitAt.has(key)) {
+      this.toldLimitAt.set(key, at);
+    }
+    if (headers[LEAVING_HEADER] !== undefined && !this.toldLeavingAt.has(key)) {
+      this.toldLeavingAt.set(key, at);
+    }
+  }
+
+  /** Checks an arrival at an upstream against what its entry was told. */
+  recordArrival(
+    {requestId}: MeshAttempt,
+    node: Node,
+    entry: Node,
+    at: number,
+  ): void {
+    const {id} = node.instance;
+    const key = `${entry.host}/${id}`;
+    const leavingAt = this.toldLeavingAt.get(key) ?? Infinity;
+    const startedAt = this.calls.get(requestId)?.startedAt ?? at;
+    if (startedAt > leavingAt + MAX_DRAIN_DELAY_MS) {
+      this.violations.push(
+        `${requestId} reached ${id} ${startedAt - leavingAt} ms after ${key} was told that it leaves`,
+      );
+    }
+    const history = this.limits.get(id);
+    const toldAt = this.toldLimitAt.get(key) ?? Infinity;
+    if (history !== undefined && at >= toldAt + TOLD_AFTER_MS) {
+      history.arrivals.push(at);
+      this.checkLimit(id, history, at);
+    }
+  }
+
+  private checkLimit(id: string, history: LimitHistory, at: number): void {
+    const from = at - LIMIT_WINDOW_MS;
+    if (from < history.namedAt + LIMIT_STABLE_MS) {
+      return;
+    }
+    const inForce = history.changes.filter(
+      (_change, n, all) => (all[n + 1]?.at ?? Infinity) > from,
+    );
+    const perSecond = Math.max(...inForce.map(change => change.perSecond));
+    const allowed =
+      LIMIT_FACTOR * perSecond * (LIMIT_WINDOW_MS / 1_000) + LIMIT_EXTRA;
+    const count = history.arrivals.filter(arrival => arrival > from).length;
+    if (count > allowed) {
+      this.violations.push(
+        `${id} got ${count} requests in 4 s, ${allowed} allowed, at ${at}`,
+      );
+    }
+  }
+
   recordVersion(node: Node, at: number): void {
     const version = node.state.config?.version ?? 0;
     const before = this.versions.get(node) ?? 0;
@@ -101,6 +211,11 @@
 
   recordProcessStart(node: Node): void {
     this.versions.delete(node);
+    for (const told of [this.toldLimitAt, this.toldLeavingAt]) {
+      [...told.keys()]
+        .filter(key => key.startsWith(`${node.host}/`))
+        .forEach(key => told.delete(key));
+    }
   }
 
   recordProcessEnd(node: Node): void {
--- a/test/mesh/soak/run_soak.ts
+++ b/test/mesh/soak/run_soak.ts
@@ -14,6 +14,13 @@
 const MEAN_FAULT_GAP_MS = 900;
 const TIMEOUT_MS = 1_200;
 
+/** Share of calls that a run makes, where one is under way beside the entry. */
+const NESTED_SHARE = 0.3;
+/** Share of the changes of a limit that end it. */
+const LIMIT_END_SHARE = 0.3;
+/** Time for which a leaving upstream runs at least. */
+const LEAVING_MS = 4_000;
+
 type Fault = (fleet: SimulatedFleet, node: Node, durationMs: number) => void;
 
 const FAULTS: Readonly<Record<string, Fault>> = {
@@ -49,6 +56,32 @@
     fleet.sourceUp = false;
     fleet.after(durationMs, () => (fleet.sourceUp = true));
   },
+  limit: (fleet, node, durationMs) => {
+    if (node.upstreamDown) {
+      return;
+    }
+    const isEnd =
+      node.limitPerSecond !== undefined &&
+      fleet.chance.getFraction() < LIMIT_END_SHARE;
+    const perSecond = Math.round(durationMs / 50) / 10;
+    fleet.setLimit(node, isEnd ? undefined : perSecond);
+  },
+  leave: (fleet, node, durationMs) => {
+    const {id, incarnation} = node.instance;
+    if (node.leaving || node.upstreamDown) {
+      return;
+    }
+    node.leaving = true;
+    fleet.after(durationMs + LEAVING_MS, () => {
+      if (
+        node.instance.id === id &&
+        node.instance.incarnation === incarnation &&
+        !node.upstreamDown
+      ) {
+        fleet.crash(node, 100);
+      }
+    });
+  },
   drain: (fleet, node, durationMs) => {
     const {id} = node.instance;
     if (node.instance.state === 'draining' || node.upstreamDown) {
@@ -117,10 +150,14 @@
   const isCharge = fleet.chance.getFraction() < 0.4;
   const route = isCharge ? CHARGE_ROUTE : createRoute();
   const requestId = `c-${count}`;
+  const [run] = node.state.work.running.values();
+  const isNested =
+    run !== undefined && fleet.chance.getFraction() < NESTED_SHARE;
   fleet.checker.recordCall(requestId, {
     node,
     idempotent: route.idempotent,
     attempts: route.attempts,
+    startedAt: fleet.clock.now,
     dueAt: fleet.clock.now + TIMEOUT_MS,
   });
   fleet.post(node, {
@@ -128,6 +165,7 @@
     callId: requestId,
     call: {
       requestId,
+      parentId: isNested ? run.attempt.requestId : undefined,
       host: route.host,
       path: `${route.pathPrefix}${count}`,
       timeoutMs: TIMEOUT_MS,
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -37,6 +37,14 @@
 /** Share of runs that are answered with status 500. */
 const SERVER_ERROR_SHARE = 0.01;
 
+/** Share of upstreams that start again under the id that they had. */
+const SAME_ID_SHARE = 0.5;
+
+/** Headers of simulated answers, from which the checker learns what was passed on. */
+export const INSTANCE_HEADER = 'instance';
+export const LIMIT_HEADER = 'limit';
+export const LEAVING_HEADER = 'leaving';
+
 interface SentAttempt {
   readonly entry: Node;
   /** Start time of the entry's process. */
@@ -58,6 +66,10 @@
   /** The upstream's current registration at the source. */
   instance: Instance;
   upstreamDown: boolean;
+  /** Requests per second that the upstream names as its limit. */
+  limitPerSecond?: number;
+  /** The upstream reports in its answers that it is leaving. */
+  leaving: boolean;
   readonly runs: Set<string>;
 }
 
@@ -92,6 +104,7 @@
         partitioned: false,
         instance,
         upstreamDown: false,
+        leaving: false,
         runs: new Set(),
       };
       this.nodes.push(node);
@@ -184,12 +197,11 @@
         }
         return;
       }
-      case 'answerCall':
-        return this.checker.recordResult(
-          effect.callId,
-          effect.result,
-          this.clock.now,
-        );
+      case 'answerCall': {
+        const {callId, result} = effect;
+        this.checker.recordPassedReport(node, result, this.clock.now);
+        return this.checker.recordResult(callId, result, this.clock.now);
+      }
       case 'finishAttempt':
         return this.reportOutcome(effect.attemptId, {
           kind: 'attemptEnded',
@@ -344,29 +356,41 @@
     const {instance, runs} = node;
     const fail = (ms: number, failure: 'connect' | 'reset' | 'timeout') =>
       this.postLater(node, ms, {kind: 'upstreamFailed', attemptId, failure});
-    const answer = (ms: number, status: number, facts: object = {}) =>
+    const answer = (ms: number, status: number, facts: object = {}) => {
+      const {limitPerSecond, leaving} = node;
+      const report = {limitPerSecond, leaving};
       this.postLater(node, ms, {
         kind: 'upstreamAnswered',
         attemptId,
         answer: {
           kind: 'answer',
           status,
-          headers: {},
+          headers: {
+            [INSTANCE_HEADER]: instance.id,
+            ...(report.leaving ? {[LEAVING_HEADER]: '1'} : {}),
+            ...(limitPerSecond === undefined
+              ? {}
+              : {[LIMIT_HEADER]: String(limitPerSecond)}),
+          },
           body: new Uint8Array(0),
         },
-        facts: {notRun: false, otherInstance: false, ...facts},
+        facts: {notRun: false, otherInstance: false, report, ...facts},
       });
+    };
     if (node.upstreamDown) {
       return fail(LINK_LATENCY_MS, 'connect');
     }
     if (instance.id !== instanceId) {
       return answer(LINK_LATENCY_MS, 421, {notRun: true, otherInstance: true});
     }
+    const {entry} = this.attempts.get(attemptId)!;
+    const request = this.requests.get(attemptId)!;
+    this.checker.recordArrival(request, node, entry, this.clock.now);
     if (runs.size >= SLOTS + UPSTREAM_QUEUE_LENGTH) {
       return answer(LINK_LATENCY_MS, 503, {notRun: true});
     }
     const at = this.clock.now;
-    this.checker.recordRun(this.requests.get(attemptId)!, node, at);
+    this.checker.recordRun(request, node, at);
     runs.add(attemptId);
     const workMs = this.chance.getExponential(MEAN_WORK_MS);
     const endMs = Math.min(workMs, timeoutMs);
@@ -399,9 +423,19 @@
     this.revision += 1;
   }
 
-  /** Crashes an upstream; another process replaces it after a delay. */
+  /** Names, changes or ends the rate limit of an upstream. */
+  setLimit(node: Node, perSecond: number | undefined): void {
+    node.limitPerSecond = perSecond;
+    this.checker.recordLimit(node, perSecond, this.clock.now);
+  }
+
+  /**
+   * Crashes an upstream; another process, which knows nothing of this one,
+   * replaces it after a delay.
+   */
   crash(node: Node, restartAfterMs: number): void {
     node.upstreamDown = true;
+    this.setLimit(node, undefined);
     for (const attemptId of [...node.runs]) {
       node.runs.delete(attemptId);
       const failure = 'reset';
@@ -409,7 +443,10 @@
     }
     this.after(restartAfterMs, () => {
       const incarnation = node.instance.incarnation + 1_000;
-      const id = `i-${node.host}-${incarnation}`;
+      const keepsId = this.chance.getFraction() < SAME_ID_SHARE;
+      const id = keepsId ? node.instance.id : `i-${node.host}-${incarnation}`;
+      node.leaving = false;
+      this.checker.recordUpstreamStart(id);
       this.register(node, {id, incarnation, state: 'ready'});
       node.upstreamDown = false;
     });
--- a/test/platform/upstream_status.test.ts
+++ b/test/platform/upstream_status.test.ts
@@ -83,7 +83,7 @@
     }
     await delay(DRAIN_MS);
     const received = upstream.receivedPaths.length;
-    const statuses = await sendCalls(1_000, 5);
+    const statuses = await sendCalls(1_000, 12);
     expect([...statuses.keys()]).to.deep.equal([200]);
     expect(upstream.receivedPaths.length).to.equal(received);
   });
