Cut off answers without end in their head

What callers saw: nothing yet. A server in trouble may send bytes without end. Twelve endless bodies at once could take 192 MB.

Change: a connection that receives more bytes for one request than a whole answer may have is destroyed, which fails the attempt (answer_too_large); incomplete answers of the upstream share 48 MB, and the largest is given up first.

--- a/src/mesh/mesh_upstream_client.ts
+++ b/src/mesh/mesh_upstream_client.ts
@@ -10,6 +10,7 @@
 import {ConnectionPools} from '../proxy/connection_pools.js';
 import {HeaderRecord, copyEndToEndHeaders} from '../proxy/headers.js';
 import {
+  AnswerBuffers,
   RunningExchange,
   HttpAnswer,
   startExchange,
@@ -17,7 +18,13 @@
 import {HeaderNames} from './header_names.js';
 
 /** Limit on answers, which are buffered in memory. */
-const MAX_ANSWER_BYTES = 16 * 1_048_576;
+export const MAX_ANSWER_BYTES = 16 * 1_048_576;
+
+/** Limit on what an answer has beside its body: its head, framing, trailers. */
+export const MAX_HEAD_BYTES = 1_048_576;
+
+/** Limit on the answers in progress together. */
+const MAX_BUFFERED_BYTES = 48 * 1_048_576;
 
 /** Timeout of connection probes; the upstream is on the same VM. */
 const CONNECT_TIMEOUT_MS = 300;
@@ -35,7 +42,11 @@
 
 /** Dispatches attempts to the upstream and posts their results as events. */
 export class MeshUpstreamClient {
-  private readonly pools = new ConnectionPools(undefined);
+  private readonly pools = new ConnectionPools(
+    undefined,
+    MAX_ANSWER_BYTES + MAX_HEAD_BYTES,
+  );
+  private readonly buffers = new AnswerBuffers(MAX_BUFFERED_BYTES);
   private readonly running = new Map<string, RunningExchange>();
 
   constructor(
@@ -69,6 +80,7 @@
       body: outbound.body,
       timeoutMs,
       maxAnswerBytes: MAX_ANSWER_BYTES,
+      buffers: this.buffers,
     });
     this.running.set(attemptId, exchange);
     const result = await exchange.result;
--- a/src/proxy/classify_failure.ts
+++ b/src/proxy/classify_failure.ts
@@ -1,5 +1,6 @@
 /** Maps the errors of the HTTP client to the failure kinds of the core. */
 import {FailureKind} from '../core/types.js';
+import {ENDLESS_ANSWER_CODE} from './connection_pools.js';
 
 /** Codes of errors that occur before anything is sent. */
 const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
@@ -41,6 +42,9 @@
   if (TIMEOUT_ERROR_CODES.has(code)) {
     return 'timeout';
   }
+  if (code === ENDLESS_ANSWER_CODE) {
+    return 'too-large';
+  }
   if (TRUNCATION_ERROR_CODES.has(code) || headersReceived) {
     return 'truncated';
   }
--- a/src/proxy/connection_pools.ts
+++ b/src/proxy/connection_pools.ts
@@ -1,4 +1,5 @@
 /** Pools of keep-alive connections to peers and to the local upstream. */
+import {Socket} from 'node:net';
 import {Pool, buildConnector} from 'undici';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -12,8 +13,40 @@
  */
 const RESET_ERROR_CODE = 'CONNECTION_RESET';
 
+/** Code of the error that ends a connection whose answer has no end. */
+export const ENDLESS_ANSWER_CODE = 'ENDLESS_ANSWER';
+
+/** Most bytes that one answer may have on a connection, its head included. */
+const DEFAULT_MAX_ANSWER_BYTES = 72 * 1_048_576;
+
+/**
+ * Destroys a socket that receives more bytes for one request than an answer may
+ * have. The HTTP client limits only header fields: a status line, informational
+ * heads or the extension of a chunk would be read until the deadline.
+ */
+function limitAnswers(socket: Socket, maxBytes: number): void {
+  let writtenBytes = 0;
+  let receivedBytes = 0;
+  let answerStart = 0;
+  socket.prependListener('readable', () => {
+    if (socket.bytesWritten !== writtenBytes) {
+      // A further request has been sent since the last bytes arrived.
+      writtenBytes = socket.bytesWritten;
+      answerStart = receivedBytes;
+    }
+    receivedBytes = socket.bytesRead;
+    if (receivedBytes - answerStart > maxBytes) {
+      const error: NodeJS.ErrnoException = new Error(
+        `The server sent more than ${maxBytes} bytes for one request.`,
+      );
+      error.code = ENDLESS_ANSWER_CODE;
+      socket.destroy(error);
+    }
+  });
+}
+
 /** Creates a connector whose sockets report every reset as an error. */
-function createConnector(): buildConnector.connector {
+function createConnector(maxAnswerBytes: number): buildConnector.connector {
   const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
   return (options, callback) => {
     connect(options, (...[error, socket]) => {
@@ -26,6 +59,7 @@
           cause.code = RESET_ERROR_CODE;
         }
       });
+      limitAnswers(socket, maxAnswerBytes);
       callback(null, socket);
     });
   };
@@ -35,8 +69,14 @@
 export class ConnectionPools {
   private readonly pools = new Map<string, Pool>();
 
-  /** @param maxPerAddress - Connection limit per address; undefined: none. */
-  constructor(private readonly maxPerAddress: number | undefined) {}
+  /**
+   * @param maxPerAddress - Connection limit per address; undefined: none.
+   * @param maxAnswerBytes - Most bytes of one answer, its head included.
+   */
+  constructor(
+    private readonly maxPerAddress: number | undefined,
+    private readonly maxAnswerBytes = DEFAULT_MAX_ANSWER_BYTES,
+  ) {}
 
   get(address: string): Pool {
     let pool = this.pools.get(address);
@@ -44,7 +84,7 @@
       pool = new Pool(`http://${address}`, {
         connections: this.maxPerAddress ?? null,
         pipelining: 1,
-        connect: createConnector(),
+        connect: createConnector(this.maxAnswerBytes),
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT_MS,
       });
--- a/src/proxy/http_exchange.ts
+++ b/src/proxy/http_exchange.ts
@@ -16,6 +16,8 @@
   /** Timeout of the whole exchange, in milliseconds. */
   readonly timeoutMs: number;
   readonly maxAnswerBytes: number;
+  /** Limits the bytes of all answers that share it; undefined: no such limit. */
+  readonly buffers?: AnswerBuffers;
 }
 
 /** A complete HTTP answer. */
@@ -38,7 +40,47 @@
 
 const EMPTY_BODY = new Uint8Array(0);
 
-class ExchangeHandler implements Dispatcher.DispatchHandler, RunningExchange {
+/** An answer of which not all bytes have arrived. */
+export interface IncompleteAnswer {
+  readonly receivedBytes: number;
+  /** Gives it up; its bytes are released at once. */
+  abortAsTooLarge(): void;
+}
+
+/**
+ * Limits the memory that incomplete answers take together. Where it is exceeded,
+ * the largest answer is given up.
+ */
+export class AnswerBuffers {
+  private usedBytes = 0;
+  private readonly answers = new Set<IncompleteAnswer>();
+
+  /** @param maxBytes - Most bytes of all incomplete answers. */
+  constructor(private readonly maxBytes: number) {}
+
+  /** Counts received bytes, which `receivedBytes` includes. */
+  add(answer: IncompleteAnswer, bytes: number): void {
+    this.answers.add(answer);
+    this.usedBytes += bytes;
+    if (this.usedBytes > this.maxBytes) {
+      const [largest] = [...this.answers].sort(
+        (first, second) => second.receivedBytes - first.receivedBytes,
+      );
+      largest.abortAsTooLarge();
+    }
+  }
+
+  /** Releases the bytes of an answer that is complete or given up. */
+  release(answer: IncompleteAnswer): void {
+    if (this.answers.delete(answer)) {
+      this.usedBytes -= answer.receivedBytes;
+    }
+  }
+}
+
+class ExchangeHandler
+  implements Dispatcher.DispatchHandler, RunningExchange, IncompleteAnswer
+{
   readonly result: Promise<ExchangeResult>;
   private resolve: (result: ExchangeResult) => void = () => undefined;
   private controller?: Dispatcher.DispatchController;
@@ -47,11 +89,12 @@
   private status = 0;
   headers?: HeaderRecord;
   private readonly chunks: Uint8Array[] = [];
-  private receivedBytes = 0;
+  receivedBytes = 0;
 
   constructor(
     timeoutMs: number,
     private readonly maxAnswerBytes: number,
+    private readonly buffers: AnswerBuffers | undefined,
   ) {
     this.result = new Promise(resolve => {
       this.resolve = resolve;
@@ -66,8 +109,13 @@
     this.abortWith('timeout');
   }
 
+  abortAsTooLarge(): void {
+    this.abortWith('too-large');
+  }
+
   private abortWith(failure: FailureKind): void {
     if (this.settle(err(failure))) {
+      this.chunks.length = 0;
       this.controller?.abort(new Error(failure));
     }
   }
@@ -78,6 +126,7 @@
       return false;
     }
     this.settled = true;
+    this.buffers?.release(this);
     clearTimeout(this.timer);
     this.resolve(result);
     return true;
@@ -106,9 +155,13 @@
     _controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.settled) {
+      return;
+    }
     this.receivedBytes += chunk.length;
+    this.buffers?.add(this, chunk.length);
     if (this.receivedBytes > this.maxAnswerBytes) {
-      this.abortWith('too-large');
+      this.abortAsTooLarge();
       return;
     }
     this.chunks.push(chunk);
@@ -141,6 +194,7 @@
   const handler = new ExchangeHandler(
     request.timeoutMs,
     request.maxAnswerBytes,
+    request.buffers,
   );
   dispatcher.dispatch(
     {
