Take nothing new once a planned stop is decided

Cause: between the decision to end and the closing of the sockets, 60 ms later, the owner still dispatched what arrived; closing cut these runs. An entry that knew of the stop asked it because all others had refused. Ruled out: peers that never learn of the stop (hello carries it, and the entry was told), and work that isn't counted (waiting and running both are).

Change: the decision is one point in the core. From then on attempts and calls are refused as not run; peers are told and never ask that process again, also not as the last resort; the sockets stay open for 150 ms, in which what was sent before is refused. An upload of which a part was not written when its link broke can't have been run, so it counts as not sent instead of lost.

Evidence: test/mesh/planned_stop.test.ts (two cases failed before), one case of test/platform/planned_stop.test.ts on real sockets (502 before, 503 and no run now), test/mesh/attempt_transport.test.ts for uploads. The other case on real sockets, stops in turn under load, passed before too.

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -71,6 +71,9 @@
   info: MeshCallInfo,
 ): MeshCall | Refusal {
   const {routeTable} = state;
+  if (state.stopped) {
+    return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
+  }
   if (routeTable === undefined || state.fleet.revision === 0) {
     return createRefusal('config_unknown', DEFAULT_RETRY_AFTER_MS);
   }
--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -157,9 +157,9 @@
 }
 
 /**
- * Excludes upstreams that were tried, whose proxy is stopping, that refuse
- * connections, or that are ejected. Except for the first, a criterion that
- * would exclude all remaining upstreams is ignored.
+ * Excludes upstreams that were tried, whose proxy has stopped or is stopping,
+ * that refuse connections, or that are ejected. Except for the first two, a
+ * criterion that would exclude all remaining upstreams is ignored.
  */
 function getCandidates(
   state: MeshState,
@@ -167,7 +167,9 @@
   tried: ReadonlySet<string>,
   at: number,
 ): Instance[] {
-  const untried = all.filter(({id}) => !tried.has(id));
+  const untried = all.filter(
+    instance => !tried.has(instance.id) && !hasStopped(state, instance),
+  );
   const notStopping = untried.filter(
     instance => !isStopping(state, instance, at),
   );
@@ -186,6 +188,11 @@
   return healthy.length > 0 && !ejectsTooMany ? healthy : available;
 }
 
+/** Reports whether an upstream's proxy has announced that its process ends. */
+function hasStopped(state: MeshState, instance: Instance): boolean {
+  return state.peers.get(getLinkAddress(state, instance))?.stopped === true;
+}
+
 /** Reports whether an upstream's proxy is stopping; the upstream may run on. */
 function isStopping(state: MeshState, instance: Instance, at: number): boolean {
   const address = getLinkAddress(state, instance);
--- a/src/core/mesh/graceful_shutdown.ts
+++ b/src/core/mesh/graceful_shutdown.ts
@@ -63,7 +63,9 @@
 }
 
 /**
- * Ends a planned stop once the proxy is idle, or at the stop deadline, where the
+ * Ends a planned stop once the proxy is idle. From then on nothing is taken, so
+ * that no run begins whose connection the end of the process would close. Peers
+ * are told, and what they have sent before is refused. Also ends the stop at the stop deadline, where the
  * remaining calls are refused.
  */
 export function endStopIfDue(
@@ -71,7 +73,7 @@
   event: Pick<MeshEvent, 'at' | 'entropy'>,
   emit: MeshEmit,
 ): void {
-  const {stopRequestedAt, work, calls} = state;
+  const {stopRequestedAt, work, calls, settings} = state;
   const deadlineAt = getStopDeadline(state);
   if (
     stopRequestedAt === undefined ||
@@ -94,6 +96,9 @@
   }
   if (isOver || (served && idle && quiet)) {
     state.stopped = true;
+    const {address} = settings;
+    const message = {kind: 'leaving', address, final: true} as const;
+    broadcastToPeers(state, message, emit);
     emit({kind: 'stopped'});
   }
 }
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -206,7 +206,7 @@
         mergeSuspect(state.suspects, info),
       );
     case 'leaving':
-      return handleLeaving(state, from, emit);
+      return handleLeaving(state, from, message.final === true, emit);
     case 'upstreamState':
       return handleUpstreamState(state, at, message.instanceId, message.up);
     default:
@@ -272,10 +272,19 @@
 }
 
 /** Excludes the upstream of a stopping peer from new work. */
-function handleLeaving(state: MeshState, from: string, emit: MeshEmit): void {
+function handleLeaving(
+  state: MeshState,
+  from: string,
+  isFinal: boolean,
+  emit: MeshEmit,
+): void {
   const peer = state.peers.get(from);
   if (peer !== undefined) {
     peer.leaving = true;
+    peer.stopped = isFinal;
+  }
+  if (isFinal) {
+    return;
   }
   emit({
     kind: 'log',
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -24,6 +24,8 @@
   readonly incarnation: number;
   /** Its upstream is to receive no new work because the peer is stopping. */
   leaving: boolean;
+  /** It refuses whatever arrives, and its process ends. */
+  stopped?: boolean;
 }
 
 export interface MeshState {
@@ -62,6 +64,7 @@
   leaving: boolean;
   /** When a call or an attempt last arrived or ended; a stop waits for quiet. */
   lastWorkAt: number;
+  /** A planned stop is over: whatever arrives now is refused. */
   stopped: boolean;
 }
 
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -137,7 +137,10 @@
        */
       readonly kind: 'attemptLost';
       readonly attemptId: string;
-      /** False where no link could be opened, so the owner received nothing. */
+      /**
+       * False where no link could be opened, or it broke before the owner had
+       * received the whole request.
+       */
       readonly sent: boolean;
     }
   | {readonly kind: 'attemptArrived'; readonly attempt: MeshAttempt}
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -74,6 +74,9 @@
   attempt: MeshAttempt,
 ): Refusal | undefined {
   const {health, suspects} = state;
+  if (state.stopped) {
+    return createRefusal('proxy_stopping', UNAVAILABLE_RETRY_AFTER_MS);
+  }
   const unavailableReason = getUnavailableReason(state, attempt);
   if (unavailableReason !== undefined) {
     return createRefusal(unavailableReason, UNAVAILABLE_RETRY_AFTER_MS);
--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -259,13 +259,19 @@
   }
 
   /**
-   * Resumes the attempts that were sent on a closed link, and cancels received
+   * Resumes the attempts that were sent whole on a closed link, and cancels received
    * ones unless their entry resumes them in time.
    */
   handleLinkClosed(link: Link): void {
     for (const [attemptId, sentAttempt] of this.sent) {
       if (sentAttempt.link === link) {
         this.detachLink(sentAttempt);
+        if (link.hasUnsentBody(attemptId)) {
+          // The owner cannot start a request that it has not received whole.
+          this.sent.delete(attemptId);
+          this.post({kind: 'attemptLost', attemptId, sent: false});
+          continue;
+        }
         void this.resume(attemptId, sentAttempt);
       }
     }
--- a/src/mesh/body_transfers.ts
+++ b/src/mesh/body_transfers.ts
@@ -91,6 +91,11 @@
     }
   }
 
+  /** Reports whether a part of a message with this key was not written yet. */
+  hasUnsent(key: string): boolean {
+    return this.outgoing.some(other => other.key === key);
+  }
+
   /**
    * Handles a received part of a message.
    * @returns The whole message, once its last chunk has arrived.
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -68,7 +68,7 @@
     this.lastReceivedAt = now();
     this.transfers = new BodyTransfers({
       write: (frame, onFlushed) => this.write(frame, onFlushed),
-      getUnsentBytes: () => socket.writableLength,
+      getUnsentBytes: () => (this.closed ? Infinity : socket.writableLength),
     });
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
@@ -108,6 +108,15 @@
     this.transfers.discard(key);
   }
 
+  /**
+   * Reports whether part of a body was not written before the link closed, so
+   * that the peer cannot have received the whole message.
+   * @param key - The key that was given to {@link send}.
+   */
+  hasUnsentBody(key: string): boolean {
+    return this.transfers.hasUnsent(key);
+  }
+
   private write(frame: Frame, onFlushed?: () => void): void {
     if (this.closed) {
       return;
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -59,8 +59,11 @@
 const MAX_CALLER_CONNECTIONS = 2_048;
 const MAX_OPERATOR_CONNECTIONS = 32;
 
-/** Time for the last responses to be written before sockets are closed. */
-const FINAL_WRITES_MS = 60;
+/**
+ * Time between the end of a planned stop and the closing of the sockets: the last
+ * responses are written, and what peers sent before they were told is refused.
+ */
+const FINAL_WRITES_MS = 150;
 
 /** Platform-specific parts of a proxy, provided by an adapter. */
 export interface MeshAdapter {
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -189,7 +189,12 @@
     kind: z.literal('suspects'),
     suspects: z.array(SuspectInfoSchema).max(64).readonly(),
   }),
-  z.strictObject({kind: z.literal('leaving'), address: AddressSchema}),
+  z.strictObject({
+    kind: z.literal('leaving'),
+    address: AddressSchema,
+    /** The sender refuses whatever arrives now, and its process ends. */
+    final: z.boolean().optional(),
+  }),
   /** The sender's upstream refuses connections, or accepts them again. */
   z.strictObject({
     kind: z.literal('upstreamState'),
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -17,6 +17,9 @@
   body: Buffer.from('order'),
 };
 
+/** More than the buffers of the sockets take, so that a part remains unsent. */
+const LARGE_UPLOAD = Buffer.alloc(32 * 1_048_576, 7);
+
 /** The links of one proxy, with a record of the events posted to its core. */
 class TestProxy {
   readonly events: MeshEventBody[] = [];
@@ -93,6 +96,11 @@
     this.sockets.clear();
   }
 
+  /** Reads nothing more, so that the buffers of the sockets fill. */
+  pause(): void {
+    this.sockets.forEach(socket => socket.pause());
+  }
+
   stop(): void {
     this.closeConnections();
     this.server.close();
@@ -190,6 +198,19 @@
     });
   });
 
+  it('reports an upload as not sent if the link breaks before its end', async () => {
+    await entry.links.open(address);
+    relay.pause();
+    const outbound = {...OUTBOUND, body: LARGE_UPLOAD};
+    await entry.attempts.send(address, attempt, outbound);
+    relay.closeConnections();
+    expect(await entry.waitForEvent('attemptLost')).to.deep.equal({
+      kind: 'attemptLost',
+      attemptId,
+      sent: false,
+    });
+  });
+
   it('cancels the attempt of an entry that does not reconnect', async () => {
     void entry.attempts.send(address, attempt, OUTBOUND);
     await owner.waitForEvent('attemptArrived');
--- /dev/null
+++ b/test/mesh/planned_stop.test.ts
@@ -0,0 +1,118 @@
+/** Planned stops: nothing that was taken is cut, nothing is taken too late. */
+import {createRefusal} from '../../src/core/refusals.js';
+import {expect} from '../support/chai_setup.js';
+import {
+  MeshFixture,
+  createAttempt,
+  createHello,
+  createInstance,
+} from './mesh_fixture.js';
+
+const PEER = '10.0.0.2:7000';
+
+function createStopping(): MeshFixture {
+  const proxy = new MeshFixture();
+  proxy.loadFromSource([createInstance(1), createInstance(2)]);
+  const message = createHello({address: PEER});
+  proxy.post({kind: 'messageReceived', from: PEER, message});
+  proxy.post({kind: 'stopRequested'});
+  proxy.drainEffects();
+  return proxy;
+}
+
+/** Advances until the stop is decided. */
+function endStop(proxy: MeshFixture): string[] {
+  for (let n = 0; n < 400 && !proxy.state.stopped; n += 1) {
+    proxy.advance(25);
+  }
+  return proxy.drainEffects().filter(isRelevant);
+}
+
+function isRelevant(effect: string): boolean {
+  return /^(dispatch|finishAttempt|answerCall|stopped|sendMessage leaving)/.test(
+    effect,
+  );
+}
+
+function deliver(proxy: MeshFixture, attemptId: string): string[] {
+  const idempotent = false;
+  const attempt = createAttempt({attemptId, idempotent});
+  proxy.post({kind: 'attemptArrived', attempt});
+  return proxy.drainEffects().filter(isRelevant);
+}
+
+describe('planned stop of a proxy', () => {
+  it('dispatches nothing after it has decided to end, and tells its peers', () => {
+    const proxy = createStopping();
+    expect(endStop(proxy)).to.deep.equal([
+      `sendMessage leaving to ${PEER}`,
+      `sendMessage leaving to ${PEER}`,
+      'stopped',
+    ]);
+    expect(deliver(proxy, 'late')).to.deep.equal([
+      'finishAttempt late proxy_stopping reached=false',
+    ]);
+    proxy.call('late');
+    expect(proxy.drainEffects()).to.deep.equal([
+      'answerCall late proxy_stopping not-run',
+    ]);
+  });
+
+  it('does not end while a run of its upstream is under way', () => {
+    const proxy = createStopping();
+    proxy.advance(2_500);
+    proxy.drainEffects();
+    expect(deliver(proxy, 'run')).to.deep.equal(['dispatch run']);
+    proxy.advance(1_000);
+    expect(proxy.state.stopped).to.equal(false);
+    const answer = {
+      kind: 'answer',
+      status: 200,
+      headers: {},
+      body: new Uint8Array(0),
+    } as const;
+    const facts = {notRun: false, otherInstance: false};
+    proxy.post({kind: 'upstreamAnswered', attemptId: 'run', answer, facts});
+    expect(proxy.drainEffects()).to.deep.equal([
+      'finishAttempt run 200 reached=true',
+    ]);
+    expect(endStop(proxy)).to.include('stopped');
+  });
+
+  it('does not end while its own callers wait for other owners', () => {
+    const proxy = createStopping();
+    proxy.advance(2_500);
+    proxy.call('c');
+    proxy.advance(800);
+    expect(proxy.state.stopped).to.equal(false);
+    proxy.answer('c.1');
+    expect(endStop(proxy)).to.include('stopped');
+  });
+
+  it('is never asked again by a peer that knows its decision', () => {
+    const entry = new MeshFixture({upstreamAddress: '10.0.0.1:9999'});
+    entry.loadFromSource([createInstance(2), createInstance(3)]);
+    for (const host of [2, 3]) {
+      const from = `10.0.0.${host}:7000`;
+      const message = createHello({address: from});
+      entry.post({kind: 'messageReceived', from, message});
+    }
+    const message = {kind: 'leaving', address: PEER, final: true} as const;
+    entry.post({kind: 'messageReceived', from: PEER, message});
+    entry.drainEffects();
+    entry.call('c');
+    const result = createRefusal('queue_full', 100);
+    const outcome = {result, reachedUpstream: false};
+    entry.post({kind: 'attemptEnded', attemptId: 'c.1', outcome});
+    expect(entry.drainEffects()).to.deep.equal([
+      'sendAttempt c.1 to i-3',
+      'answerCall c queue_full not-run',
+    ]);
+    // Its next process may be asked.
+    const hello = createHello({address: PEER, incarnation: 2});
+    entry.post({kind: 'messageReceived', from: PEER, message: hello});
+    entry.call('d');
+    entry.call('e');
+    expect(entry.drainEffects().join()).to.contain('to i-2');
+  });
+});
--- a/test/mesh/soak/invariant_checker.ts
+++ b/test/mesh/soak/invariant_checker.ts
@@ -23,6 +23,9 @@
 /** Time after which a proxy that passed on a limit counts as told. */
 const TOLD_AFTER_MS = 500;
 
+/** A planned stop may cut runs only in this last part of the grace period. */
+const GRACE_RESERVE_MS = 1_000;
+
 /** Rate limits that an upstream has named, with the time of each. */
 interface LimitHistory {
   namedAt: number;
@@ -232,6 +235,12 @@
     if (tookMs > graceMs) {
       this.violations.push(`${node.host} took ${tookMs} ms to stop`);
     }
+    if (node.runs.size > 0 && tookMs < graceMs - GRACE_RESERVE_MS) {
+      const runs = [...node.runs].join();
+      this.violations.push(
+        `${node.host} ended its planned stop after ${tookMs} ms with runs: ${runs}`,
+      );
+    }
   }
 
   recordDraining(node: Node, at: number): void {
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -28,6 +28,9 @@
 /** Time after which the transport gives up an attempt on a broken link. */
 const TRANSPORT_TIMEOUT_MS = 800;
 
+/** Time from the end of a planned stop to the end of the process. */
+const FINAL_WRITES_MS = 150;
+
 const MEAN_WORK_MS = 60;
 const SLOTS = 4;
 const UPSTREAM_QUEUE_LENGTH = 2;
@@ -223,13 +226,23 @@
           accepted: !node.upstreamDown,
         });
       case 'stopped':
-        this.checker.recordShutdown(node, this.clock.now);
-        return this.endProcess(node);
+        return this.endAfterFinalWrites(node);
       default:
         return;
     }
   }
 
+  /** Ends a stopped process as late as its runtime, which writes last answers. */
+  private endAfterFinalWrites(node: Node): void {
+    const {state} = node;
+    this.after(FINAL_WRITES_MS, () => {
+      if (node.alive && node.state === state) {
+        this.checker.recordShutdown(node, this.clock.now);
+        this.endProcess(node);
+      }
+    });
+  }
+
   private findNode(address: string): Node | undefined {
     return this.nodes.find(node => node.address === address);
   }
