Charge the calls of repeated runs to the retry budget

Cause, by the code: calls that a repeated run makes count as repeats at the service that is called, but cost it no token. Change: an attempt says whether an upstream has received its request before, or whether its own run was made by such a run; a nested call of it takes a token of the service that it calls, also on credit, because a refusal would waste the run. The next retries pay the debt off.

Evidence: both cases of 'retry budget and nested calls' (test/mesh/retry_tokens.test.ts) failed before (0 tokens instead of 10; no attempt marked).

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -12,11 +12,12 @@
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 import {MeshCallInfo, MeshEmit, MeshEvent} from './mesh_types.js';
-import {creditRetryTokens} from './retry_tokens.js';
+import {creditRetryTokens, spendRetryToken} from './retry_tokens.js';
 import {chooseBackend, findMeshRoute} from './route_table.js';
 import {getPriorRunMs} from './run_estimates.js';
 import {getKnowledgeAgeMs} from './known_state.js';
 import {finishesBeforeStop} from './stop_deadline.js';
+import {RunningAttempt} from './work_queue.js';
 
 /**
  * Largest number of owners to which one call is sent. An owner's refusal costs
@@ -56,7 +57,13 @@
   }
   state.calls.set(callId, call);
   const proxies = state.fleet.instances.size;
-  creditRetryTokens(state.retries, state.settings, proxies, call.service, at);
+  const {retries, settings} = state;
+  creditRetryTokens(retries, settings, proxies, call.service, at);
+  if (call.repeated) {
+    // Its refusal would waste the run, so this may leave a debt, which the next
+    // retries pay off.
+    spendRetryToken(retries, settings, proxies, call.service, at);
+  }
   if (!trySendAttempt(state, stamp, call, emit)) {
     const refusal = createRefusal('no_upstream', DEFAULT_RETRY_AFTER_MS);
     refuseCall(state, call, refusal, stamp, emit);
@@ -90,7 +97,8 @@
     return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
   }
   const timeoutMs = Math.min(route.timeoutMs, info.timeoutMs ?? Infinity);
-  const nested = isNested(state, info);
+  const parent = findParentRun(state, info);
+  const nested = parent !== undefined;
   const spentMs = nested
     ? 0
     : recordCallerBudget(state.callerBudgets, route.name, info.timeoutMs);
@@ -101,6 +109,7 @@
     service: chooseBackend(route, entropy),
     version: routeTable.version,
     nested,
+    repeated: parent?.attempt.repeated === true,
     arrivedAt: at,
     aimAt: at + route.aimMs - spentMs,
     deadlineAt: at + timeoutMs,
@@ -113,16 +122,19 @@
 }
 
 /**
- * Reports whether a request that runs at this proxy's upstream made the call.
- * Identifiers of other requests don't count, so that a caller cannot gain
- * precedence by the form of its identifiers.
+ * Finds the run at this proxy's upstream that made a call. Identifiers of other
+ * requests don't count, so that a caller cannot gain precedence by the form of its
+ * identifiers.
  */
-function isNested({work}: MeshState, {parentId}: MeshCallInfo): boolean {
+function findParentRun(
+  {work}: MeshState,
+  {parentId}: MeshCallInfo,
+): RunningAttempt | undefined {
   if (parentId === undefined) {
-    return false;
+    return undefined;
   }
   const runs = [...work.running.values()];
-  return runs.some(({attempt}) => attempt.requestId === parentId);
+  return runs.find(({attempt}) => attempt.requestId === parentId);
 }
 
 /** Refuses a call of which no state was created. */
@@ -208,6 +220,11 @@
   const timeoutMs = call.deadlineAt - at;
   const {report} = getOrCreateLoad(state.loads, instanceId);
   const limitPerSecond = report?.limitPerSecond;
+  const isRepeated =
+    call.repeated ||
+    call.mayHaveRun ||
+    call.reached > 0 ||
+    call.inFlight.size > 0;
   return {
     attemptId: `${call.callId}.${call.tried.size}`,
     requestId: info.requestId,
@@ -217,6 +234,7 @@
     callerService: state.settings.service,
     idempotent: route.idempotent,
     ...(call.nested ? {nested: true} : {}),
+    ...(isRepeated ? {repeated: true} : {}),
     priority: route.priority,
     // The work of a run is wasted if a call that it made is refused, so such
     // a call has until its deadline instead of until its aim.
--- a/src/core/mesh/mesh_calls.ts
+++ b/src/core/mesh/mesh_calls.ts
@@ -23,6 +23,8 @@
   readonly version: number;
   /** A request that runs at the upstream beside this proxy made the call. */
   readonly nested: boolean;
+  /** That run repeats an earlier one, so the call counts as a retry. */
+  readonly repeated: boolean;
   readonly arrivedAt: number;
   /** Until then, counted from the caller's first try, an answer is in time. */
   readonly aimAt: number;
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -113,6 +113,11 @@
   idempotent: z.boolean(),
   /** A request that runs at another upstream made the call and waits for it. */
   nested: z.boolean().optional(),
+  /**
+   * An upstream has received the request before, or a repeated run made the call.
+   * The calls that its run makes use the retry budget of the services called.
+   */
+  repeated: z.boolean().optional(),
   priority: z.int().min(0),
   /** Time left until the aim and until the deadline, when it was sent. */
   aimMs: z.number(),
--- a/test/mesh/retry_tokens.test.ts
+++ b/test/mesh/retry_tokens.test.ts
@@ -6,7 +6,9 @@
   creditRetryTokens,
   spendRetryToken,
 } from '../../src/core/mesh/retry_tokens.js';
+import {MeshEffect} from '../../src/core/mesh/mesh_types.js';
 import {expect} from '../support/chai_setup.js';
+import {MeshFixture, createAttempt, createInstance} from './mesh_fixture.js';
 
 const SETTINGS = {
   retryShare: 0.2,
@@ -62,6 +64,54 @@
   return most;
 }
 
+/** Calls that each get one retry, which the budget of a quiet window allows. */
+function countRetries(proxy: MeshFixture, calls: number): number {
+  let retries = 0;
+  for (let n = 0; n < calls; n += 1) {
+    proxy.call(`c-${n}`);
+    proxy.answer(`c-${n}.1`, 500);
+    const effects = proxy.drainEffects();
+    retries += effects.filter(effect => effect.includes(`c-${n}.2`)).length;
+  }
+  return retries;
+}
+
+/** A proxy whose upstream runs a request that has made nested calls. */
+function createWithNestedCalls(repeated: boolean, calls: number): MeshFixture {
+  const proxy = new MeshFixture({retryExtra: 100});
+  proxy.loadFromSource([createInstance(1), createInstance(2)]);
+  const attempt = createAttempt({requestId: 'parent', repeated});
+  proxy.post({kind: 'attemptArrived', attempt});
+  for (let n = 0; n < calls; n += 1) {
+    proxy.call(`n-${n}`, '/read/1', 2_500, 'parent');
+  }
+  proxy.drainEffects();
+  return proxy;
+}
+
+describe('retry budget and nested calls', () => {
+  it('is used by the calls of a run that repeats another', () => {
+    const before = countRetries(createWithNestedCalls(false, 10), 60);
+    const after = countRetries(createWithNestedCalls(true, 10), 60);
+    expect(before - after).to.equal(10);
+  });
+
+  it('counts a second send, a hedge and their calls as repeated', () => {
+    const proxy = new MeshFixture({upstreamAddress: '10.0.0.1:9999'});
+    proxy.loadFromSource([createInstance(2), createInstance(3)]);
+    const getRepeated = (effects: readonly MeshEffect[]) =>
+      effects.flatMap(effect =>
+        effect.kind === 'sendAttempt' ? effect.attempt.repeated === true : [],
+      );
+    expect(getRepeated(proxy.call('a'))).to.deep.equal([false]);
+    expect(getRepeated(proxy.refuse('a.1', 'queue_full'))).to.deep.equal([
+      false,
+    ]);
+    expect(getRepeated(proxy.call('b'))).to.deep.equal([false]);
+    expect(getRepeated(proxy.answer('b.1', 500))).to.deep.equal([true]);
+  });
+});
+
 describe('mesh retry budget', () => {
   for (const proxies of [1, 10, 79]) {
     it(`holds for ${proxies} proxies where all calls fail`, () => {
