--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -5,7 +5,12 @@
 
 type HistogramName = Extract<MeshEffect, {kind: 'observe'}>['histogram'];
 type CounterName =
-  MeshCounter | 'bad_input' | 'unknown_input' | 'log_dropped' | 'reload';
+  | MeshCounter
+  | 'bad_input'
+  | 'unknown_input'
+  | 'internal_error'
+  | 'log_dropped'
+  | 'reload';
 
 const COUNTER_HELP: Readonly<Record<CounterName, string>> = {
   call_refused: 'Calls that got no upstream answer, by reason.',
@@ -24,6 +29,7 @@
   link_changed: 'Links to peers opened or closed.',
   bad_input: 'Malformed input refused, by kind.',
   unknown_input: 'Values that this build does not know, by kind.',
+  internal_error: 'Unexpected errors, by event or origin.',
   log_dropped: 'Log lines dropped because too many came at once.',
   reload: 'Settings files read again, by outcome.',
 };
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -162,6 +162,7 @@
       reduceMesh,
       this.clock,
       effect => this.performEffect(effect),
+      (error, {kind}) => this.reportError(kind, error),
     );
   }
 
@@ -290,6 +291,20 @@
     );
   }
 
+  /**
+   * Reports an unexpected error. The process goes on: its other calls are worth
+   * more than a clean state, and each call ends at its deadline at the latest.
+   * @param origin - The event that failed, or where the error was caught.
+   */
+  reportError(origin: string, error: unknown): void {
+    this.metrics.count('internal_error', origin);
+    this.log.write('daemon', 'error', 'Unexpected error; report it.', {
+      origin,
+      detail: String(error).slice(0, 200),
+      stack: error instanceof Error ? error.stack?.slice(0, 600) : undefined,
+    });
+  }
+
   private reportBadInput(kind: string, detail: string): void {
     this.metrics.count('bad_input', kind);
     this.log.write('daemon', 'warn', 'Invalid input ignored.', {kind, detail});
--- a/src/proxy/core_loop.ts
+++ b/src/proxy/core_loop.ts
@@ -23,12 +23,16 @@
    * @param reducer - The core's reducer.
    * @param clock - Supplies the time and the random number of each event.
    * @param perform - Performs one effect; may post further events.
+   * @param onError - Called with an unexpected error of an event or of one of its
+   *     effects. The other effects and events are still handled; undefined: the
+   *     error is thrown.
    */
   constructor(
     private currentState: TState,
     private readonly reducer: Reducer<TState, TEvent, TEffect>,
     private readonly clock: Clock,
     private readonly perform: (effect: TEffect) => void,
+    private readonly onError?: (error: unknown, body: TEvent) => void,
   ) {}
 
   /** The current state; callers must not modify it. */
@@ -53,13 +57,27 @@
         nextEvent !== undefined;
         nextEvent = this.pendingEvents.shift()
       ) {
-        this.reduce(nextEvent);
+        const event = nextEvent;
+        this.guard(event, () => this.reduce(event));
       }
     } finally {
       this.isReducing = false;
     }
   }
 
+  /** Keeps one event from ending the process, and from stopping later events. */
+  private guard(body: TEvent, run: () => void): void {
+    if (this.onError === undefined) {
+      run();
+      return;
+    }
+    try {
+      run();
+    } catch (error) {
+      this.onError(error, body);
+    }
+  }
+
   private reduce(body: TEvent): void {
     const at = this.clock.now();
     const entropy = this.clock.getEntropy();
@@ -70,7 +88,7 @@
     });
     this.currentState = state;
     for (const effect of effects) {
-      this.perform(effect);
+      this.guard(body, () => this.perform(effect));
     }
   }
 }
