Refuse waiting attempts at the end of the grace period

At the stop deadline only the proxy's own calls were refused; attempts of other entries that waited here ended with their link, as lost, although they had not run. The new case of test/mesh/planned_stop.test.ts failed before. Also moves an estimate to the module of the rate limit, and a fixture that two tests had.

--- a/src/core/entry/load_view.ts
+++ b/src/core/entry/load_view.ts
@@ -24,9 +24,6 @@
 /** Age from which a load report is ignored. */
 const REPORT_LIFETIME_MS = 2_000;
 
-/** Keeps estimates finite for an upstream that names a limit of zero. */
-const MIN_LIMIT = 0.25;
-
 /** Load and health of one upstream, as seen by one entry. */
 export interface UpstreamLoad {
   report?: LoadReport;
@@ -191,22 +188,6 @@
   return Math.max(running + queued + sentSince, load.ownAttempts);
 }
 
-/**
- * Estimates how long an upstream's rate limit makes another request wait.
- * @param load - Its record.
- * @param at - Now, in Unix milliseconds.
- * @returns Milliseconds; 0 if it has named no limit.
- */
-export function estimateLimitDelayMs(load: UpstreamLoad, at: number): number {
-  const {limitPerSecond, limitDelayMs = 0} = load.report ?? {};
-  if (limitPerSecond === undefined) {
-    return 0;
-  }
-  const sentSince = Math.max(0, load.ownAttempts - load.reportedAttempts);
-  const sentMs = (sentSince / Math.max(limitPerSecond, MIN_LIMIT)) * 1_000;
-  return Math.max(0, limitDelayMs + sentMs - (at - load.reportedAt));
-}
-
 /**
  * Estimates how busy an upstream is.
  * @param load - Its record.
--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -3,11 +3,11 @@
 import {
   UpstreamLoad,
   estimateInFlight,
-  estimateLimitDelayMs,
   getOrCreateLoad,
   isEjected,
 } from '../entry/load_view.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
+import {estimateLimitDelayMs} from './rate_limit.js';
 import {RUN_SHARE_OF_AIM, getPriorRunMs} from './run_estimates.js';
 
 /**
--- a/src/core/mesh/graceful_shutdown.ts
+++ b/src/core/mesh/graceful_shutdown.ts
@@ -3,6 +3,7 @@
 import {refuseCall} from './call_lifecycle.js';
 import {MeshState, getOwnInstance} from './mesh_state.js';
 import {MeshEmit, MeshEvent} from './mesh_types.js';
+import {refuseAllWaiting} from './owner_attempts.js';
 import {getStopDeadline} from './stop_deadline.js';
 import {broadcastToPeers} from './broadcast_to_peers.js';
 
@@ -63,10 +64,10 @@
 }
 
 /**
- * Ends a planned stop once the proxy is idle. From then on nothing is taken, so
- * that no run begins whose connection the end of the process would close. Peers
- * are told, and what they have sent before is refused. Also ends the stop at the stop deadline, where the
- * remaining calls are refused.
+ * Ends a planned stop once the proxy is idle, or at the stop deadline, where the
+ * remaining calls and waiting attempts are refused. From then on nothing is taken,
+ * so that no run begins whose connection the end of the process would close.
+ * Peers are told, and what they have sent before is refused.
  */
 export function endStopIfDue(
   state: MeshState,
@@ -93,6 +94,7 @@
       call.mayHaveRun ||= call.inFlight.size > 0;
       refuseCall(state, call, createRefusal('proxy_stopping'), event, emit);
     }
+    refuseAllWaiting(state, at, 'proxy_stopping', emit);
   }
   if (isOver || (served && idle && quiet)) {
     state.stopped = true;
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -285,7 +285,7 @@
 export function refuseAllWaiting(
   state: MeshState,
   at: number,
-  reason: 'upstream_down' | 'wrong_home',
+  reason: 'upstream_down' | 'wrong_home' | 'proxy_stopping',
   emit: MeshEmit,
 ): void {
   for (const {attempt} of state.work.queue.splice(0)) {
--- a/src/core/mesh/rate_limit.ts
+++ b/src/core/mesh/rate_limit.ts
@@ -2,7 +2,9 @@
  * The request rate that an upstream accepts. An overloaded upstream names it in
  * its answers, as a total for the fleet. All its requests pass through its owner,
  * so the owner's token bucket enforces the limit.
+ * Entries know it from load reports and choose by the wait that it causes.
  */
+import {UpstreamLoad} from '../entry/load_view.js';
 
 /**
  * Least rate at which an upstream gets requests. It names the end of a limit only
@@ -11,8 +13,8 @@
 const MIN_RATE_PER_S = 0.25;
 
 /**
- * Capacity of the bucket: the requests of this time, in seconds, and a least one,
- * because tokens that are earned between two timer ticks would be lost.
+ * Capacity of the bucket: the requests of this time, in seconds, and a least number, because tokens that are
+ * earned between two timer ticks would be lost.
  */
 const BURST_S = 0.25;
 const MIN_BURST = 2;
@@ -45,12 +47,7 @@
   limit.refilledAt = at;
 }
 
-/**
- * Sets or ends the limit.
- * @param limit - The upstream's limit.
- * @param perSecond - Requests per second; undefined: none.
- * @param at - Now, in milliseconds.
- */
+/** Sets or ends the limit, and keeps the tokens that were not used. */
 function setPerSecond(
   limit: RateLimit,
   perSecond: number | undefined,
@@ -132,3 +129,19 @@
     limit.tokens -= 1;
   }
 }
+
+/**
+ * Estimates how long the limit makes another request wait, as an entry knows it.
+ * @param load - The upstream's record.
+ * @param at - Now, in milliseconds.
+ * @returns Milliseconds; 0 if the upstream has named no limit.
+ */
+export function estimateLimitDelayMs(load: UpstreamLoad, at: number): number {
+  const {limitPerSecond, limitDelayMs = 0} = load.report ?? {};
+  if (limitPerSecond === undefined) {
+    return 0;
+  }
+  const sentSince = Math.max(0, load.ownAttempts - load.reportedAttempts);
+  const sentMs = (sentSince / getRate(limitPerSecond)) * 1_000;
+  return Math.max(0, limitDelayMs + sentMs - (at - load.reportedAt));
+}
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -244,6 +244,22 @@
   }
 }
 
+/**
+ * Creates an entry that has links to the owners of two upstreams, `i-2` and `i-3`,
+ * and no upstream of its own.
+ */
+export function createRemoteEntry(): MeshFixture {
+  const entry = new MeshFixture({upstreamAddress: `${SELF}:9999`});
+  entry.loadFromSource([createInstance(2), createInstance(3)]);
+  for (const host of [2, 3]) {
+    const from = `10.0.0.${host}:${LINK_PORT}`;
+    const message = createHello({address: from});
+    entry.post({kind: 'messageReceived', from, message});
+  }
+  entry.drainEffects();
+  return entry;
+}
+
 /** Describes effects in one line each, without metrics and logs. */
 export function describeEffects(effects: readonly MeshEffect[]): string[] {
   return effects.flatMap(effect => {
--- a/test/mesh/planned_stop.test.ts
+++ b/test/mesh/planned_stop.test.ts
@@ -6,6 +6,7 @@
   createAttempt,
   createHello,
   createInstance,
+  createRemoteEntry,
 } from './mesh_fixture.js';
 
 const PEER = '10.0.0.2:7000';
@@ -79,6 +80,23 @@
     expect(endStop(proxy)).to.include('stopped');
   });
 
+  it('refuses what still waits when the grace period is nearly over', () => {
+    const proxy = createStopping();
+    // The runs never end; the last two attempts wait for a slot.
+    for (const attemptId of ['run-1', 'run-2', 'waits-1', 'waits-2']) {
+      const timeoutMs = 60_000;
+      const attempt = createAttempt({attemptId, timeoutMs, aimMs: timeoutMs});
+      proxy.post({kind: 'attemptArrived', attempt});
+    }
+    proxy.state.estimates.byRoute.set('read', 100);
+    proxy.drainEffects();
+    const refused = endStop(proxy).filter(e => e.includes('proxy_stopping'));
+    expect(refused).to.deep.equal([
+      'finishAttempt waits-1 proxy_stopping reached=false',
+      'finishAttempt waits-2 proxy_stopping reached=false',
+    ]);
+  });
+
   it('does not end while its own callers wait for other owners', () => {
     const proxy = createStopping();
     proxy.advance(2_500);
@@ -90,13 +108,7 @@
   });
 
   it('is never asked again by a peer that knows its decision', () => {
-    const entry = new MeshFixture({upstreamAddress: '10.0.0.1:9999'});
-    entry.loadFromSource([createInstance(2), createInstance(3)]);
-    for (const host of [2, 3]) {
-      const from = `10.0.0.${host}:7000`;
-      const message = createHello({address: from});
-      entry.post({kind: 'messageReceived', from, message});
-    }
+    const entry = createRemoteEntry();
     const message = {kind: 'leaving', address: PEER, final: true} as const;
     entry.post({kind: 'messageReceived', from: PEER, message});
     entry.drainEffects();
--- a/test/mesh/rate_limit.test.ts
+++ b/test/mesh/rate_limit.test.ts
@@ -4,8 +4,8 @@
 import {
   MeshFixture,
   createAttempt,
-  createHello,
   createInstance,
+  createRemoteEntry,
 } from './mesh_fixture.js';
 
 const NO_REPORT: UpstreamReport = {leaving: false};
@@ -214,7 +214,7 @@
   });
 
   it('makes entries choose other upstreams while it holds requests back', () => {
-    const entry = createEntry();
+    const entry = createRemoteEntry();
     const load = {
       running: 0,
       queued: 0,
@@ -243,18 +243,6 @@
   });
 });
 
-function createEntry(): MeshFixture {
-  const entry = new MeshFixture({upstreamAddress: '10.0.0.1:9999'});
-  entry.loadFromSource([createInstance(2), createInstance(3)]);
-  for (const host of [2, 3]) {
-    const from = `10.0.0.${host}:7000`;
-    const message = createHello({address: from});
-    entry.post({kind: 'messageReceived', from, message});
-  }
-  entry.drainEffects();
-  return entry;
-}
-
 describe('an upstream that reports that it is leaving', () => {
   const leaving = {leaving: true};
 
@@ -268,7 +256,7 @@
   });
 
   it('is chosen by no entry that was told, until it starts anew', () => {
-    const entry = createEntry();
+    const entry = createRemoteEntry();
     entry.call('a');
     const [sent] = entry.drainEffects();
     const id = sent.split(' to ')[1];
