Refuse at the entry what rate limits rule out; pass on an upstream's Retry-After

An entry asked an owner also where all upstreams of the service had named limits and their waits were longer than the call had left; now it refuses at once, with the shortest wait. Both new tests (test/mesh/rate_limit.test.ts) failed before. The creation of calls moves to a module of its own.

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -4,20 +4,16 @@
  */
 import {MeshAttempt} from '../../model/mesh.js';
 import {getOrCreateLoad} from '../entry/load_view.js';
-import {isQuarantined} from '../owner/crash_suspects.js';
 import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
 import {Answer} from '../types.js';
-import {recordCallerBudget} from './caller_budgets.js';
-import {chooseInstance} from './choose_instance.js';
+import {chooseInstance, getShortestLimitDelayMs} from './choose_instance.js';
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 import {MeshCallInfo, MeshEmit, MeshEvent} from './mesh_types.js';
+import {tryCreateCall} from './create_call.js';
+import {clampRetryAfterMs} from './overload_admission.js';
 import {creditRetryTokens, spendRetryToken} from './retry_tokens.js';
-import {chooseBackend, findMeshRoute} from './route_table.js';
-import {getPriorRunMs} from './run_estimates.js';
 import {getKnowledgeAgeMs} from './known_state.js';
-import {finishesBeforeStop} from './stop_deadline.js';
-import {RunningAttempt} from './work_queue.js';
 
 /**
  * Largest number of owners to which one call is sent. An owner's refusal costs
@@ -28,11 +24,8 @@
 /** No attempt is sent with less time than this to the deadline. */
 const MIN_ATTEMPT_MS = 4;
 
-/** Retry delay that callers are advised where no estimate is known. */
-const DEFAULT_RETRY_AFTER_MS = 400;
-
-/** Retry delay that a stopping proxy advises: other proxies accept the call. */
-const STOPPING_RETRY_AFTER_MS = 50;
+/** Retry delay that callers are advised where no upstream accepts work. */
+const NO_UPSTREAM_RETRY_AFTER_MS = 400;
 
 /** Random part of a retry delay, so that callers do not retry in step. */
 const RETRY_AFTER_JITTER = 0.5;
@@ -65,76 +58,21 @@
     spendRetryToken(retries, settings, proxies, call.service, at);
   }
   if (!trySendAttempt(state, stamp, call, emit)) {
-    const refusal = createRefusal('no_upstream', DEFAULT_RETRY_AFTER_MS);
+    const refusal = createNoUpstreamRefusal(state, call.service, at);
     refuseCall(state, call, refusal, stamp, emit);
   }
 }
 
-/** Creates the state of a call, or the refusal where it is not accepted. */
-function tryCreateCall(
+/** Creates the refusal of a call for which no upstream could be chosen. */
+function createNoUpstreamRefusal(
   state: MeshState,
-  {at, entropy}: EventStamp,
-  callId: string,
-  info: MeshCallInfo,
-): MeshCall | Refusal {
-  const {routeTable} = state;
-  if (state.stopped) {
-    return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
-  }
-  if (routeTable === undefined || state.fleet.revision === 0) {
-    return createRefusal('config_unknown', DEFAULT_RETRY_AFTER_MS);
-  }
-  const route = findMeshRoute(routeTable, info.host, info.path);
-  if (route === undefined) {
-    return createRefusal('no_route');
-  }
-  if (isQuarantined(state.suspects, info.fingerprint, at)) {
-    return createRefusal('crash_suspected', state.settings.quarantineMs);
-  }
-  const expectedMs =
-    state.answerMsByRoute.get(route.name) ?? getPriorRunMs(route.aimMs);
-  if (!finishesBeforeStop(state, expectedMs, at)) {
-    return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
-  }
-  const timeoutMs = Math.min(route.timeoutMs, info.timeoutMs ?? Infinity);
-  const parent = findParentRun(state, info);
-  const nested = parent !== undefined;
-  const spentMs = nested
-    ? 0
-    : recordCallerBudget(state.callerBudgets, route.name, info.timeoutMs);
-  return {
-    callId,
-    info,
-    route,
-    service: chooseBackend(route, entropy),
-    version: routeTable.version,
-    nested,
-    repeated: parent?.attempt.repeated === true,
-    arrivedAt: at,
-    aimAt: at + route.aimMs - spentMs,
-    deadlineAt: at + timeoutMs,
-    tried: new Set(),
-    inFlight: new Map(),
-    asked: 0,
-    reached: 0,
-    mayHaveRun: false,
-  };
-}
-
-/**
- * Finds the run at this proxy's upstream that made a call. Identifiers of other
- * requests don't count, so that a caller cannot gain precedence by the form of its
- * identifiers.
- */
-function findParentRun(
-  {work}: MeshState,
-  {parentId}: MeshCallInfo,
-): RunningAttempt | undefined {
-  if (parentId === undefined) {
-    return undefined;
-  }
-  const runs = [...work.running.values()];
-  return runs.find(({attempt}) => attempt.requestId === parentId);
+  service: string,
+  at: number,
+): Refusal {
+  const limitDelayMs = getShortestLimitDelayMs(state, service, at);
+  return limitDelayMs > 0
+    ? createRefusal('rate_limited', clampRetryAfterMs(limitDelayMs))
+    : createRefusal('no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
 }
 
 /** Refuses a call of which no state was created. */
@@ -181,7 +119,8 @@
   const wasTurnedAway =
     lastReason === 'queue_full' || lastReason === 'rate_limited';
   const usefulMs = wasTurnedAway ? getUsefulMs(call, at) : undefined;
-  const query = {service, route, tried, bodyBytes, usefulMs};
+  const timeLeftMs = call.deadlineAt - at;
+  const query = {service, route, tried, bodyBytes, timeLeftMs, usefulMs};
   const instance = chooseInstance(state, query, at, entropy);
   if (instance === undefined) {
     return false;
--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -60,6 +60,8 @@
   readonly tried: ReadonlySet<string>;
   /** Bytes of the request's body. */
   readonly bodyBytes: number;
+  /** Time until the caller's deadline, in milliseconds. */
+  readonly timeLeftMs: number;
   /**
    * Only upstreams that probably answer within this time are chosen, in
    * milliseconds; undefined: all.
@@ -122,14 +124,14 @@
   query: InstanceQuery,
   at: number,
 ): boolean {
-  const {usefulMs, route} = query;
-  if (usefulMs === undefined) {
-    return true;
-  }
+  const {usefulMs, timeLeftMs, route} = query;
   const load = getOrCreateLoad(state.loads, instance.id);
-  if (estimateLimitDelayMs(load, at) > usefulMs) {
+  if (estimateLimitDelayMs(load, at) > (usefulMs ?? timeLeftMs)) {
     return false;
   }
+  if (usefulMs === undefined) {
+    return true;
+  }
   if (at - load.reportedAt > ROOM_REPORT_AGE_MS) {
     return true;
   }
@@ -137,6 +139,22 @@
   return answerMs <= usefulMs - route.aimMs * ROOM_MARGIN_SHARE;
 }
 
+/**
+ * Gets the shortest wait that rate limits cause at the upstreams of a service.
+ * @returns Milliseconds; 0 if one has no limit, or there is no upstream.
+ */
+export function getShortestLimitDelayMs(
+  {fleet, loads}: MeshState,
+  service: string,
+  at: number,
+): number {
+  const instances = fleet.acceptingByService.get(service) ?? [];
+  const delays = instances.map(({id}) =>
+    estimateLimitDelayMs(getOrCreateLoad(loads, id), at),
+  );
+  return delays.length === 0 ? 0 : Math.min(...delays);
+}
+
 /** For a small share of calls, picks an upstream without a recent report. */
 function chooseForExploration(
   state: MeshState,
--- /dev/null
+++ b/src/core/mesh/create_call.ts
@@ -0,0 +1,87 @@
+/** Decides whether a call is accepted, and creates its state. */
+import {isQuarantined} from '../owner/crash_suspects.js';
+import {Refusal, createRefusal} from '../refusals.js';
+import {recordCallerBudget} from './caller_budgets.js';
+import {MeshCall} from './mesh_calls.js';
+import {MeshState} from './mesh_state.js';
+import {MeshCallInfo, MeshEvent} from './mesh_types.js';
+import {chooseBackend, findMeshRoute} from './route_table.js';
+import {getPriorRunMs} from './run_estimates.js';
+import {finishesBeforeStop} from './stop_deadline.js';
+import {RunningAttempt} from './work_queue.js';
+
+/** Retry delay advised while no configuration is known. */
+const UNKNOWN_RETRY_AFTER_MS = 400;
+
+/** Retry delay that a stopping proxy advises: other proxies accept the call. */
+const STOPPING_RETRY_AFTER_MS = 50;
+
+/**
+ * Creates the state of a call.
+ * @returns The call, or the refusal where it is not accepted.
+ */
+export function tryCreateCall(
+  state: MeshState,
+  {at, entropy}: Pick<MeshEvent, 'at' | 'entropy'>,
+  callId: string,
+  info: MeshCallInfo,
+): MeshCall | Refusal {
+  const {routeTable} = state;
+  if (state.stopped) {
+    return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
+  }
+  if (routeTable === undefined || state.fleet.revision === 0) {
+    return createRefusal('config_unknown', UNKNOWN_RETRY_AFTER_MS);
+  }
+  const route = findMeshRoute(routeTable, info.host, info.path);
+  if (route === undefined) {
+    return createRefusal('no_route');
+  }
+  if (isQuarantined(state.suspects, info.fingerprint, at)) {
+    return createRefusal('crash_suspected', state.settings.quarantineMs);
+  }
+  const expectedMs =
+    state.answerMsByRoute.get(route.name) ?? getPriorRunMs(route.aimMs);
+  if (!finishesBeforeStop(state, expectedMs, at)) {
+    return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
+  }
+  const timeoutMs = Math.min(route.timeoutMs, info.timeoutMs ?? Infinity);
+  const parent = findParentRun(state, info);
+  const nested = parent !== undefined;
+  const spentMs = nested
+    ? 0
+    : recordCallerBudget(state.callerBudgets, route.name, info.timeoutMs);
+  return {
+    callId,
+    info,
+    route,
+    service: chooseBackend(route, entropy),
+    version: routeTable.version,
+    nested,
+    repeated: parent?.attempt.repeated === true,
+    arrivedAt: at,
+    aimAt: at + route.aimMs - spentMs,
+    deadlineAt: at + timeoutMs,
+    tried: new Set(),
+    inFlight: new Map(),
+    asked: 0,
+    reached: 0,
+    mayHaveRun: false,
+  };
+}
+
+/**
+ * Finds the run at this proxy's upstream that made a call. Identifiers of other
+ * requests don't count, so that a caller cannot gain precedence by the form of its
+ * identifiers.
+ */
+function findParentRun(
+  {work}: MeshState,
+  {parentId}: MeshCallInfo,
+): RunningAttempt | undefined {
+  if (parentId === undefined) {
+    return undefined;
+  }
+  const runs = [...work.running.values()];
+  return runs.find(({attempt}) => attempt.requestId === parentId);
+}
--- a/src/core/mesh/dispatch_results.ts
+++ b/src/core/mesh/dispatch_results.ts
@@ -53,7 +53,7 @@
   if (facts.otherInstance) {
     handleReplacedInstance(state, at, run, emit);
   } else if (facts.notRun) {
-    handleShedRequest(state, at, run, emit);
+    handleShedRequest(state, at, run, facts.retryAfterMs, emit);
   } else {
     const failed = isServerError(answer);
     recordOutcome(state.estimates, failed);
@@ -71,6 +71,7 @@
   state: MeshState,
   at: number,
   run: RunningAttempt,
+  retryAfterMs = REJECTED_RETRY_AFTER_MS,
   emit: MeshEmit,
 ): void {
   recordOutcome(state.estimates, true);
@@ -88,9 +89,10 @@
       tookMs: Math.round(at - run.startedAt),
       running: state.work.running.size,
       slots: getOwnInstance(state)?.slots,
+      retryAfterMs,
     },
   });
-  const refusal = createRefusal('queue_full', REJECTED_RETRY_AFTER_MS);
+  const refusal = createRefusal('queue_full', retryAfterMs);
   finishRun(state, at, run, refusal, emit);
 }
 
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -92,6 +92,8 @@
 export interface AnswerFacts {
   /** The upstream reports that it did not execute the request. */
   readonly notRun: boolean;
+  /** When the upstream suggests to repeat a request that it rejected. */
+  readonly retryAfterMs?: number;
   /** Another instance than the addressed one has the address. */
   readonly otherInstance: boolean;
   /** Undefined if the answer is not known to come from the upstream. */
--- a/src/mesh/mesh_upstream_client.ts
+++ b/src/mesh/mesh_upstream_client.ts
@@ -123,6 +123,7 @@
     }
     const facts: AnswerFacts = {
       notRun: claimsNotRun && NOT_RUN_STATUSES.has(status),
+      retryAfterMs: parseRetryAfterMs(answer.headers['retry-after']),
       otherInstance: status === STATUS_MISDIRECTED,
       report: this.readReport(answer.headers),
     };
@@ -191,6 +192,15 @@
   return rates.length === 0 ? 'unreadable' : Math.min(...rates);
 }
 
+/** Parses a retry delay in seconds; undefined for a date or anything else. */
+function parseRetryAfterMs(
+  header: string | readonly string[] | undefined,
+): number | undefined {
+  return typeof header === 'string' && DECIMAL.test(header)
+    ? Number(header) * 1_000
+    : undefined;
+}
+
 /**
  * Returns true if only the end of the connection delimited the answer's body,
  * else undefined.
--- a/test/mesh/choosing.test.ts
+++ b/test/mesh/choosing.test.ts
@@ -39,7 +39,7 @@
   const route = createRoute();
   state.answerBytesByRoute.set(route.name, 400);
   const tried = new Set<string>();
-  const query = {service: 'desk', route, tried, bodyBytes};
+  const query = {service: 'desk', route, tried, bodyBytes, timeLeftMs: 1_200};
   return chooseInstance(state, query, at, DEFAULT_ENTROPY)?.id;
 }
 
--- a/test/mesh/rate_limit.test.ts
+++ b/test/mesh/rate_limit.test.ts
@@ -1,4 +1,5 @@
 /** Limits and departures that upstreams report in their answers. */
+import {getOrCreateLoad} from '../../src/core/entry/load_view.js';
 import {UpstreamReport} from '../../src/core/mesh/mesh_types.js';
 import {expect} from '../support/chai_setup.js';
 import {
@@ -243,6 +244,52 @@
   });
 });
 
+describe('rate limits of a whole service', () => {
+  it('make an entry refuse at once what no upstream can take in time', () => {
+    const entry = createRemoteEntry();
+    for (const id of ['i-2', 'i-3']) {
+      const load = getOrCreateLoad(entry.state.loads, id);
+      load.reportedAt = entry.at;
+      load.report = {
+        running: 0,
+        queued: 0,
+        slots: SLOTS,
+        leaving: false,
+        limitPerSecond: 0.5,
+        limitDelayMs: id === 'i-2' ? 1_800 : 1_600,
+      };
+    }
+    const [answered] = entry
+      .call('a', '/read/1', 1_000)
+      .filter(effect => effect.kind === 'answerCall');
+    const {result} = answered;
+    expect(result.kind === 'refusal' && result.reason).to.equal('rate_limited');
+    const retryAfterMs = result.kind === 'refusal' ? result.retryAfterMs : 0;
+    expect(retryAfterMs).to.be.within(1_600, 2_400);
+    entry.advance(1_000);
+    entry.drainEffects();
+    entry.call('b', '/read/1', 1_000);
+    expect(entry.drainEffects()).to.deep.equal(['sendAttempt b.1 to i-3']);
+  });
+});
+
+describe('a rejection by the upstream', () => {
+  it('tells callers to return when the upstream says', () => {
+    const owner = createOwner();
+    deliver(owner, ['a']);
+    const body = new Uint8Array(0);
+    const effects = owner.post({
+      kind: 'upstreamAnswered',
+      attemptId: 'a',
+      answer: {kind: 'answer', status: 503, headers: {}, body},
+      facts: {notRun: true, otherInstance: false, retryAfterMs: 700},
+    });
+    const finish = effects.find(effect => effect.kind === 'finishAttempt');
+    const result = finish?.outcome.result;
+    expect(result?.kind === 'refusal' && result.retryAfterMs).to.equal(700);
+  });
+});
+
 describe('an upstream that reports that it is leaving', () => {
   const leaving = {leaving: true};
 
