--- a/test/mesh/soak/invariant_checker.ts
+++ b/test/mesh/soak/invariant_checker.ts
@@ -168,6 +168,11 @@
     at: number,
   ): void {
     const {id} = node.instance;
+    if (node.state.stopped) {
+      this.violations.push(
+        `${requestId} reached ${id} after its proxy had decided to end`,
+      );
+    }
     const key = `${entry.host}/${id}`;
     const leavingAt = this.toldLeavingAt.get(key) ?? Infinity;
     const startedAt = this.calls.get(requestId)?.startedAt ?? at;
--- a/test/mesh/soak/run_soak.ts
+++ b/test/mesh/soak/run_soak.ts
@@ -14,6 +14,12 @@
 const MEAN_FAULT_GAP_MS = 900;
 const TIMEOUT_MS = 1_200;
 
+/** Limit of the upstreams while their proxies stop in turn, per second. */
+const LOWEST_LIMIT = 3;
+
+/** Longest time between two planned stops in turn. */
+const STOP_GAP_MS = 2_500;
+
 /** Share of calls that a run makes, where one is under way beside the entry. */
 const NESTED_SHARE = 0.3;
 /** Share of the changes of a limit that end it. */
@@ -106,20 +112,48 @@
   readonly lost: number;
 }
 
+/** What happens during a run, and how much load there is. */
+export interface Scenario {
+  readonly proxies: number;
+  readonly meanCallGapMs: number;
+  schedule(fleet: SimulatedFleet, until: number, faults: string[]): void;
+}
+
+/** Faults of all kinds at random times. */
+export const DRAWN_FAULTS: Scenario = {
+  proxies: PROXY_COUNT,
+  meanCallGapMs: MEAN_CALL_GAP_MS,
+  schedule: scheduleFaults,
+};
+
+/**
+ * All proxies stop and start in turn, again and again. The limits of the upstreams
+ * are below the load, so that entries ask every owner that is left.
+ */
+export const STOPS_IN_TURN: Scenario = {
+  proxies: 3,
+  meanCallGapMs: 60,
+  schedule: scheduleStops,
+};
+
 /**
  * Runs one seed.
  * @param seed - Determines all random choices.
+ * @param scenario - The load and the faults.
  * @returns Violated invariants, injected faults, and how the calls ended.
  */
-export function runSoak(seed: number): SoakOutcome {
+export function runSoak(
+  seed: number,
+  scenario: Scenario = DRAWN_FAULTS,
+): SoakOutcome {
   const chance = new SeededRandom(seed);
-  const fleet = new SimulatedFleet(chance, PROXY_COUNT);
+  const fleet = new SimulatedFleet(chance, scenario.proxies);
   const faults: string[] = [];
   const startAt = fleet.clock.now + STARTUP_MS;
   const recoveryAt = startAt + FAULTS_MS;
   fleet.clock.runUntil(startAt);
-  scheduleCalls(fleet, recoveryAt);
-  scheduleFaults(fleet, recoveryAt, faults);
+  scheduleCalls(fleet, recoveryAt, scenario.meanCallGapMs);
+  scenario.schedule(fleet, recoveryAt, faults);
   fleet.clock.runUntil(recoveryAt + RECOVERY_MS);
   fleet.checker.checkFinalState(fleet.nodes, fleet.config.version);
   const {violations} = fleet.checker;
@@ -130,7 +164,11 @@
   return items[Math.floor(chance.getFraction() * items.length)];
 }
 
-function scheduleCalls(fleet: SimulatedFleet, until: number): void {
+function scheduleCalls(
+  fleet: SimulatedFleet,
+  until: number,
+  meanGapMs: number,
+): void {
   const {chance, clock} = fleet;
   let count = 0;
   const next = () => {
@@ -141,7 +179,7 @@
     if (node.alive && node.state.config !== undefined) {
       startCall(fleet, node, (count += 1));
     }
-    fleet.after(chance.getExponential(MEAN_CALL_GAP_MS), next);
+    fleet.after(chance.getExponential(meanGapMs), next);
   };
   next();
 }
@@ -175,6 +213,26 @@
   });
 }
 
+function scheduleStops(
+  fleet: SimulatedFleet,
+  until: number,
+  faults: string[],
+): void {
+  let next = 0;
+  fleet.nodes.forEach(node => fleet.setLimit(node, LOWEST_LIMIT));
+  const stopNext = () => {
+    if (fleet.clock.now >= until) {
+      return;
+    }
+    const node = fleet.nodes[next % fleet.nodes.length];
+    next += 1;
+    faults.push(`${Math.round(fleet.clock.now)} stop ${node.host}`);
+    FAULTS.stop(fleet, node, 0);
+    fleet.after(STOP_GAP_MS * fleet.chance.getFraction(), stopNext);
+  };
+  stopNext();
+}
+
 function scheduleFaults(
   fleet: SimulatedFleet,
   until: number,
