--- a/src/core/mesh/rate_limit.ts
+++ b/src/core/mesh/rate_limit.ts
@@ -1,8 +1,8 @@
 /**
  * The request rate that an upstream accepts. An overloaded upstream names it in
  * its answers, as a total for the fleet. All its requests pass through its owner,
- * so the owner's token bucket enforces the limit.
- * Entries know it from load reports and choose by the wait that it causes.
+ * so the owner's token bucket enforces the limit. Entries
+ * know it from load reports and choose by the wait that it causes.
  */
 import {UpstreamLoad} from '../entry/load_view.js';
 
@@ -12,11 +12,13 @@
  */
 const MIN_RATE_PER_S = 0.25;
 
+/** Capacity of the bucket: the requests of this time, in seconds. */
+const BURST_S = 0.25;
+
 /**
- * Capacity of the bucket: the requests of this time, in seconds, and a least number, because tokens that are
- * earned between two timer ticks would be lost.
+ * Least capacity, in requests. With one, the tokens that are earned between two
+ * timer ticks would be lost.
  */
-const BURST_S = 0.25;
 const MIN_BURST = 2;
 
 export interface RateLimit {
--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -259,8 +259,8 @@
   }
 
   /**
-   * Resumes the attempts that were sent whole on a closed link, and cancels received
-   * ones unless their entry resumes them in time.
+   * Resumes the attempts that were sent whole on a closed link, and cancels
+   * received ones unless their entry resumes them in time.
    */
   handleLinkClosed(link: Link): void {
     for (const [attemptId, sentAttempt] of this.sent) {
