Record how old the configuration is, and where a version was delayed

Updates now carry the time since the sender's version was confirmed and since the source delivered it. No decision uses them.

--- a/src/core/mesh/known_state.ts
+++ b/src/core/mesh/known_state.ts
@@ -120,15 +120,23 @@
   health.registeredIncarnation = own.incarnation;
 }
 
+/** How a configuration reached this proxy. */
+export interface ConfigOrigin {
+  /** Link address of the sender, or `source`. */
+  readonly from: string;
+  readonly at: number;
+  /** When the source delivered it to the first proxy. */
+  readonly readAt: number;
+}
+
 /**
  * Adopts a configuration if its version is higher than the current one.
- * @param from - Link address of the sender, or `source`.
  * @returns Whether it was adopted.
  */
 export function adoptConfig(
   state: MeshState,
   config: MeshConfig,
-  from: string,
+  {from, at, readAt}: ConfigOrigin,
   emit: MeshEmit,
 ): boolean {
   const current = state.config?.version ?? -1;
@@ -139,7 +147,14 @@
   state.config = config;
   state.routeTable = createMeshRouteTable(config);
   retainRoutes(state.callerBudgets, new Set(config.routes.map(r => r.name)));
+  state.configFreshness.versionReadAt = readAt;
+  const delayMs = Math.round(at - readAt);
   emit({kind: 'configAdopted', config});
+  emit({
+    kind: 'observe',
+    histogram: 'version_delay_seconds',
+    seconds: delayMs / 1_000,
+  });
   emit({
     kind: 'count',
     counter: 'version_adopted',
@@ -155,6 +170,7 @@
       replaced: current < 0 ? undefined : current,
       routes: config.routes.length,
       from,
+      delayMs,
     },
   });
   return true;
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -17,6 +17,7 @@
   handleAttemptOutcome,
   tickCalls,
 } from './call_results.js';
+import {logUnconfirmedConfig} from './config_freshness.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 import {MeshEffect, MeshEmit, MeshEvent} from './mesh_types.js';
 import {
@@ -133,6 +134,7 @@
   const {at, entropy} = event;
   readSourceIfDue(state, at, entropy, emit);
   removeExpiredInstances(state, at, emit);
+  logUnconfirmedConfig(state, at, emit);
   openLinks(state, at, emit);
   expireSuspects(state.suspects, at);
   tickMeshOwner(state, at, emit);
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -3,6 +3,7 @@
 import {LoadView} from '../entry/load_view.js';
 import {CrashSuspects, createCrashSuspects} from '../owner/crash_suspects.js';
 import {CallerBudgets} from './caller_budgets.js';
+import {ConfigFreshness, createConfigFreshness} from './config_freshness.js';
 import {
   FleetView,
   createFleetView,
@@ -33,6 +34,7 @@
   /** The adopted configuration; undefined until the first one is known. */
   config?: MeshConfig;
   routeTable?: MeshRouteTable;
+  readonly configFreshness: ConfigFreshness;
   readonly fleet: FleetView;
   readonly sourceReads: SourceReadState;
   /** Peers with an open link, by address. */
@@ -71,6 +73,7 @@
 export function createMeshState(settings: MeshSettings): MeshState {
   return {
     settings,
+    configFreshness: createConfigFreshness(),
     fleet: createFleetView(),
     sourceReads: createSourceReadState(),
     peers: new Map(),
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -241,7 +241,11 @@
     }
   | {
       readonly kind: 'observe';
-      readonly histogram: 'call_seconds' | 'run_seconds' | 'wait_seconds';
+      readonly histogram:
+        | 'call_seconds'
+        | 'run_seconds'
+        | 'wait_seconds'
+        | 'version_delay_seconds';
       readonly seconds: number;
     }
   | {
--- a/src/core/mesh/peer_updates.ts
+++ b/src/core/mesh/peer_updates.ts
@@ -6,6 +6,7 @@
   getBoundedKnowledgeAgeMs,
   recordFleetChanges,
 } from './known_state.js';
+import {confirmVersion, getConfigAges} from './config_freshness.js';
 import {tryApplyConfigDelta} from './config_delta.js';
 import {createFullUpdate, removeExpired} from './fleet_view.js';
 import {MeshState} from './mesh_state.js';
@@ -24,6 +25,7 @@
   state: MeshState,
   fleet: FleetUpdate,
   delta: ConfigDelta | undefined,
+  at: number,
   ageMs: number,
   received: UpdateMessage | undefined,
   emit: MeshEmit,
@@ -48,6 +50,7 @@
     fleet,
     version,
     configRevision: sourceReads.configRevision,
+    ...getConfigAges(state, at),
     delta,
   };
   for (const to of children) {
@@ -75,9 +78,11 @@
   if (message.delta !== undefined) {
     const config = tryApplyConfigDelta(state.config, message.delta);
     if (config !== undefined) {
-      adoptConfig(state, config, from, emit);
+      const readAt = at - message.versionAgeMs;
+      adoptConfig(state, config, {from, at, readAt}, emit);
     }
   }
+  confirmVersion(state, message.version, at - message.configAgeMs);
   const isBehind = message.version > (state.config?.version ?? 0);
   recordConfigRevision(state, message);
   if (hasGap || isBehind) {
@@ -87,6 +92,7 @@
     state,
     message.fleet,
     message.delta,
+    at,
     message.ageMs,
     message,
     emit,
@@ -136,6 +142,7 @@
       ageMs: getBoundedKnowledgeAgeMs(state, at),
       fleet: needsFleet ? createFullUpdate(fleet) : undefined,
       configRevision: state.sourceReads.configRevision,
+      ...getConfigAges(state, at),
       hasConfig: needsConfig,
     },
     config: needsConfig ? config : undefined,
@@ -157,7 +164,9 @@
     sourceReads.firstListedAt ??= at;
   }
   if (config !== undefined) {
-    adoptConfig(state, config, from, emit);
+    const readAt = at - message.versionAgeMs;
+    adoptConfig(state, config, {from, at, readAt}, emit);
+    confirmVersion(state, config.version, at - message.configAgeMs);
     const {version} = config;
     const {configRevision} = message;
     recordConfigRevision(state, {version, configRevision});
@@ -179,5 +188,5 @@
   const removed = changes.map(({id}) => id);
   const update = {base: Math.max(revision, 1), revision, changed: [], removed};
   const ageMs = getBoundedKnowledgeAgeMs(state, at);
-  broadcastUpdate(state, update, undefined, ageMs, undefined, emit);
+  broadcastUpdate(state, update, undefined, at, ageMs, undefined, emit);
 }
--- a/src/core/mesh/source_read_state.ts
+++ b/src/core/mesh/source_read_state.ts
@@ -36,8 +36,8 @@
   pendingCheckpoints: ConfigCheckpoint[];
   /** A read of the configuration or a wait for the next one is in progress. */
   configReadPending: boolean;
-  /** When the latest wait for the next configuration began. */
-  configWaitStartedAt: number;
+  /** When the latest read of the configuration, or wait for the next, began. */
+  configReadStartedAt: number;
   /** Earliest time of the next read of the configuration. */
   configNotBefore: number;
   /** When the fleet was first known, from the source or a peer. */
@@ -58,7 +58,7 @@
     configRevision: 0,
     pendingCheckpoints: [],
     configReadPending: false,
-    configWaitStartedAt: -Infinity,
+    configReadStartedAt: -Infinity,
     configNotBefore: 0,
     broadcastCount: 0,
   };
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -9,6 +9,7 @@
   getBoundedKnowledgeAgeMs,
   getKnowledgeAgeMs,
 } from './known_state.js';
+import {confirmVersion} from './config_freshness.js';
 import {createConfigDelta} from './config_delta.js';
 import {FleetChange, REREGISTRATION_MS} from './fleet_view.js';
 import {MeshState} from './mesh_state.js';
@@ -96,6 +97,7 @@
   const dueAt = firstListedAt + position * CONFIG_READ_STAGGER_MS;
   if (at >= Math.max(sourceReads.configNotBefore, dueAt)) {
     sourceReads.configReadPending = true;
+    sourceReads.configReadStartedAt = at;
     requestRead({kind: 'config'}, emit);
   }
 }
@@ -117,7 +119,7 @@
     return;
   }
   sourceReads.configReadPending = true;
-  sourceReads.configWaitStartedAt = at;
+  sourceReads.configReadStartedAt = at;
   const {configRevision: after} = sourceReads;
   requestRead({kind: 'nextConfig', after, waitMs: CONFIG_LONG_POLL_MS}, emit);
 }
@@ -142,6 +144,7 @@
     case 'compacted':
       emit({kind: 'count', counter: 'source_call', reason: 'compacted'});
       state.sourceReads.configReadPending = true;
+      state.sourceReads.configReadStartedAt = at;
       return requestRead({kind: 'config'}, emit);
   }
   awaitNextConfigIfReader(state, at, emit);
@@ -177,7 +180,7 @@
   const listing = {base: 0, revision, changed, removed: []};
   const changes = applyFleetUpdate(state, listing, at, 'source', emit);
   const peerUpdate = createPeerUpdate(knownRevision, revision, changes);
-  broadcastUpdate(state, peerUpdate, undefined, 0, undefined, emit);
+  broadcastUpdate(state, peerUpdate, undefined, at, 0, undefined, emit);
 }
 
 /** Logs that the source continues from an earlier copy of its data. */
@@ -211,8 +214,13 @@
     sourceReads.configNotBefore = at + CONFIG_RETRY_MS;
   }
   const adopted =
-    config !== undefined && adoptConfig(state, config, 'source', emit);
-  if (!adopted && at - sourceReads.configWaitStartedAt < CONFIG_RECHECK_MS) {
+    config !== undefined &&
+    adoptConfig(state, config, {from: 'source', at, readAt: at}, emit);
+  // A poll that found nothing may not have heard of changes while it waited.
+  const confirmedAt =
+    config === undefined ? sourceReads.configReadStartedAt : at;
+  confirmVersion(state, config?.version ?? 0, confirmedAt);
+  if (!adopted && at - sourceReads.configReadStartedAt < CONFIG_RECHECK_MS) {
     sourceReads.configNotBefore = at + CONFIG_RECHECK_MS;
   }
   if (request.kind === 'config') {
@@ -229,7 +237,7 @@
     const base = fleet.revision;
     const update = {base, revision: base, changed: [], removed: []};
     const ageMs = getBoundedKnowledgeAgeMs(state, at);
-    broadcastUpdate(state, update, delta, ageMs, undefined, emit);
+    broadcastUpdate(state, update, delta, at, ageMs, undefined, emit);
   }
 }
 
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -38,6 +38,8 @@
   call_seconds: 'Time from a call to its upstream answer.',
   run_seconds: 'Time that requests run at the upstream.',
   wait_seconds: 'Time that attempts wait for a slot.',
+  version_delay_seconds:
+    'Time from the first delivery of a version by the source to its adoption here.',
 };
 
 /** Upper bounds of histogram buckets; route aims range from 0.1 to 2 s. */
@@ -48,6 +50,8 @@
   readonly version: number;
   readonly revision: number;
   readonly knowledge_age_seconds: number;
+  /** Time since the version in force was known to be the latest; -1: never. */
+  readonly config_age_seconds: number;
   readonly ready: number;
   readonly calls: number;
   readonly running: number;
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -479,11 +479,12 @@
     const {state} = this.loop;
     const {sentBytes, receivedBytes} = this.links.traffic;
     const {userCPUTime, systemCPUTime, maxRSS} = process.resourceUsage();
-    const ageMs = this.clock.now() - state.sourceReads.freshAt;
+    const now = this.clock.now();
     return {
       version: state.config?.version ?? 0,
       revision: state.fleet.revision,
-      knowledge_age_seconds: Number.isFinite(ageMs) ? ageMs / 1_000 : -1,
+      knowledge_age_seconds: getAgeSeconds(now, state.sourceReads.freshAt),
+      config_age_seconds: getAgeSeconds(now, state.configFreshness.confirmedAt),
       ready: Number(isReady(state)),
       calls: state.calls.size,
       running: state.work.running.size,
@@ -498,6 +499,11 @@
   }
 }
 
+/** Gets an age for a gauge; -1 where nothing is known. */
+function getAgeSeconds(now: number, since: number): number {
+  return Number.isFinite(since) ? (now - since) / 1_000 : -1;
+}
+
 /** Uses a fast compression level, since this delays the calls in progress. */
 function encodeConfig(config: MeshConfig): Uint8Array {
   return brotliCompressSync(JSON.stringify(config), {
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -147,6 +147,13 @@
 
 export type CallMessageKind = (typeof CALL_MESSAGE_KINDS)[number];
 
+const ConfigAgeFields = {
+  /** Time since the sender's version was known to be the latest. */
+  configAgeMs: DurationMsSchema,
+  /** Time since the source delivered that version to the first proxy. */
+  versionAgeMs: DurationMsSchema,
+};
+
 /** Messages on the link between two proxies; a body may follow in the frame. */
 export const LinkMessageSchema = z.discriminatedUnion('kind', [
   z.strictObject({
@@ -174,6 +181,7 @@
     version: SequenceSchema,
     /** Revision up to which the sender cannot have missed a configuration. */
     configRevision: SequenceSchema,
+    ...ConfigAgeFields,
     delta: ConfigDeltaSchema.optional(),
   }),
   /** Asks for what is newer than the sender's state. */
@@ -188,6 +196,7 @@
     ageMs: z.number().min(0),
     fleet: FleetUpdateSchema.optional(),
     configRevision: SequenceSchema,
+    ...ConfigAgeFields,
     hasConfig: z.boolean(),
   }),
   z.strictObject({
--- a/test/mesh/peer_updates.test.ts
+++ b/test/mesh/peer_updates.test.ts
@@ -48,6 +48,8 @@
     ageMs: 0,
     version: 1,
     configRevision: 0,
+    configAgeMs: 0,
+    versionAgeMs: 0,
     ...overrides,
   };
   proxy.post({kind: 'messageReceived', from, message});
@@ -247,6 +249,8 @@
         from: '10.0.0.2:7000',
         message: {
           kind: 'state',
+          configAgeMs: 0,
+          versionAgeMs: 0,
           ageMs: 0,
           fleet,
           configRevision: RESTORED,
