--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -8,6 +8,7 @@
 import {
   MeshEffect,
   MeshEventBody,
+  PeerMessage,
   SourceRequest,
 } from '../../../src/core/mesh/mesh_types.js';
 import {SeededRandom} from '../../../src/experiments/seeded_random.js';
@@ -25,6 +26,12 @@
 const LINK_LATENCY_MS = 1;
 const SOURCE_LATENCY_MS = 4;
 
+/** Time that the client of the source waits beyond the wait of a long poll. */
+const SOURCE_TIMEOUT_MS = 1_500;
+
+/** Share of its JSON text that a compressed message takes on a link. */
+const COMPRESSED_SHARE = 0.35;
+
 /** Time after which the transport gives up an attempt on a broken link. */
 const TRANSPORT_TIMEOUT_MS = 800;
 
@@ -74,6 +81,46 @@
   /** The upstream reports in its answers that it is leaving. */
   leaving: boolean;
   readonly runs: Set<string>;
+  /** Until then the process stands still; its events wait. */
+  frozenUntil: number;
+  /** When the latest fault of this VM or of its reads ends. */
+  disturbedUntil: number;
+  /** The source refuses its reads. */
+  refused: boolean;
+  /** When it last began to wait for the next configuration. */
+  lastPolledAt: number;
+  /** Its long polls get no answer. */
+  unansweredPolls: boolean;
+  /** Peers whose messages to this proxy are lost, without a closed connection. */
+  readonly silentPeers: Set<Node>;
+  /** Bandwidth of its connection to the network; undefined: unlimited. */
+  linkMbps?: number;
+  /** When the bytes that are on their way to and from the VM have passed. */
+  receivesUntil: number;
+  sendsUntil: number;
+}
+
+/** A long poll that waits for the next configuration. */
+interface PendingPoll {
+  readonly node: Node;
+  readonly state: MeshState;
+  readonly request: Extract<SourceRequest, {kind: 'nextConfig'}>;
+}
+
+/** Optional properties of a simulated fleet. */
+export interface FleetOptions {
+  readonly zones?: readonly string[];
+  /** Size of a whole configuration as the source sends it. */
+  readonly documentBytes?: number;
+  /** The same on a link between two proxies. */
+  readonly compressedBytes?: number;
+}
+
+/** How long a proxy took to adopt a version, or to learn of a drain. */
+export interface Lag {
+  readonly host: number;
+  readonly subject: string;
+  readonly ms: number;
 }
 
 export class SimulatedFleet {
@@ -82,17 +129,33 @@
   readonly checker = new InvariantChecker();
   config: MeshConfig = createConfig(1);
   sourceUp = true;
+  /** Until then no long poll hears of changes. */
+  private mutedUntil = 0;
+  /** The source has discarded its history before this revision. */
+  private historyStart = 0;
   private revision = 10;
   private configRevision = 10;
+  private readonly pendingPolls = new Set<PendingPoll>();
+  /** Revision and time of each version. */
+  private readonly published = new Map<
+    number,
+    {readonly revision: number; readonly at: number}
+  >();
+  private readonly drainedAt = new Map<string, number>();
+  readonly lags: Lag[] = [];
+  /** Reads of the source, by kind. */
+  readonly sourceCalls = new Map<string, number>();
   private readonly attempts = new Map<string, SentAttempt>();
   private readonly requests = new Map<string, MeshAttempt>();
 
   constructor(
     readonly chance: SeededRandom,
     nodeCount: number,
+    private readonly options: FleetOptions = {},
   ) {
+    const {zones = ['north', 'south']} = options;
     for (let host = 1; host <= nodeCount; host += 1) {
-      const zone = host % 2 === 0 ? 'north' : 'south';
+      const zone = zones[host % zones.length];
       const instance = createInstance(host, {
         zone,
         slots: SLOTS,
@@ -109,6 +172,14 @@
         upstreamDown: false,
         leaving: false,
         runs: new Set(),
+        frozenUntil: 0,
+        disturbedUntil: 0,
+        refused: false,
+        lastPolledAt: -Infinity,
+        unansweredPolls: false,
+        silentPeers: new Set(),
+        receivesUntil: 0,
+        sendsUntil: 0,
       };
       this.nodes.push(node);
       this.startTicks(node);
@@ -130,7 +201,7 @@
     const tick = () => {
       if (node.alive && node.state === state) {
         this.post(node, {kind: 'tick'});
-        this.after(TICK_MS, tick);
+        this.after(Math.max(TICK_MS, node.frozenUntil - this.clock.now), tick);
       }
     };
     this.after(this.chance.getFraction() * TICK_MS, tick);
@@ -142,10 +213,50 @@
       return;
     }
     const at = this.clock.now;
+    if (at < node.frozenUntil) {
+      return this.postLater(node, node.frozenUntil - at, body);
+    }
+    const before = node.state.config?.version;
     const entropy = this.chance.getUint32();
     const [, effects] = reduceMesh(node.state, {...body, at, entropy});
     effects.forEach(effect => this.performEffect(node, effect));
     this.checker.recordVersion(node, at);
+    this.recordLag(node, before, node.state.config?.version);
+  }
+
+  /** Records how late a proxy adopted each version up to a new one. */
+  private recordLag(
+    node: Node,
+    before: number | undefined,
+    after: number | undefined,
+  ): void {
+    if (before === undefined || after === undefined) {
+      return;
+    }
+    for (let version = before + 1; version <= after; version += 1) {
+      const {at = this.clock.now} = this.published.get(version) ?? {};
+      this.addLag(node, `version ${version}`, at);
+    }
+  }
+
+  private addLag(node: Node, subject: string, since: number): void {
+    const ms = this.clock.now - Math.max(since, node.disturbedUntil);
+    this.lags.push({host: node.host, subject, ms: Math.max(0, ms)});
+  }
+
+  /** Records the lag so far of all proxies that lack the latest version or a drain. */
+  recordMissing(): void {
+    for (const node of this.nodes) {
+      const {version = 0} = node.state.config ?? {};
+      if (node.alive && this.clock.now >= node.frozenUntil) {
+        this.recordLag(node, version, this.config.version);
+        for (const [id, since] of this.drainedAt) {
+          if (node.state.fleet.instances.get(id)?.state === 'ready') {
+            this.addLag(node, `drain of ${id}`, since);
+          }
+        }
+      }
+    }
   }
 
   /** Runs a function after a delay. */
@@ -177,7 +288,11 @@
         const to = this.findNode(effect.to);
         const {message, config} = effect;
         if (to !== undefined && this.isReachable(node, to)) {
-          this.postLater(to, LINK_LATENCY_MS, {
+          const ms = this.getTransferMs(node, to, message, config);
+          if (to.silentPeers.has(node)) {
+            return;
+          }
+          this.postLater(to, LINK_LATENCY_MS + ms, {
             kind: 'messageReceived',
             from: node.address,
             message,
@@ -186,6 +301,15 @@
         }
         return;
       }
+      case 'log':
+        if (effect.message === 'Upstream draining.') {
+          const id = String(effect.fields.instance);
+          const since = this.drainedAt.get(id);
+          if (since !== undefined) {
+            this.addLag(node, `drain of ${id}`, since);
+          }
+        }
+        return;
       case 'sendAttempt':
         return this.sendAttempt(node, effect.to, effect.attempt);
       case 'cancelAttempt': {
@@ -271,40 +395,130 @@
     });
   }
 
+  /** Time until a message has passed the links of both VMs. */
+  private getTransferMs(
+    from: Node,
+    to: Node,
+    message: PeerMessage,
+    config: MeshConfig | undefined,
+  ): number {
+    if (from.linkMbps === undefined && to.linkMbps === undefined) {
+      return 0;
+    }
+    const {compressedBytes = 0} = this.options;
+    const bytes =
+      JSON.stringify(message).length * COMPRESSED_SHARE +
+      (config === undefined ? 0 : compressedBytes);
+    const {now} = this.clock;
+    from.sendsUntil =
+      Math.max(from.sendsUntil, now) + getSendMs(bytes, from.linkMbps);
+    return Math.max(from.sendsUntil - now, this.receive(to, bytes));
+  }
+
+  /** Occupies the incoming link of a VM; returns when the bytes are through. */
+  private receive(node: Node, bytes: number): number {
+    const {now} = this.clock;
+    node.receivesUntil =
+      Math.max(node.receivesUntil, now) + getSendMs(bytes, node.linkMbps);
+    return node.receivesUntil - now;
+  }
+
   private readSource(node: Node, request: SourceRequest): void {
-    if (!this.sourceUp || node.partitioned) {
-      const detail = 'down';
-      this.postLater(node, 50, {kind: 'sourceFailed', request, detail});
-      return;
+    const {kind} = request;
+    this.sourceCalls.set(kind, (this.sourceCalls.get(kind) ?? 0) + 1);
+    if (!this.sourceUp || node.partitioned || node.refused) {
+      return this.failRead(node, request, 50);
     }
-    const {revision, configRevision, config} = this;
-    const sendConfig = (ms: number, isNewer: boolean) =>
-      this.postLater(node, ms, {
-        kind: 'sourceAnswered',
-        request,
-        answer: {
-          kind: 'config',
-          revision,
-          config: isNewer ? config : undefined,
-        },
-      });
     switch (request.kind) {
       case 'fleet': {
         const instances = this.nodes.map(({instance}) => instance);
+        const {revision} = this;
         const answer = {kind: 'fleet', revision, instances} as const;
         const event = {kind: 'sourceAnswered', request, answer} as const;
         return this.postLater(node, SOURCE_LATENCY_MS, event);
       }
       case 'config':
-        return sendConfig(SOURCE_LATENCY_MS, true);
-      case 'nextConfig': {
-        const hasNewer = configRevision > request.after;
-        return sendConfig(
-          hasNewer ? SOURCE_LATENCY_MS : request.waitMs,
-          hasNewer,
-        );
+        return this.sendConfig(node, request, 1, this.revision);
+      case 'nextConfig':
+        return this.pollConfig({node, state: node.state, request});
+    }
+  }
+
+  private failRead(node: Node, request: SourceRequest, ms: number): void {
+    this.postLater(node, ms, {kind: 'sourceFailed', request, detail: 'down'});
+  }
+
+  /** Delivers the configuration after the transfer of a number of documents. */
+  private sendConfig(
+    node: Node,
+    request: SourceRequest,
+    documents: number,
+    revision: number,
+  ): void {
+    const config = documents > 0 ? this.config : undefined;
+    const {documentBytes = 0} = this.options;
+    const ms = this.receive(node, documents * documentBytes);
+    this.postLater(node, SOURCE_LATENCY_MS + ms, {
+      kind: 'sourceAnswered',
+      request,
+      answer: {kind: 'config', revision, config},
+    });
+  }
+
+  private pollConfig(poll: PendingPoll): void {
+    const {node, request} = poll;
+    node.lastPolledAt = this.clock.now;
+    if (node.unansweredPolls) {
+      return this.failRead(node, request, request.waitMs + SOURCE_TIMEOUT_MS);
+    }
+    if (request.after < this.historyStart) {
+      const answer = {kind: 'compacted'} as const;
+      const event = {kind: 'sourceAnswered', request, answer} as const;
+      return this.postLater(node, SOURCE_LATENCY_MS, event);
+    }
+    if (this.clock.now >= this.mutedUntil && this.answerPoll(poll)) {
+      return;
+    }
+    this.pendingPolls.add(poll);
+    this.after(request.waitMs, () => {
+      if (this.pendingPolls.delete(poll) && node.state === poll.state) {
+        this.sendConfig(node, request, 0, this.revision);
       }
+    });
+  }
+
+  /** Answers a poll with every version after its position, if there is any. */
+  private answerPoll({node, request, state}: PendingPoll): boolean {
+    const versions = [...this.published.values()].filter(
+      ({revision}) => revision > request.after,
+    );
+    const isKnown = versions.length > 0 || this.configRevision > request.after;
+    if (isKnown && node.state === state) {
+      const documents = Math.max(1, versions.length);
+      this.sendConfig(node, request, documents, this.configRevision);
     }
+    return isKnown;
+  }
+
+  /**
+   * Lets no long poll hear of changes for a time; then they are cut, and the
+   * source has discarded its history.
+   */
+  mutePolls(ms: number): void {
+    this.mutedUntil = this.clock.now + ms;
+    this.after(ms, () => {
+      this.historyStart = this.revision;
+      for (const poll of this.pendingPolls) {
+        this.failRead(poll.node, poll.request, 0);
+      }
+      this.pendingPolls.clear();
+    });
+  }
+
+  /** Lets a process stand still. */
+  freeze(node: Node, ms: number): void {
+    node.frozenUntil = this.clock.now + ms;
+    node.disturbedUntil = node.frozenUntil;
   }
 
   private sendAttempt(
@@ -427,12 +641,24 @@
     this.config = createConfig(this.config.version + 1);
     this.revision += 1;
     this.configRevision = this.revision;
+    const {revision, clock} = this;
+    this.published.set(this.config.version, {revision, at: clock.now});
+    if (clock.now < this.mutedUntil) {
+      return;
+    }
+    for (const poll of [...this.pendingPolls]) {
+      this.pendingPolls.delete(poll);
+      this.answerPoll(poll);
+    }
   }
 
   /** Updates an upstream's registration at the source. */
   register(node: Node, changes: Partial<Instance>): void {
     const heartbeat = node.instance.heartbeat + 1;
     node.instance = {...node.instance, heartbeat, ...changes};
+    if (changes.state === 'draining') {
+      this.drainedAt.set(node.instance.id, this.clock.now);
+    }
     this.revision += 1;
   }
 
@@ -498,3 +724,8 @@
     }
   }
 }
+
+/** Time that bytes take on a link; 0 where its bandwidth is unlimited. */
+function getSendMs(bytes: number, mbps: number | undefined): number {
+  return mbps === undefined ? 0 : (bytes * 8) / (mbps * 1_000);
+}
