--- a/src/mesh/json_http_client.ts
+++ b/src/mesh/json_http_client.ts
@@ -9,6 +9,9 @@
 /** Limit on connections; reads seldom overlap. */
 const MAX_CONNECTIONS = 2;
 
+/** Time for the rest of an answer that has begun: a large one on a slow link. */
+const BODY_TIMEOUT_MS = 3_000;
+
 const MAX_ANSWER_BYTES = 64 * 1_048_576;
 
 const STATUS_OK = 200;
@@ -38,13 +41,13 @@
    * Reads a document.
    * @param path - The path.
    * @param query - The parameters.
-   * @param timeoutMs - Time for the whole answer, in milliseconds.
+   * @param headTimeoutMs - Time until the answer must have begun, in milliseconds.
    * @returns The answer, or why there is none; never rejects.
    */
   async get(
     path: string,
     query: Record<string, string>,
-    timeoutMs: number,
+    headTimeoutMs: number,
   ): Promise<Result<JsonReply, SourceError>> {
     const params = new URLSearchParams(query);
     const {result} = startExchange(this.pools.get(this.address), {
@@ -52,7 +55,8 @@
       path: `${path}?${params.toString()}`,
       headers: {accept: 'application/json'},
       body: EMPTY_BODY,
-      timeoutMs,
+      headTimeoutMs,
+      timeoutMs: headTimeoutMs + BODY_TIMEOUT_MS,
       maxAnswerBytes: MAX_ANSWER_BYTES,
     });
     const answer = await result;
--- a/src/proxy/http_exchange.ts
+++ b/src/proxy/http_exchange.ts
@@ -15,6 +15,8 @@
   readonly body: Uint8Array;
   /** Timeout of the whole exchange, in milliseconds. */
   readonly timeoutMs: number;
+  /** Time until the head of the answer; undefined: only `timeoutMs` counts. */
+  readonly headTimeoutMs?: number;
   readonly maxAnswerBytes: number;
   /** Limits the bytes of all answers that share it; undefined: no such limit. */
   readonly buffers?: AnswerBuffers;
@@ -85,6 +87,7 @@
   private resolve: (result: ExchangeResult) => void = () => undefined;
   private controller?: Dispatcher.DispatchController;
   private readonly timer: NodeJS.Timeout;
+  private readonly headTimer?: NodeJS.Timeout;
   private settled = false;
   private status = 0;
   headers?: HeaderRecord;
@@ -92,7 +95,7 @@
   receivedBytes = 0;
 
   constructor(
-    timeoutMs: number,
+    {timeoutMs, headTimeoutMs}: ExchangeRequest,
     private readonly maxAnswerBytes: number,
     private readonly buffers: AnswerBuffers | undefined,
   ) {
@@ -103,6 +106,9 @@
     // meanwhile is read. One more turn of the event loop reads it first.
     const abortAfterReading = () => setImmediate(() => this.abort());
     this.timer = setTimeout(abortAfterReading, timeoutMs);
+    if (headTimeoutMs !== undefined) {
+      this.headTimer = setTimeout(abortAfterReading, headTimeoutMs);
+    }
   }
 
   abort(): void {
@@ -128,6 +134,7 @@
     this.settled = true;
     this.buffers?.release(this);
     clearTimeout(this.timer);
+    clearTimeout(this.headTimer);
     this.resolve(result);
     return true;
   }
@@ -147,6 +154,7 @@
     statusCode: number,
     headers: HeaderRecord,
   ): void {
+    clearTimeout(this.headTimer);
     this.status = statusCode;
     this.headers = headers;
   }
@@ -192,7 +200,7 @@
   request: ExchangeRequest,
 ): RunningExchange {
   const handler = new ExchangeHandler(
-    request.timeoutMs,
+    request,
     request.maxAnswerBytes,
     request.buffers,
   );
--- a/test/platform/store_client.test.ts
+++ b/test/platform/store_client.test.ts
@@ -81,6 +81,14 @@
     expect(rejected).to.deep.equal(['config_document']);
   });
 
+  it('waits after the version found, not after what else was heard', async () => {
+    const after = putInEra('op/config', createConfigDocument(6));
+    const found = putInEra('op/config', createConfigDocument(7));
+    store.put('servers/i-1', createInstanceEntry('10.0.0.1:80', {seq: 3}));
+    const next = await client.read({kind: 'nextConfig', after, waitMs: 1});
+    expect(next._unsafeUnwrap()).to.include({revision: found});
+  });
+
   it('parses only the newest version, and each version once', async () => {
     const after = putInEra('servers/i-1', createInstanceEntry('10.0.0.1:80'));
     store.put('op/config', createConfigDocument(8, {routes: 'none'}));
