Spread versions on two ways, from two proxies that wait for them

Callers got 404 as of a version that had been replaced for 2.8 s. They recovered by a read of their own, due 1.85 to 2.45 s after the last update, and an update about the list alone put it off. One proxy waited for versions, and whether its wait was alive was not looked at.

- A sender divides the receivers itself, in another way each time, and names in each message whom to forward it to; running peers come first.
Changes go out on two ways, over other relays and other entries of each zone.
- The reader of the list appoints two proxies that wait at the source, those with the fastest links, in different zones.
They report each answer; one whose wait failed or that falls silent is replaced.
A failed wait is followed by a direct read.
- Who hears of a newer version or list asks for it until it has it, one peer at a time.
Who hears nothing asks a peer of its zone and one of another.
- Pulls are answered with the latest differences where they are kept.

Messages between proxies have new fields: builds do not mix.

--- a/src/core/mesh/broadcast_tree.ts
+++ b/src/core/mesh/broadcast_tree.ts
@@ -1,10 +1,14 @@
 /**
- * Targets of updates. An update enters each zone at one proxy and spreads there
- * along a tree that every member computes from the same sorted list.
+ * Targets of updates. The sender of an update divides the proxies that are still to
+ * get it among a few receivers, and each message names those that its receiver is to
+ * forward it to. No two proxies need the same view of the fleet, and each broadcast
+ * takes other ways than the one before, so that a proxy that does not forward
+ * delays the same peers only once.
  */
+import {rankByRendezvous} from '../hashing.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 
-/** Largest number of children of a proxy in its zone's tree. */
+/** Largest number of proxies of its zone to which a proxy sends an update. */
 const FAN_OUT = 8;
 
 /** Gets the link addresses of the proxies in each zone, sorted. */
@@ -26,77 +30,81 @@
   );
 }
 
+/** A receiver of an update in this zone. */
+export interface UpdateTarget {
+  readonly to: string;
+  /** Proxies that it forwards the update to. */
+  readonly forwardTo: readonly string[];
+}
+
 /**
- * Gets the children of a proxy in its zone's tree.
- * @param members - Link addresses of the zone's proxies, sorted.
- * @param root - Address at which the update entered the zone.
- * @param self - Address of the proxy.
- * @returns The children's addresses.
+ * Divides proxies among receivers. Proxies that are known to run, by an open link,
+ * come first as receivers; among them the order differs with each broadcast.
+ * @param state - This proxy's state.
+ * @param members - Link addresses of the proxies that are to get the update.
+ * @param isLarge - Whether the update takes long on a slow link. Then those with
+ * the fastest links forward it.
+ * @returns The receivers and what each is to forward.
  */
-export function getChildren(
+export function divideAmongReceivers(
+  state: MeshState,
   members: readonly string[],
-  root: string,
-  self: string,
+  isLarge: boolean,
+): UpdateTarget[] {
+  const order = orderReceivers(state, members, isLarge);
+  const receivers = order.slice(0, FAN_OUT);
+  const others = order.slice(FAN_OUT);
+  return receivers.map((to, n) => ({
+    to,
+    forwardTo: others.filter((_other, m) => m % receivers.length === n),
+  }));
+}
+
+function orderReceivers(
+  state: MeshState,
+  members: readonly string[],
+  isLarge: boolean,
 ): string[] {
-  const others = members.filter(address => address !== root);
-  const order = [root, ...others];
-  const ownIndex = order.indexOf(self);
-  if (ownIndex < 0) {
-    return [];
-  }
-  return order.slice(ownIndex * FAN_OUT + 1, (ownIndex + 1) * FAN_OUT + 1);
+  const {settings, sourceReads, peers} = state;
+  const subject = `${settings.address}/${sourceReads.broadcastCount}`;
+  const shuffled = rankByRendezvous(subject, members);
+  const getOrder = (address: string): number => {
+    const peer = peers.get(address);
+    if (peer === undefined || peer.leaving) {
+      return Infinity;
+    }
+    return isLarge ? -peer.linkMbps : 0;
+  };
+  // The sort is stable, so receivers of one rank stay shuffled.
+  return shuffled
+    .map(address => ({address, order: getOrder(address)}))
+    .sort((a, b) => (a.order === b.order ? 0 : a.order - b.order))
+    .map(({address}) => address);
 }
 
-/** Link addresses to which a proxy sends an update. */
-export interface UpdateTargets {
-  /** Proxies of this zone, which forward it along the tree. */
-  readonly children: readonly string[];
-  /** One proxy of each other zone, which starts that zone's tree. */
-  readonly relays: readonly string[];
+/** Reports whether an update to these proxies has to be forwarded by some of them. */
+export function hasRelays(members: readonly string[]): boolean {
+  return members.length > FAN_OUT;
 }
 
 /**
- * Gets the proxies to which this proxy sends an update.
- * @param state - This proxy's state.
- * @param root - Address at which the update entered this zone.
- * @param isOrigin - Whether this proxy created the update.
- * @param broadcastCount - Number of broadcasts so far. Varies the relay of a
- * zone to which no link is open, so that the next update goes to another proxy
- * if this one does not run.
- * @returns The link addresses.
+ * Gets one receiver in each other zone, which spreads the update there.
+ * @param way - 0 for the first way of a broadcast, 1 for the second; the receivers
+ * differ where a zone has several proxies.
+ * @returns Link addresses.
  */
-export function getUpdateTargets(
+export function getZoneEntries(
   state: MeshState,
-  root: string,
-  isOrigin: boolean,
-  broadcastCount: number,
-): UpdateTargets {
-  const {zone, address} = state.settings;
-  const zones = getProxiesByZone(state);
-  const children = getChildren(zones.get(zone) ?? [], root, address);
-  const relays: string[] = [];
-  if (isOrigin) {
-    for (const [other, members] of zones) {
-      if (other !== zone) {
-        relays.push(chooseRelay(state, members, broadcastCount));
-      }
+  isLarge: boolean,
+  way: number,
+): string[] {
+  const entries: string[] = [];
+  for (const [zone, members] of getProxiesByZone(state)) {
+    if (zone !== state.settings.zone && members.length > way) {
+      entries.push(orderReceivers(state, members, isLarge)[way]);
     }
   }
-  return {children, relays};
-}
-
-/** Chooses a proxy of another zone; an open link shows that it is running. */
-function chooseRelay(
-  state: MeshState,
-  members: readonly string[],
-  broadcastCount: number,
-): string {
-  const linkedMembers = members.filter(address => {
-    const peer = state.peers.get(address);
-    return peer !== undefined && !peer.leaving;
-  });
-  const choice = linkedMembers.length > 0 ? linkedMembers : members;
-  return choice[linkedMembers.length > 0 ? 0 : broadcastCount % choice.length];
+  return entries;
 }
 
 /** Gets the link addresses of the other proxies in this proxy's zone. */
--- /dev/null
+++ b/src/core/mesh/config_polling.ts
@@ -0,0 +1,182 @@
+/**
+ * Decides which proxies wait at the source for the next version. The proxy that
+ * reads the list of upstreams appoints two, itself among them where no other has a
+ * faster link: a version that one of them does not hear of, or cannot send on,
+ * reaches the fleet through the other. Pollers report their answered polls to the
+ * proxy that appointed them, which replaces one that falls silent.
+ */
+import {Appointment} from '../../model/mesh.js';
+import {rankByRendezvous} from '../hashing.js';
+import {MeshState, Peer} from './mesh_state.js';
+
+/** Number of proxies that wait for the next version. */
+const POLLERS = 2;
+
+/**
+ * Longest waits of the first and of the other pollers. The first one's also bounds
+ * how long a version is late when the answers to both polls are lost.
+ */
+const FIRST_WAIT_MS = 1_000;
+const OTHER_WAIT_MS = 3_000;
+
+/** Time beyond the wait within which a poll must have been reported. */
+const REPORT_MARGIN_MS = 600;
+
+/** Time for which an appointment holds; readers repeat it with each reading. */
+const APPOINTMENT_MS = 1_600;
+
+/** Time for which a poller that fell silent is not appointed again. */
+const EXCLUDED_MS = 10_000;
+
+export interface PollingState {
+  appointment?: Appointment;
+  appointedAt: number;
+  /** When each poller was appointed by this proxy, or last reported to it. */
+  readonly reportedAt: Map<string, number>;
+  /** Pollers that fell silent, and until when they are excluded. */
+  readonly excludedUntil: Map<string, number>;
+}
+
+export function createPollingState(): PollingState {
+  return {
+    appointedAt: -Infinity,
+    reportedAt: new Map(),
+    excludedUntil: new Map(),
+  };
+}
+
+/** Records who waits for the next version. */
+export function recordAppointment(
+  {polling}: MeshState,
+  appointment: Appointment,
+  at: number,
+): void {
+  polling.appointment = appointment;
+  polling.appointedAt = at;
+}
+
+/**
+ * Gets how long this proxy's polls wait.
+ * @returns Milliseconds; undefined if it is not to poll.
+ */
+export function getPollWaitMs(
+  {polling, settings}: MeshState,
+  at: number,
+): number | undefined {
+  const {appointment, appointedAt} = polling;
+  if (appointment === undefined || at - appointedAt > APPOINTMENT_MS) {
+    return undefined;
+  }
+  const position = appointment.pollers.indexOf(settings.address);
+  return position < 0 ? undefined : getWaitMs(position);
+}
+
+function getWaitMs(position: number): number {
+  return position === 0 ? FIRST_WAIT_MS : OTHER_WAIT_MS;
+}
+
+/** Records that a poll of a proxy was answered. */
+export function recordPoll(
+  {polling}: MeshState,
+  address: string,
+  at: number,
+): void {
+  polling.reportedAt.set(address, at);
+}
+
+/** Records that a poll of a proxy failed; another one is to take its place. */
+export function excludePoller(
+  {polling}: MeshState,
+  address: string,
+  at: number,
+): void {
+  polling.excludedUntil.set(address, at + EXCLUDED_MS);
+  polling.reportedAt.delete(address);
+}
+
+/**
+ * Appoints the pollers, as the reader of the list. Keeps those appointed before as
+ * long as their polls are answered, and replaces silent ones.
+ * @returns The appointment, for the other proxies.
+ */
+export function appointPollers(state: MeshState, at: number): Appointment {
+  const {polling, settings} = state;
+  excludeSilentPollers(state, at);
+  const candidates = orderCandidates(state, at);
+  const [first = settings.address] = candidates;
+  const others = candidates.filter(address => address !== first);
+  const remote = others.find(a => getZone(state, a) !== getZone(state, first));
+  const pollers = [first, ...[remote, ...others].filter(isDefined)];
+  const appointment = {
+    by: settings.address,
+    pollers: [...new Set(pollers)].slice(0, POLLERS),
+  };
+  for (const address of [...polling.reportedAt.keys()]) {
+    if (!appointment.pollers.includes(address)) {
+      polling.reportedAt.delete(address);
+    }
+  }
+  for (const address of appointment.pollers) {
+    if (!polling.reportedAt.has(address)) {
+      polling.reportedAt.set(address, at);
+    }
+  }
+  recordAppointment(state, appointment, at);
+  return appointment;
+}
+
+function excludeSilentPollers(state: MeshState, at: number): void {
+  const {polling, settings} = state;
+  const {appointment, reportedAt} = polling;
+  if (appointment?.by !== settings.address) {
+    reportedAt.clear();
+    return;
+  }
+  for (const [position, address] of appointment.pollers.entries()) {
+    const since = reportedAt.get(address) ?? at;
+    if (at - since > getWaitMs(position) + REPORT_MARGIN_MS) {
+      excludePoller(state, address, at);
+    }
+  }
+}
+
+/** Orders the proxies that can poll: those appointed, then by speed of the link. */
+function orderCandidates(state: MeshState, at: number): string[] {
+  const {peers, settings, polling} = state;
+  const isIncluded = (address: string) =>
+    at >= (polling.excludedUntil.get(address) ?? 0);
+  const running = [...peers].filter(([, peer]) => isRunning(peer));
+  const addresses = [settings.address, ...running.map(([address]) => address)];
+  const shuffled = rankByRendezvous(settings.address, addresses);
+  const getOrder = (address: string): number => {
+    const isAppointed = polling.reportedAt.has(address);
+    const isSelf = address === settings.address;
+    // Among equally fast links, this proxy itself, then those that poll already.
+    return (
+      -getLinkMbps(state, address) * 4 - (isSelf ? 2 : isAppointed ? 1 : 0)
+    );
+  };
+  return shuffled
+    .filter(isIncluded)
+    .sort((first, second) => getOrder(first) - getOrder(second));
+}
+
+function isRunning({leaving, stopped}: Peer): boolean {
+  return !leaving && stopped !== true;
+}
+
+function getLinkMbps({peers, settings}: MeshState, address: string): number {
+  return address === settings.address
+    ? settings.linkMbps
+    : (peers.get(address)?.linkMbps ?? 0);
+}
+
+function getZone({peers, settings}: MeshState, address: string): string {
+  return address === settings.address
+    ? settings.zone
+    : (peers.get(address)?.zone ?? '');
+}
+
+function isDefined<T>(value: T | undefined): value is T {
+  return value !== undefined;
+}
--- a/src/core/mesh/known_state.ts
+++ b/src/core/mesh/known_state.ts
@@ -3,8 +3,14 @@
  * configuration version never decreases, and a version is adopted as a whole.
  * Each change is counted and logged with its origin.
  */
-import {FleetUpdate, Instance, MeshConfig} from '../../model/mesh.js';
+import {
+  ConfigDelta,
+  FleetUpdate,
+  Instance,
+  MeshConfig,
+} from '../../model/mesh.js';
 import {retainRoutes} from './caller_budgets.js';
+import {recordDelta} from './config_history.js';
 import {FleetChange, updateFleetView} from './fleet_view.js';
 import {MeshState, getLinkAddress, getOwnInstance} from './mesh_state.js';
 import {MeshEmit} from './mesh_types.js';
@@ -127,6 +133,8 @@
   readonly at: number;
   /** When the source delivered it to the first proxy. */
   readonly readAt: number;
+  /** How it follows from the version in force, if that is known. */
+  readonly delta?: ConfigDelta;
 }
 
 /**
@@ -136,7 +144,7 @@
 export function adoptConfig(
   state: MeshState,
   config: MeshConfig,
-  {from, at, readAt}: ConfigOrigin,
+  {from, at, readAt, delta}: ConfigOrigin,
   emit: MeshEmit,
 ): boolean {
   const current = state.config?.version ?? -1;
@@ -147,6 +155,7 @@
   state.config = config;
   state.routeTable = createMeshRouteTable(config);
   retainRoutes(state.callerBudgets, new Set(config.routes.map(r => r.name)));
+  recordDelta(state.configHistory, delta);
   state.configFreshness.versionReadAt = readAt;
   const delayMs = Math.round(at - readAt);
   emit({kind: 'configAdopted', config});
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -39,11 +39,12 @@
 } from './source_reading.js';
 import {
   answerPull,
-  sendPull,
+  handlePeerPoll,
   removeExpiredInstances,
   handlePeerUpdate,
   handlePeerState,
 } from './peer_updates.js';
+import {pullHeardState, pullIfBehind, pullIfSilent} from './update_repair.js';
 import {
   beginStop,
   endStopIfDue,
@@ -133,6 +134,8 @@
 function reduceTick(state: MeshState, event: MeshEvent, emit: MeshEmit): void {
   const {at, entropy} = event;
   readSourceIfDue(state, at, entropy, emit);
+  pullIfBehind(state, at, emit);
+  pullIfSilent(state, at, entropy, emit);
   removeExpiredInstances(state, at, emit);
   logUnconfirmedConfig(state, at, emit);
   openLinks(state, at, emit);
@@ -196,13 +199,15 @@
   emit({kind: 'count', counter: 'peer_message', reason: message.kind});
   switch (message.kind) {
     case 'hello':
-      return handleHello(state, from, message, emit);
+      return handleHello(state, from, message, at, emit);
     case 'news':
       return handlePeerUpdate(state, event, message, emit);
     case 'pull':
       return answerPull(state, from, message, at, emit);
     case 'state':
       return handlePeerState(state, event, message, emit);
+    case 'polled':
+      return handlePeerPoll(state, from, message, at, emit);
     case 'suspects':
       return message.suspects.forEach(info =>
         mergeSuspect(state.suspects, info),
@@ -220,10 +225,11 @@
   state: MeshState,
   from: string,
   hello: Hello,
+  at: number,
   emit: MeshEmit,
 ): void {
-  const {zone, incarnation, leaving} = hello;
-  state.peers.set(from, {zone, incarnation, leaving});
+  const {zone, incarnation, leaving, linkMbps, version, revision} = hello;
+  state.peers.set(from, {zone, incarnation, leaving, linkMbps});
   clearFailures(state, from);
   emit({kind: 'count', counter: 'link_changed', reason: 'opened'});
   emit({
@@ -233,12 +239,8 @@
     message: 'Link to peer opened.',
     fields: {address: from, zone, incarnation, version: hello.version},
   });
-  const isAhead =
-    hello.version > (state.config?.version ?? 0) ||
-    hello.revision > state.fleet.revision;
-  if (isAhead) {
-    sendPull(state, from, emit);
-  }
+
+  pullHeardState(state, {from, version, revision}, at, emit);
 }
 
 /**
--- a/src/core/mesh/mesh_settings.ts
+++ b/src/core/mesh/mesh_settings.ts
@@ -22,6 +22,8 @@
   readonly retryWindowMs: number;
   /** Time from the signal of a planned stop to the end of the process. */
   readonly graceMs: number;
+  /** Bandwidth of this VM's connection to the network. */
+  readonly linkMbps: number;
   /** Interval of the reads of the fleet while the source answers. */
   readonly readIntervalMs: number;
   /** Time for which requests that crash upstreams are refused. */
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -4,6 +4,8 @@
 import {CrashSuspects, createCrashSuspects} from '../owner/crash_suspects.js';
 import {CallerBudgets} from './caller_budgets.js';
 import {ConfigFreshness, createConfigFreshness} from './config_freshness.js';
+import {ConfigHistory} from './config_history.js';
+import {PollingState, createPollingState} from './config_polling.js';
 import {
   FleetView,
   createFleetView,
@@ -17,12 +19,15 @@
 import {RunEstimates, createRunEstimates} from './run_estimates.js';
 import {SourceReadState, createSourceReadState} from './source_read_state.js';
 import {UpstreamHealth, createUpstreamHealth} from './upstream_health.js';
+import {RepairState} from './update_repair.js';
 import {WorkQueue, createWorkQueue} from './work_queue.js';
 
 /** What a peer reported in its `hello` message. */
 export interface Peer {
   readonly zone: string;
   readonly incarnation: number;
+  /** Bandwidth of its VM's connection to the network. */
+  readonly linkMbps: number;
   /** Its upstream is to receive no new work because the peer is stopping. */
   leaving: boolean;
   /** It refuses whatever arrives, and its process ends. */
@@ -35,6 +40,10 @@
   config?: MeshConfig;
   routeTable?: MeshRouteTable;
   readonly configFreshness: ConfigFreshness;
+  /** How the version in force followed from those before. */
+  readonly configHistory: ConfigHistory;
+  readonly polling: PollingState;
+  readonly repair: RepairState;
   readonly fleet: FleetView;
   readonly sourceReads: SourceReadState;
   /** Peers with an open link, by address. */
@@ -74,6 +83,9 @@
   return {
     settings,
     configFreshness: createConfigFreshness(),
+    configHistory: [],
+    polling: createPollingState(),
+    repair: {pulledAt: -Infinity, nextAt: 0, asked: 0},
     fleet: createFleetView(),
     sourceReads: createSourceReadState(),
     peers: new Map(),
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -52,6 +52,7 @@
     }
   | {
       readonly kind: 'config';
+      /** With a configuration: no earlier one can be missed. */
       readonly revision: number;
       readonly config?: MeshConfig;
     }
@@ -182,6 +183,7 @@
   | 'source_call'
   | 'version_adopted'
   | 'update_ignored'
+  | 'update_repaired'
   | 'instance_changed'
   | 'peer_message'
   | 'crash_suspected'
--- a/src/core/mesh/peer_updates.ts
+++ b/src/core/mesh/peer_updates.ts
@@ -1,6 +1,13 @@
 /** Broadcasts updates to peers and applies those of peers. */
-import {ConfigDelta, FleetUpdate, LinkMessage} from '../../model/mesh.js';
 import {
+  Appointment,
+  ConfigDelta,
+  FleetUpdate,
+  LinkMessage,
+  MeshConfig,
+} from '../../model/mesh.js';
+import {
+  ConfigOrigin,
   adoptConfig,
   applyFleetUpdate,
   getBoundedKnowledgeAgeMs,
@@ -8,56 +15,110 @@
 } from './known_state.js';
 import {confirmVersion, getConfigAges} from './config_freshness.js';
 import {tryApplyConfigDelta} from './config_delta.js';
+import {findDeltasSince} from './config_history.js';
+import {
+  excludePoller,
+  recordAppointment,
+  recordPoll,
+} from './config_polling.js';
 import {createFullUpdate, removeExpired} from './fleet_view.js';
 import {MeshState} from './mesh_state.js';
 import {MeshEmit, MeshEvent} from './mesh_types.js';
-import {getUpdateTargets} from './broadcast_tree.js';
+import {
+  divideAmongReceivers,
+  getZoneEntries,
+  getZonePeers,
+  hasRelays,
+} from './broadcast_tree.js';
+import {pullHeardState} from './update_repair.js';
 
 type MessageEvent = Extract<MeshEvent, {kind: 'messageReceived'}>;
 type UpdateMessage = Extract<LinkMessage, {kind: 'news'}>;
 
+/** Changed routes from which an update takes long on a slow link. */
+const LARGE_DELTA_ROUTES = 50;
+
+/** Difference of ages from which an answer to a pull is worth sending. */
+const MIN_AGE_GAIN_MS = 100;
+
+/** What an update tells, apart from the sender's own state. */
+export interface Update {
+  readonly fleet: FleetUpdate;
+  /** Age of the sender's list when the update was created. */
+  readonly ageMs: number;
+  readonly delta?: ConfigDelta;
+  readonly appointment?: Appointment;
+}
+
 /**
- * Sends an update along the zone's tree, and to the other zones if it was created
- * here. An update without changes renews the knowledge age of peers.
- * @param received - The message to forward; undefined: it was created here.
+ * Sends an update that was created here to this zone and to one proxy of each other
+ * zone. An update without changes renews the knowledge age of peers.
+ * @param hasChanges - Sends it on a second way, where it passes other relays, so that
+ * one that does not forward it delays nobody. The second copy names the version only:
+ * who still lacks it pulls it.
  */
 export function broadcastUpdate(
   state: MeshState,
-  fleet: FleetUpdate,
-  delta: ConfigDelta | undefined,
+  update: Update,
+  hasChanges: boolean,
   at: number,
-  ageMs: number,
-  received: UpdateMessage | undefined,
   emit: MeshEmit,
 ): void {
-  const {settings, sourceReads} = state;
-  const entersZone = received === undefined || received.relay;
-  const root = entersZone ? settings.address : received.root;
-  const isOrigin = received === undefined;
-  sourceReads.broadcastCount += 1;
-  const {children, relays} = getUpdateTargets(
-    state,
-    root,
-    isOrigin,
-    sourceReads.broadcastCount,
-  );
-  const version = state.config?.version ?? 0;
-  const message: UpdateMessage = {
+  sendOneWay(state, update, 0, at, emit);
+  if (hasChanges) {
+    sendOneWay(state, {...update, delta: undefined}, 1, at, emit);
+  }
+}
+
+function sendOneWay(
+  state: MeshState,
+  update: Update,
+  way: number,
+  at: number,
+  emit: MeshEmit,
+): void {
+  const isLarge = isLargeDelta(update.delta);
+  const members = getZonePeers(state);
+  const message = createUpdateMessage(state, update, at);
+  if (way === 0 || hasRelays(members)) {
+    sendUpdate(state, update, members, at, emit);
+  }
+  for (const to of getZoneEntries(state, isLarge, way)) {
+    emit({kind: 'sendMessage', to, message});
+  }
+}
+
+function isLargeDelta(delta: ConfigDelta | undefined): boolean {
+  return delta !== undefined && delta.routes.length >= LARGE_DELTA_ROUTES;
+}
+
+function createUpdateMessage(
+  state: MeshState,
+  update: Update,
+  at: number,
+): UpdateMessage {
+  return {
     kind: 'news',
-    root,
-    relay: false,
-    ageMs,
-    fleet,
-    version,
-    configRevision: sourceReads.configRevision,
+    ...update,
+    version: state.config?.version ?? 0,
+    configRevision: state.sourceReads.configRevision,
     ...getConfigAges(state, at),
-    delta,
   };
-  for (const to of children) {
-    emit({kind: 'sendMessage', to, message});
-  }
-  for (const to of relays) {
-    emit({kind: 'sendMessage', to, message: {...message, relay: true}});
+}
+
+/** Sends an update to proxies of this zone, by way of some of them. */
+function sendUpdate(
+  state: MeshState,
+  update: Update,
+  members: readonly string[],
+  at: number,
+  emit: MeshEmit,
+): void {
+  state.sourceReads.broadcastCount += 1;
+  const message = createUpdateMessage(state, update, at);
+  const isLarge = isLargeDelta(update.delta);
+  for (const {to, forwardTo} of divideAmongReceivers(state, members, isLarge)) {
+    emit({kind: 'sendMessage', to, message: {...message, forwardTo}});
   }
 }
 
@@ -70,33 +131,70 @@
 ): void {
   const {fleet, sourceReads} = state;
   const {at, from} = event;
+  const {appointment, ageMs, version, configAgeMs, versionAgeMs} = message;
   const hasGap = message.fleet.base > fleet.revision || fleet.revision === 0;
   if (!hasGap && message.fleet.revision >= fleet.revision) {
     applyFleetUpdate(state, message.fleet, at, from, emit);
-    sourceReads.freshAt = Math.max(sourceReads.freshAt, at - message.ageMs);
+    sourceReads.freshAt = Math.max(sourceReads.freshAt, at - ageMs);
+  }
+  if (appointment !== undefined) {
+    recordAppointment(state, appointment, at);
   }
-  if (message.delta !== undefined) {
-    const config = tryApplyConfigDelta(state.config, message.delta);
+  const deltas = message.delta === undefined ? [] : [message.delta];
+  const readAt = at - versionAgeMs;
+  const isNewVersion = applyDeltas(state, deltas, {from, at, readAt}, emit);
+  confirmVersion(state, version, at - configAgeMs);
+  recordConfigRevision(state, message);
+  const {revision} = message.fleet;
+  pullHeardState(state, {from, version, revision}, at, emit);
+  const members = message.forwardTo ?? getZonePeers(state);
+  const others = members.filter(
+    a => a !== from && a !== state.settings.address,
+  );
+  // Who had the version before has got it on another way, and so have most others;
+  // they pull what they lack.
+  const delta = isNewVersion ? message.delta : undefined;
+  const update = {fleet: message.fleet, ageMs, delta, appointment};
+  sendUpdate(state, update, others, at, emit);
+}
+
+/**
+ * Adopts the version to which differences lead.
+ * @returns Whether there was one.
+ */
+function applyDeltas(
+  state: MeshState,
+  deltas: readonly ConfigDelta[],
+  origin: ConfigOrigin,
+  emit: MeshEmit,
+): boolean {
+  let isNewVersion = false;
+  for (const delta of deltas) {
+    const config = tryApplyConfigDelta(state.config, delta);
     if (config !== undefined) {
-      const readAt = at - message.versionAgeMs;
-      adoptConfig(state, config, {from, at, readAt}, emit);
+      isNewVersion = adoptConfig(state, config, {...origin, delta}, emit);
     }
   }
+  return isNewVersion;
+}
+
+/** Handles the report of a peer that waits for the next version. */
+export function handlePeerPoll(
+  state: MeshState,
+  from: string,
+  message: Extract<LinkMessage, {kind: 'polled'}>,
+  at: number,
+  emit: MeshEmit,
+): void {
+  if (message.failed) {
+    excludePoller(state, from, at);
+    return;
+  }
+  recordPoll(state, from, at);
   confirmVersion(state, message.version, at - message.configAgeMs);
-  const isBehind = message.version > (state.config?.version ?? 0);
   recordConfigRevision(state, message);
-  if (hasGap || isBehind) {
-    sendPull(state, from, emit);
-  }
-  broadcastUpdate(
-    state,
-    message.fleet,
-    message.delta,
-    at,
-    message.ageMs,
-    message,
-    emit,
-  );
+  const {version} = message;
+  pullHeardState(state, {from, version, revision: 0}, at, emit);
 }
 
 /**
@@ -113,13 +211,6 @@
   }
 }
 
-/** Asks a peer for what is newer than the state of this proxy. */
-export function sendPull(state: MeshState, to: string, emit: MeshEmit): void {
-  const version = state.config?.version ?? 0;
-  const {revision} = state.fleet;
-  emit({kind: 'sendMessage', to, message: {kind: 'pull', version, revision}});
-}
-
 /** Answers a pull with what the peer lacks, if anything. */
 export function answerPull(
   state: MeshState,
@@ -128,24 +219,37 @@
   at: number,
   emit: MeshEmit,
 ): void {
-  const {fleet, config} = state;
+  const {fleet, config, configHistory} = state;
+  const version = config?.version ?? 0;
   const needsFleet = fleet.revision > message.revision;
-  const needsConfig = (config?.version ?? 0) > message.version;
-  if (!needsFleet && !needsConfig) {
+  const needsConfig = version > message.version;
+  const ageMs = getBoundedKnowledgeAgeMs(state, at);
+  const ages = getConfigAges(state, at);
+  const isFresher =
+    ageMs + MIN_AGE_GAIN_MS < message.ageMs ||
+    ages.configAgeMs + MIN_AGE_GAIN_MS < message.configAgeMs;
+  if (!needsFleet && !needsConfig && !isFresher) {
     return;
   }
+  const deltas = needsConfig
+    ? findDeltasSince(configHistory, message.version)
+    : [];
+  const wholeConfig = deltas === undefined ? config : undefined;
   emit({
     kind: 'sendMessage',
     to: from,
     message: {
       kind: 'state',
-      ageMs: getBoundedKnowledgeAgeMs(state, at),
+      ageMs,
+      revision: fleet.revision,
+      version,
       fleet: needsFleet ? createFullUpdate(fleet) : undefined,
+      deltas: deltas ?? [],
       configRevision: state.sourceReads.configRevision,
-      ...getConfigAges(state, at),
-      hasConfig: needsConfig,
+      ...ages,
+      hasConfig: wholeConfig !== undefined,
     },
-    config: needsConfig ? config : undefined,
+    config: wholeConfig,
   });
 }
 
@@ -160,16 +264,26 @@
   const {at, from, config} = event;
   if (message.fleet !== undefined && message.fleet.revision > fleet.revision) {
     applyFleetUpdate(state, message.fleet, at, from, emit);
-    sourceReads.freshAt = Math.max(sourceReads.freshAt, at - message.ageMs);
     sourceReads.firstListedAt ??= at;
   }
+  if (fleet.revision > 0 && fleet.revision === message.revision) {
+    sourceReads.freshAt = Math.max(sourceReads.freshAt, at - message.ageMs);
+  }
+  const origin = {from, at, readAt: at - message.versionAgeMs};
+  applyDeltas(state, message.deltas, origin, emit);
+  adoptWholeConfig(state, config, origin, emit);
+  confirmVersion(state, message.version, at - message.configAgeMs);
+  recordConfigRevision(state, message);
+}
+
+function adoptWholeConfig(
+  state: MeshState,
+  config: MeshConfig | undefined,
+  origin: ConfigOrigin,
+  emit: MeshEmit,
+): void {
   if (config !== undefined) {
-    const readAt = at - message.versionAgeMs;
-    adoptConfig(state, config, {from, at, readAt}, emit);
-    confirmVersion(state, config.version, at - message.configAgeMs);
-    const {version} = config;
-    const {configRevision} = message;
-    recordConfigRevision(state, {version, configRevision});
+    adoptConfig(state, config, origin, emit);
   }
 }
 
@@ -188,5 +302,5 @@
   const removed = changes.map(({id}) => id);
   const update = {base: Math.max(revision, 1), revision, changed: [], removed};
   const ageMs = getBoundedKnowledgeAgeMs(state, at);
-  broadcastUpdate(state, update, undefined, at, ageMs, undefined, emit);
+  broadcastUpdate(state, {fleet: update, ageMs}, true, at, emit);
 }
--- a/src/core/mesh/source_read_state.ts
+++ b/src/core/mesh/source_read_state.ts
@@ -38,6 +38,8 @@
   configReadPending: boolean;
   /** When the latest read of the configuration, or wait for the next, began. */
   configReadStartedAt: number;
+  /** Reads of the configuration that failed since the last answered poll. */
+  failedConfigReads: number;
   /** Earliest time of the next read of the configuration. */
   configNotBefore: number;
   /** When the fleet was first known, from the source or a peer. */
@@ -59,6 +61,7 @@
     pendingCheckpoints: [],
     configReadPending: false,
     configReadStartedAt: -Infinity,
+    failedConfigReads: 0,
     configNotBefore: 0,
     broadcastCount: 0,
   };
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -9,7 +9,13 @@
   getBoundedKnowledgeAgeMs,
   getKnowledgeAgeMs,
 } from './known_state.js';
-import {confirmVersion} from './config_freshness.js';
+import {confirmVersion, getConfigAges} from './config_freshness.js';
+import {
+  appointPollers,
+  excludePoller,
+  getPollWaitMs,
+  recordPoll,
+} from './config_polling.js';
 import {createConfigDelta} from './config_delta.js';
 import {FleetChange, REREGISTRATION_MS} from './fleet_view.js';
 import {MeshState} from './mesh_state.js';
@@ -25,7 +31,7 @@
   recordReadFailure,
   recordReadSuccess,
 } from './source_read_state.js';
-import {CONFIG_LONG_POLL_MS, isReadDue} from './source_schedule.js';
+import {isReadDue} from './source_schedule.js';
 import {broadcastUpdate} from './peer_updates.js';
 import {getEra} from './source_position.js';
 
@@ -66,7 +72,7 @@
     requestRead({kind: 'fleet'}, emit);
   }
   readConfigIfMissing(state, at, emit);
-  awaitNextConfigIfReader(state, at, emit);
+  awaitNextConfigIfAppointed(state, at, emit);
 }
 
 function requestRead(request: SourceRequest, emit: MeshEmit): void {
@@ -102,17 +108,17 @@
   }
 }
 
-/** Long-polls for the next configuration if this proxy reads the fleet. */
-function awaitNextConfigIfReader(
+/** Waits for the next configuration if this proxy was appointed to. */
+function awaitNextConfigIfAppointed(
   state: MeshState,
   at: number,
   emit: MeshEmit,
 ): void {
-  const {sourceReads, settings} = state;
-  const isReader = at - sourceReads.readAt < settings.readIntervalMs * 2;
-  const isDue = isReader && at >= sourceReads.configNotBefore;
+  const {sourceReads} = state;
+  const waitMs = getPollWaitMs(state, at);
   if (
-    !isDue ||
+    waitMs === undefined ||
+    at < sourceReads.configNotBefore ||
     sourceReads.configReadPending ||
     sourceReads.configRevision === 0
   ) {
@@ -121,7 +127,7 @@
   sourceReads.configReadPending = true;
   sourceReads.configReadStartedAt = at;
   const {configRevision: after} = sourceReads;
-  requestRead({kind: 'nextConfig', after, waitMs: CONFIG_LONG_POLL_MS}, emit);
+  requestRead({kind: 'nextConfig', after, waitMs}, emit);
 }
 
 /** Handles the result of a read of the source. */
@@ -147,7 +153,7 @@
       state.sourceReads.configReadStartedAt = at;
       return requestRead({kind: 'config'}, emit);
   }
-  awaitNextConfigIfReader(state, at, emit);
+  awaitNextConfigIfAppointed(state, at, emit);
 }
 
 /** Applies a listing of the fleet and broadcasts the changes that it shows. */
@@ -180,7 +186,9 @@
   const listing = {base: 0, revision, changed, removed: []};
   const changes = applyFleetUpdate(state, listing, at, 'source', emit);
   const peerUpdate = createPeerUpdate(knownRevision, revision, changes);
-  broadcastUpdate(state, peerUpdate, undefined, at, 0, undefined, emit);
+  const appointment = appointPollers(state, at);
+  const update = {fleet: peerUpdate, ageMs: 0, appointment};
+  broadcastUpdate(state, update, changes.length > 0, at, emit);
 }
 
 /** Logs that the source continues from an earlier copy of its data. */
@@ -210,12 +218,18 @@
   const {sourceReads, fleet} = state;
   const {revision, config} = answer;
   const before = state.config;
+  const delta =
+    config === undefined ||
+    before === undefined ||
+    config.version <= before.version
+      ? undefined
+      : createConfigDelta(before, config);
   if (config === undefined && request.kind === 'config') {
     sourceReads.configNotBefore = at + CONFIG_RETRY_MS;
   }
+  const origin = {from: 'source', at, readAt: at, delta};
   const adopted =
-    config !== undefined &&
-    adoptConfig(state, config, {from: 'source', at, readAt: at}, emit);
+    config !== undefined && adoptConfig(state, config, origin, emit);
   // A poll that found nothing may not have heard of changes while it waited.
   const confirmedAt =
     config === undefined ? sourceReads.configReadStartedAt : at;
@@ -223,24 +237,55 @@
   if (!adopted && at - sourceReads.configReadStartedAt < CONFIG_RECHECK_MS) {
     sourceReads.configNotBefore = at + CONFIG_RECHECK_MS;
   }
-  if (request.kind === 'config') {
-    // This read the latest configuration, so none before it can be missed.
+  if (request.kind === 'config' || config !== undefined) {
+    // No earlier version matters once this one is known.
     sourceReads.configRevision = Math.max(sourceReads.configRevision, revision);
   } else {
     recordConfigCheckpoint(sourceReads, revision, at);
   }
-  if (adopted && state.config !== undefined) {
-    const delta =
-      before === undefined
-        ? undefined
-        : createConfigDelta(before, state.config);
+  if (request.kind === 'nextConfig') {
+    sourceReads.failedConfigReads = 0;
+    reportPoll(state, false, at, emit);
+  }
+  if (config !== undefined && config.version === state.config?.version) {
+    // Also if a peer was faster: this update takes other ways than the peer's.
     const base = fleet.revision;
     const update = {base, revision: base, changed: [], removed: []};
     const ageMs = getBoundedKnowledgeAgeMs(state, at);
-    broadcastUpdate(state, update, delta, at, ageMs, undefined, emit);
+    const sentDelta = adopted ? delta : undefined;
+    broadcastUpdate(
+      state,
+      {fleet: update, ageMs, delta: sentDelta},
+      true,
+      at,
+      emit,
+    );
   }
 }
 
+/** Tells the proxy that appointed this one how its poll ended. */
+function reportPoll(
+  state: MeshState,
+  failed: boolean,
+  at: number,
+  emit: MeshEmit,
+): void {
+  const {polling, settings, config, sourceReads} = state;
+  const by = polling.appointment?.by;
+  if (by === undefined || by === settings.address) {
+    (failed ? excludePoller : recordPoll)(state, settings.address, at);
+    return;
+  }
+  const message = {
+    kind: 'polled',
+    failed,
+    version: config?.version ?? 0,
+    configRevision: sourceReads.configRevision,
+    ...getConfigAges(state, at),
+  } as const;
+  emit({kind: 'sendMessage', to: by, message});
+}
+
 /** Creates the update for peers, without instances that only sent heartbeats. */
 function createPeerUpdate(
   knownRevision: number,
@@ -269,9 +314,7 @@
   emit({kind: 'count', counter: 'source_call', reason: 'failed'});
   if (event.request.kind !== 'fleet') {
     // Reads of the fleet go on and detect whether the source is reachable.
-    sourceReads.configReadPending = false;
-    sourceReads.configNotBefore = event.at + CONFIG_RETRY_MS;
-    return;
+    return handleConfigFailure(state, event, emit);
   }
   recordReadFailure(sourceReads, event.at, event.entropy);
   if (!wasUnreachable) {
@@ -289,6 +332,41 @@
   }
 }
 
+/**
+ * Handles a failed read of the configuration. A poll that was cut or got no answer
+ * may have missed a version, so the first failure is followed by a direct read.
+ */
+function handleConfigFailure(
+  state: MeshState,
+  {at, request, detail}: Extract<MeshEvent, {kind: 'sourceFailed'}>,
+  emit: MeshEmit,
+): void {
+  const {sourceReads} = state;
+  sourceReads.configReadPending = false;
+  sourceReads.failedConfigReads += 1;
+  if (request.kind === 'nextConfig') {
+    emit({
+      kind: 'log',
+      level: 'warn',
+      part: 'source',
+      message: 'Wait for the next configuration failed.',
+      fields: {
+        detail,
+        version: state.config?.version,
+        waitedMs: Math.round(at - sourceReads.configReadStartedAt),
+      },
+    });
+    reportPoll(state, true, at, emit);
+    if (sourceReads.failedConfigReads === 1) {
+      sourceReads.configReadPending = true;
+      sourceReads.configReadStartedAt = at;
+      requestRead({kind: 'config'}, emit);
+      return;
+    }
+  }
+  sourceReads.configNotBefore = at + CONFIG_RETRY_MS;
+}
+
 /** Logs that the source answers again after failed reads. */
 function logSourceRecovery(state: MeshState, at: number, emit: MeshEmit): void {
   const {unreachableSince} = state.sourceReads;
--- a/src/core/mesh/source_schedule.ts
+++ b/src/core/mesh/source_schedule.ts
@@ -15,12 +15,6 @@
 const MAX_RANK = 5;
 const MAX_RANK_JITTER_MS = 600;
 
-/**
- * Timeout of a long poll for the next configuration. It also bounds how long
- * a broken connection to the source goes unnoticed.
- */
-export const CONFIG_LONG_POLL_MS = 1_000;
-
 /**
  * Gets this proxy's rank as a reader. Older upstreams rank first, because this
  * order changes least.
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -20,6 +20,7 @@
   source_call: 'Calls to the source, by kind or failure.',
   version_adopted: 'Versions put in force, by where they came from.',
   update_ignored: 'Updates that changed nothing, by reason.',
+  update_repaired: 'Questions to peers for missed updates, by cause.',
   instance_changed: 'Changes of registered upstreams, by kind.',
   peer_message: 'Messages from peers, by kind.',
   crash_suspected: 'Requests suspected, cleared or quarantined after a crash.',
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -328,6 +328,7 @@
       version: state?.config?.version ?? 0,
       revision: state?.fleet.revision ?? 0,
       leaving: state?.leaving ?? false,
+      linkMbps: this.settings.linkMbps,
     };
   }
 
@@ -528,6 +529,7 @@
     retryExtra: retries.extra,
     retryWindowMs: retries.windowMs,
     graceMs: settings.graceMs,
+    linkMbps: settings.linkMbps,
     readIntervalMs: settings.readIntervalMs,
     quarantineMs: settings.quarantineMs,
     policy: DEFAULT_POLICY,
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -9,6 +9,7 @@
 
 const MAX_ID_LENGTH = 256;
 const MAX_ATTEMPT_TARGETS = 16;
+const MAX_POLLERS = 8;
 
 const IdSchema = z.string().min(1).max(MAX_ID_LENGTH);
 const DurationMsSchema = z.number().min(0);
@@ -147,6 +148,13 @@
 
 export type CallMessageKind = (typeof CALL_MESSAGE_KINDS)[number];
 
+/** Proxies that wait for the next version, as one proxy decided. */
+const AppointmentSchema = z.strictObject({
+  by: AddressSchema,
+  /** The first one comes first. */
+  pollers: z.array(AddressSchema).max(MAX_POLLERS).readonly(),
+});
+
 const ConfigAgeFields = {
   /** Time since the sender's version was known to be the latest. */
   configAgeMs: DurationMsSchema,
@@ -165,15 +173,17 @@
     version: SequenceSchema,
     revision: SequenceSchema,
     leaving: z.boolean(),
+    /** Bandwidth of the VM's connection to the network. */
+    linkMbps: z.number().min(0),
   }),
   z.strictObject({kind: z.literal('ping'), id: z.int()}),
   z.strictObject({kind: z.literal('pong'), id: z.int()}),
   z.strictObject({
     kind: z.literal('news'),
-    /** Where the update entered the receiver's zone: the root of its tree. */
-    root: AddressSchema,
-    /** The receiver is the root of its zone's tree. */
-    relay: z.boolean(),
+    /** Whom the receiver sends it on to; absent: all others of its zone. */
+    forwardTo: z.array(AddressSchema).readonly().optional(),
+    /** Who waits at the source for the next version; absent: unchanged. */
+    appointment: AppointmentSchema.optional(),
     /** Time since the source was read, in milliseconds. */
     ageMs: z.number().min(0),
     fleet: FleetUpdateSchema,
@@ -189,16 +199,34 @@
     kind: z.literal('pull'),
     version: SequenceSchema,
     revision: SequenceSchema,
+    /** Ages of the sender's list and configuration. */
+    ageMs: DurationMsSchema,
+    configAgeMs: DurationMsSchema,
   }),
-  /** Answers a pull; the configuration is compressed in the body. */
+  /**
+   * Answers a pull, with differences to the version of its sender where they are
+   * kept, or with the configuration, compressed in the body.
+   */
   z.strictObject({
     kind: z.literal('state'),
     ageMs: z.number().min(0),
+    /** Position of the sender's list and version of its configuration. */
+    revision: SequenceSchema,
+    version: SequenceSchema,
     fleet: FleetUpdateSchema.optional(),
+    deltas: z.array(ConfigDeltaSchema).readonly(),
     configRevision: SequenceSchema,
     ...ConfigAgeFields,
     hasConfig: z.boolean(),
   }),
+  /** A long poll of the sender was answered; failed: it was not. */
+  z.strictObject({
+    kind: z.literal('polled'),
+    failed: z.boolean(),
+    version: SequenceSchema,
+    configRevision: SequenceSchema,
+    ...ConfigAgeFields,
+  }),
   z.strictObject({
     kind: z.literal('suspects'),
     suspects: z.array(SuspectInfoSchema).max(64).readonly(),
@@ -249,6 +277,7 @@
 export type MeshService = z.infer<typeof MeshServiceSchema>;
 export type MeshConfig = z.infer<typeof MeshConfigSchema>;
 export type CallerLimits = z.infer<typeof CallerLimitsSchema>;
+export type Appointment = z.infer<typeof AppointmentSchema>;
 export type Instance = z.infer<typeof InstanceSchema>;
 export type FleetUpdate = z.infer<typeof FleetUpdateSchema>;
 export type ConfigDelta = z.infer<typeof ConfigDeltaSchema>;
--- a/src/model/mesh_settings.ts
+++ b/src/model/mesh_settings.ts
@@ -26,6 +26,11 @@
   source: AddressSchema,
   /** Interval at which upstreams report to the source. */
   heartbeatMs: MillisSchema.min(1).default(1_500),
+  /**
+   * Bandwidth of the VM's connection to the network. Proxies with the fastest ones
+   * wait for new versions.
+   */
+  linkMbps: z.number().positive().default(1_000),
   /** Interval at which one proxy of the fleet reads the source. */
   readIntervalMs: MillisSchema.min(50).default(600),
   /** Retries, hedges included, that the whole fleet may make to a service. */
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -111,6 +111,7 @@
     version: 1,
     revision: 10,
     leaving: false,
+    linkMbps: 1_000,
     ...overrides,
   };
 }
@@ -127,6 +128,7 @@
   retryExtra: 60,
   retryWindowMs: 10_000,
   graceMs: 6_000,
+  linkMbps: 1_000,
   readIntervalMs: 600,
   quarantineMs: 60_000,
   policy: DEFAULT_POLICY,
