Close links that carry nothing any more, without an error

A link was pinged only while an answer was owed. A peer that was sent any message and sends nothing itself is now pinged after 0.5 s, and the link is closed 1 s later; the next message opens another one.

The new test of the link failed before: the connection was still open after 2 s.

--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -20,6 +20,13 @@
 /** Time within which a pinged peer must send data. */
 const PONG_TIMEOUT_MS = 500;
 
+/**
+ * The same two times for a peer that owes no answer but was sent a message since it
+ * last sent anything: the connection may carry nothing any more, without an error.
+ */
+const UPDATE_PING_AFTER_MS = 500;
+const UPDATE_PONG_TIMEOUT_MS = 1_000;
+
 const EMPTY_BODY = new Uint8Array(0);
 
 /** Bodies above this size are sent in chunks, in bytes. */
@@ -55,6 +62,8 @@
   private readonly reader = new FrameReader();
   private readonly transfers: BodyTransfers;
   private lastReceivedAt: number;
+  /** When the first message since then was sent. */
+  private unconfirmedSince?: number;
   private pingSentAt?: number;
   private pingId = 0;
 
@@ -92,6 +101,9 @@
     }
     const compress = this.compressesCalls || !CALL_KINDS.has(message.kind);
     const encoded = this.codec.encode(message, compress);
+    if (message.kind !== 'ping' && message.kind !== 'pong') {
+      this.unconfirmedSince ??= this.now();
+    }
     if (body.length <= MAX_WHOLE_BODY_BYTES) {
       this.write({kind: 'whole', message: encoded, body});
       return;
@@ -140,18 +152,24 @@
   }
 
   /**
-   * Pings a silent peer with pending answers, and closes the link if it does
-   * not respond.
+   * Pings a peer that is silent although it owes an answer or was sent a message,
+   * and closes the link if it does not respond.
    */
   checkAlive(): void {
     const now = this.now();
+    const owesAnswer = this.pendingAnswers > 0;
     if (this.pingSentAt !== undefined) {
-      if (now - this.pingSentAt > PONG_TIMEOUT_MS) {
+      const timeoutMs = owesAnswer ? PONG_TIMEOUT_MS : UPDATE_PONG_TIMEOUT_MS;
+      if (now - this.pingSentAt > timeoutMs) {
         this.close();
       }
       return;
     }
-    if (this.pendingAnswers > 0 && now - this.lastReceivedAt > PING_AFTER_MS) {
+    const {unconfirmedSince = Infinity} = this;
+    const isSilent =
+      (owesAnswer && now - this.lastReceivedAt > PING_AFTER_MS) ||
+      now - unconfirmedSince > UPDATE_PING_AFTER_MS;
+    if (isSilent) {
       this.pingSentAt = now;
       this.pingId += 1;
       this.send({kind: 'ping', id: this.pingId});
@@ -161,6 +179,7 @@
   private receive(chunk: Buffer): void {
     this.lastReceivedAt = this.now();
     this.pingSentAt = undefined;
+    this.unconfirmedSince = undefined;
     this.traffic.receivedBytes += chunk.length;
     this.reader.push(chunk);
     while (!this.closed) {
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -49,6 +49,7 @@
 describe('link between proxies', () => {
   let connection: SlowConnection;
   let sender: Link;
+  let now: number;
   let received: Array<{
     readonly kind: string;
     readonly bodyBytes: number;
@@ -70,12 +71,13 @@
       },
       new MessageCodec([]),
       {sentBytes: 0, receivedBytes: 0},
-      () => 0,
+      () => now,
     );
   }
 
   beforeEach(() => {
     received = [];
+    now = 0;
     connection = new SlowConnection();
     const far = new SlowConnection();
     connection.peer = far;
@@ -125,6 +127,24 @@
     expect(received[0].passedBytes).to.be.above(UPLOAD_BYTES * 1.9);
   });
 
+  it('closes a connection that carries nothing any more, without an error', () => {
+    sender.send({
+      kind: 'pull',
+      version: 1,
+      revision: 1,
+      ageMs: 0,
+      configAgeMs: 0,
+    });
+    for (now = 0; now < 1_400; now += 200) {
+      sender.checkAlive();
+      expect(sender.closed, `at ${now} ms`).to.equal(false);
+    }
+    for (; now <= 2_000; now += 200) {
+      sender.checkAlive();
+    }
+    expect(sender.closed).to.equal(true);
+  });
+
   it('stops sending a body that is discarded', async () => {
     sendUpload('a-1');
     await connection.pass();
