Handle cancellations first, and send those that a broken link kept back

A process that stood still finds the attempt and the cancellation in one piece of its socket, and started the attempt before it read on. A cancellation while the link was broken was not sent at all; the owner went on until it gave up the entry, 0.8 s later.

Messages that arrive together are now handled with the cancellations first; an owner never starts an attempt whose cancellation it knows. A cancelled attempt that was to be resumed is cancelled over the new link.

Both new tests failed before (order attempt, cancel; order arrived, cancelled).

--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -296,6 +296,8 @@
       link = await this.links.open(sentAttempt.to);
     }
     if (this.sent.get(attemptId) !== sentAttempt) {
+      // Cancelled meanwhile, when no link could carry the cancellation.
+      link?.send({kind: 'cancel', attemptId});
       return;
     }
     const isSameProcess =
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -46,6 +46,11 @@
   receivedBytes: number;
 }
 
+interface ReceivedMessage {
+  readonly message: LinkMessage;
+  readonly body: Uint8Array;
+}
+
 /** A connection that carries messages in both directions. */
 export class Link {
   /**
@@ -182,36 +187,54 @@
     this.unconfirmedSince = undefined;
     this.traffic.receivedBytes += chunk.length;
     this.reader.push(chunk);
-    while (!this.closed) {
-      const frame = this.reader.read();
-      if (frame === undefined) {
-        return;
-      }
-      if ('error' in frame) {
-        this.handlers.onBadFrame(frame.error);
-        this.close();
-        return;
-      }
-      this.handleFrame(frame);
+    const messages: ReceivedMessage[] = [];
+    let frame = this.reader.read();
+    while (frame !== undefined && !('error' in frame)) {
+      messages.push(...this.decode(frame));
+      frame = this.reader.read();
+    }
+    this.handleMessages(messages);
+    if (frame !== undefined && !this.closed) {
+      this.handlers.onBadFrame(frame.error);
+      this.close();
     }
   }
 
-  private handleFrame(frame: Frame): void {
+  /** Decodes the message that a frame completes, if it does and is valid. */
+  private decode(frame: Frame): ReceivedMessage[] {
     const whole =
       frame.kind === 'whole' ? frame : this.transfers.receive(frame);
     if (whole === undefined) {
-      return;
+      return [];
     }
     const decoded = this.codec.decode(whole.message);
     if (decoded.isErr()) {
       this.handlers.onBadFrame(decoded.error);
-      return;
+      return [];
     }
-    const message = decoded.value;
-    if (message.kind === 'ping') {
-      this.send({kind: 'pong', id: message.id});
-    } else if (message.kind !== 'pong') {
-      this.handlers.onMessage(this, message, whole.body);
+    return [{message: decoded.value, body: whole.body}];
+  }
+
+  /**
+   * Handles messages that have arrived together, cancellations first: a process that
+   * stood still must not start what its caller has given up meanwhile.
+   */
+  private handleMessages(messages: readonly ReceivedMessage[]): void {
+    const isCancellation = ({message}: ReceivedMessage) =>
+      message.kind === 'cancel';
+    const ordered = [
+      ...messages.filter(isCancellation),
+      ...messages.filter(received => !isCancellation(received)),
+    ];
+    for (const {message, body} of ordered) {
+      if (this.closed) {
+        return;
+      }
+      if (message.kind === 'ping') {
+        this.send({kind: 'pong', id: message.id});
+      } else if (message.kind !== 'pong') {
+        this.handlers.onMessage(this, message, body);
+      }
     }
   }
 }
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -211,6 +211,23 @@
     });
   });
 
+  it('cancels an attempt whose caller leaves while its link is broken', async () => {
+    void entry.attempts.send(address, attempt, OUTBOUND);
+    await owner.waitForEvent('attemptArrived');
+    const broken = entry.links.find(address);
+    broken?.close();
+    entry.attempts.cancel(attemptId);
+    const other = createAttempt({attemptId: 'a-2'});
+    await entry.attempts.send(address, other, OUTBOUND);
+    while (owner.events.length < 3) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(owner.events.slice(1).map(({kind}) => kind)).to.deep.equal([
+      'attemptCancelled',
+      'attemptArrived',
+    ]);
+  });
+
   it('cancels the attempt of an entry that does not reconnect', async () => {
     void entry.attempts.send(address, attempt, OUTBOUND);
     await owner.waitForEvent('attemptArrived');
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -13,6 +13,9 @@
 class SlowConnection extends Duplex {
   passedBytes = 0;
   peer?: SlowConnection;
+  /** Whether written bytes are held until {@link passHeld}. */
+  holds = false;
+  private readonly held: Buffer[] = [];
   private readonly waiting: Array<{
     readonly bytes: Buffer;
     readonly done: () => void;
@@ -29,9 +32,20 @@
   override _read(): void {}
 
   override _write(bytes: Buffer, _encoding: string, done: () => void): void {
+    if (this.holds) {
+      this.held.push(bytes);
+      done();
+      return;
+    }
     this.waiting.push({bytes, done});
   }
 
+  /** Passes what was held on in one piece, as to a process that stood still. */
+  async passHeld(): Promise<void> {
+    this.peer?.push(Buffer.concat(this.held));
+    await new Promise(resolve => setImmediate(resolve));
+  }
+
   /** Passes one write on to the peer; returns whether there was one. */
   async pass(): Promise<boolean> {
     const next = this.waiting.shift();
@@ -116,6 +130,16 @@
     expect(received[1].bodyBytes).to.equal(UPLOAD_BYTES);
   });
 
+  it('delivers a cancellation before the attempt that arrives with it', async () => {
+    const attempt = createAttempt({attemptId: 'a-1'});
+    const request = {method: 'GET', path: '/', headers: {}};
+    connection.holds = true;
+    sender.send({kind: 'attempt', attempt, ...request});
+    sender.send({kind: 'cancel', attemptId: 'a-1'});
+    await connection.passHeld();
+    expect(received.map(({kind}) => kind)).to.deep.equal(['cancel', 'attempt']);
+  });
+
   it('sends two large bodies in turn', async () => {
     sendUpload('a-1');
     sendUpload('a-2');
