--- a/test/mesh/soak/soak.test.ts
+++ b/test/mesh/soak/soak.test.ts
@@ -4,7 +4,7 @@
  * which reproduces the failure.
  */
 import {expect} from '../../support/chai_setup.js';
-import {STOPS_IN_TURN, runSoak} from './run_soak.js';
+import {RELAYED_UPDATES, STOPS_IN_TURN, runSoak} from './run_soak.js';
 
 const DEFAULT_SEEDS = '1-6';
 
@@ -21,6 +21,12 @@
       expect(answered).to.be.above(500);
     });
 
+    it(`keeps versions in force with relays and seed ${seed}`, () => {
+      const {violations, faults, answered} = runSoak(seed, RELAYED_UPDATES);
+      expect(violations, `after ${faults.join('; ')}`).to.deep.equal([]);
+      expect(answered).to.be.above(100);
+    });
+
     it(`cuts nothing by stops in turn with seed ${seed}`, () => {
       const {violations, faults, answered} = runSoak(seed, STOPS_IN_TURN);
       expect(violations, `after ${faults.join('; ')}`).to.deep.equal([]);
