--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -148,6 +148,8 @@
   readonly lags: Lag[] = [];
   /** Reads of the source, by kind. */
   readonly sourceCalls = new Map<string, number>();
+  /** Is told of each effect before it is performed. */
+  onEffect?: (host: number, effect: MeshEffect) => void;
   private readonly attempts = new Map<string, SentAttempt>();
   private readonly requests = new Map<string, MeshAttempt>();
 
@@ -286,6 +288,7 @@
   }
 
   private performEffect(node: Node, effect: MeshEffect): void {
+    this.onEffect?.(node.host, effect);
     switch (effect.kind) {
       case 'readSource':
         return this.readSource(node, effect.request);
