Soak of the deployed bundle as processes, with relays between them

12 proxies of one zone on loopback; signals, restarts, store outages and versions overlap while callers keep connections open.

--- a/test/platform/process_machine.ts
+++ b/test/platform/process_machine.ts
@@ -61,6 +61,7 @@
       'internal-ports': [peers, callers + 2],
       'app-addr': this.upstreamAddress,
       platform: {address: this.storeAddress},
+      limits: {'link-mbps': 1000},
       heartbeat: '870ms',
       bounds: {
         grace: '6s',
@@ -81,6 +82,13 @@
     return super.isReady().catch(() => false);
   }
 
+  /** Lets the proxy stand still, or go on. */
+  setFrozen(frozen: boolean): void {
+    if (this.pid !== undefined) {
+      process.kill(this.pid, frozen ? 'SIGSTOP' : 'SIGCONT');
+    }
+  }
+
   /** Kills the proxy with SIGKILL. */
   async kill(): Promise<ExitStatus | undefined> {
     return this.child?.kill();
