--- a/src/core/mesh/mesh_settings.ts
+++ b/src/core/mesh/mesh_settings.ts
@@ -20,6 +20,8 @@
   /** Further retries that the whole fleet may make to a service per window. */
   readonly retryExtra: number;
   readonly retryWindowMs: number;
+  /** Bound on requests to a cold upstream in one second; undefined: none. */
+  readonly coldLimit?: {readonly excess: number; readonly slack: number};
   /** Time from the signal of a planned stop to the end of the process. */
   readonly graceMs: number;
   /** Bandwidth of this VM's connection to the network. */
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -4,6 +4,7 @@
  */
 import {
   CallMessageKind,
+  Evacuation,
   Instance,
   LinkMessage,
   MeshAttempt,
@@ -48,6 +49,14 @@
       readonly waitMs: number;
     };
 
+/** What a read shows of evacuated zones. */
+export interface EvacuationReading {
+  /** Zones that are not listed were not evacuated at `revision`. */
+  readonly complete: boolean;
+  readonly revision: number;
+  readonly changes: readonly Evacuation[];
+}
+
 /** Result of a read, with the source's position at the time of the read. */
 export type SourceAnswer =
   | {
@@ -60,6 +69,7 @@
       /** With a configuration: no earlier one can be missed. */
       readonly revision: number;
       readonly config?: MeshConfig;
+      readonly evacuations?: EvacuationReading;
     }
   /**
    * The source has no history after the requested position: it has discarded
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -10,6 +10,7 @@
   getRateDelayMs,
   spendRateToken,
 } from './rate_limit.js';
+import {ServiceClaim, compareClaims} from './service_order.js';
 import {
   RunEstimates,
   estimateRunMs,
@@ -49,29 +50,32 @@
   };
 }
 
-/**
- * Reports whether the first of two waiting attempts runs before the second. The
- * order is by priority of the route, then attempts that another run waits for,
- * then attempts that can still meet their aim, then by the earlier aim.
- */
+/** Reports whether the first of two waiting attempts runs before the second. */
 export function hasPrecedence(
   first: QueuedAttempt,
   second: QueuedAttempt,
   estimates: RunEstimates,
   at: number,
 ): boolean {
-  if (first.attempt.priority !== second.attempt.priority) {
-    return first.attempt.priority < second.attempt.priority;
-  }
-  const isFirstNested = first.attempt.nested === true;
-  if (isFirstNested !== (second.attempt.nested === true)) {
-    return isFirstNested;
-  }
-  const willFirstMissAim = willMissAim(first, estimates, at);
-  if (willFirstMissAim !== willMissAim(second, estimates, at)) {
-    return !willFirstMissAim;
-  }
-  return getTurnTime(first) < getTurnTime(second);
+  return (
+    compareClaims(
+      createClaim(first, estimates, at),
+      createClaim(second, estimates, at),
+    ) < 0
+  );
+}
+
+function createClaim(
+  queued: QueuedAttempt,
+  estimates: RunEstimates,
+  at: number,
+): ServiceClaim {
+  return {
+    priority: queued.attempt.priority,
+    nested: queued.attempt.nested === true,
+    missesAim: willMissAim(queued, estimates, at),
+    turnAt: getTurnTime(queued),
+  };
 }
 
 /**
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -69,6 +69,14 @@
     503,
     'The upstream is draining or being removed and accepts no new requests; retry on another upstream.',
   ),
+  zone_evacuated: notRun(
+    503,
+    'The zone of the upstream is evacuated; retry on an upstream of another zone.',
+  ),
+  link_saturated: notRun(
+    503,
+    'The network connection of the upstream is saturated and the answer would arrive too late; retry after the given time.',
+  ),
   upstream_down: notRun(
     503,
     'The upstream refused the connection; retry after the given time.',
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -548,6 +548,7 @@
     retryShare: retries.share,
     retryExtra: retries.extra,
     retryWindowMs: retries.windowMs,
+    coldLimit: settings.coldLimit,
     graceMs: settings.graceMs,
     linkMbps: settings.linkMbps,
     readIntervalMs:
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -10,6 +10,7 @@
 const MAX_ID_LENGTH = 256;
 const MAX_ATTEMPT_TARGETS = 16;
 const MAX_POLLERS = 8;
+const MAX_EVACUATIONS = 64;
 
 const IdSchema = z.string().min(1).max(MAX_ID_LENGTH);
 const DurationMsSchema = z.number().min(0);
@@ -42,6 +43,10 @@
   name: IdSchema,
   /** Connections that one upstream accepts in total. */
   connections: z.int().min(1),
+  /** Time for which an upstream is cold after its start. */
+  coldStartMs: DurationMsSchema.optional(),
+  /** Requests per second that a cold upstream takes; absent or 0: no limit. */
+  coldPerSecond: z.number().min(0).optional(),
 });
 
 /** Limits on the size and the duration of callers' requests. */
@@ -90,6 +95,21 @@
   removed: z.array(IdSchema).readonly(),
 });
 
+/** Whether a zone is evacuated; the report with the highest revision holds. */
+export const EvacuationSchema = z.strictObject({
+  zone: IdSchema,
+  /** Position of the source at which the operator changed it. */
+  revision: SequenceSchema,
+  evacuated: z.boolean(),
+});
+
+/** What the sender knows of evacuated zones; absent: nothing. */
+const EvacuationsSchema = z
+  .array(EvacuationSchema)
+  .max(MAX_EVACUATIONS)
+  .readonly()
+  .optional();
+
 /** Difference between two configurations; entries are replaced by name. */
 export const ConfigDeltaSchema = z.strictObject({
   base: SequenceSchema,
@@ -193,6 +213,7 @@
     configRevision: SequenceSchema,
     ...ConfigAgeFields,
     delta: ConfigDeltaSchema.optional(),
+    evacuations: EvacuationsSchema,
   }),
   /** Asks for what is newer than the sender's state. */
   z.strictObject({
@@ -218,6 +239,7 @@
     configRevision: SequenceSchema,
     ...ConfigAgeFields,
     hasConfig: z.boolean(),
+    evacuations: EvacuationsSchema,
   }),
   /** A long poll of the sender was answered; failed: it was not. */
   z.strictObject({
@@ -226,6 +248,7 @@
     version: SequenceSchema,
     configRevision: SequenceSchema,
     ...ConfigAgeFields,
+    evacuations: EvacuationsSchema,
   }),
   z.strictObject({
     kind: z.literal('suspects'),
@@ -278,6 +301,7 @@
 export type MeshConfig = z.infer<typeof MeshConfigSchema>;
 export type CallerLimits = z.infer<typeof CallerLimitsSchema>;
 export type Appointment = z.infer<typeof AppointmentSchema>;
+export type Evacuation = z.infer<typeof EvacuationSchema>;
 export type Instance = z.infer<typeof InstanceSchema>;
 export type FleetUpdate = z.infer<typeof FleetUpdateSchema>;
 export type ConfigDelta = z.infer<typeof ConfigDeltaSchema>;
--- a/src/model/mesh_settings.ts
+++ b/src/model/mesh_settings.ts
@@ -51,6 +51,13 @@
       windowMs: MillisSchema.min(1).default(10_000),
     })
     .prefault({}),
+  /**
+   * Requests that a cold upstream may get in one second: the rate that it takes
+   * times `excess`, plus `slack`. Absent: no limit.
+   */
+  coldLimit: z
+    .strictObject({excess: z.number().min(0), slack: z.number().min(0)})
+    .optional(),
   /** Time from the signal of a planned stop to the end of the process. */
   graceMs: MillisSchema.min(500).default(6_000),
   /** Time for which requests that crash upstreams are refused. */
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -30,6 +30,14 @@
   limitPerSecond: z.number().min(0).optional(),
   /** Time until the limit allows another request, in milliseconds. */
   limitDelayMs: z.number().min(0).optional(),
+  /**
+   * Requests per second that a cold upstream is given, and the time until it can
+   * be given another one, in milliseconds; absent: it is not cold.
+   */
+  coldPerSecond: z.number().min(0).optional(),
+  coldDelayMs: z.number().min(0).optional(),
+  /** Time that waiting answers take on the VM's network connection. */
+  linkDelayMs: z.number().min(0).optional(),
   /** Used share of the bandwidth of the upstream's VM; absent: little. */
   linkShare: z.number().min(0).max(1).optional(),
   /** The upstream that was asked has reported that it is leaving. */
--- a/test/platform/documents.test.ts
+++ b/test/platform/documents.test.ts
@@ -121,6 +121,8 @@
         'retry-budget': 0.2,
         'budget-window': '10s',
         'budget-extra': 60,
+        'cold-excess': 1.5,
+        'cold-slack': 8,
         drain: '2000ms',
       },
     };
--- a/test/platform/store_client.test.ts
+++ b/test/platform/store_client.test.ts
@@ -118,6 +118,28 @@
     );
   });
 
+  it('reports zones that are evacuated and taken back, with each answer', async () => {
+    const after = putInEra('op/evacuate/north', {});
+    const first = await client.read({kind: 'config'});
+    expect(first._unsafeUnwrap()).to.deep.include({
+      evacuations: {
+        complete: true,
+        revision: after,
+        changes: [{zone: 'north', revision: after, evacuated: true}],
+      },
+    });
+    store.remove('op/evacuate/north');
+    const second = await client.read({kind: 'nextConfig', after, waitMs: 1});
+    const revision = after + 1;
+    expect(second._unsafeUnwrap()).to.deep.include({
+      evacuations: {
+        complete: false,
+        revision,
+        changes: [{zone: 'north', revision, evacuated: false}],
+      },
+    });
+  });
+
   it('reports a route kind that it does not know, once for each version', async () => {
     const route = {
       host: 'a.example',
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -242,6 +242,8 @@
         'max-conns': 120,
         protocol: 'h1',
         tls: false,
+        'cold-start': '3s',
+        'cold-per-s': 4.41,
       },
     },
     limits: {
