Heed evacuated zones in choice and at the owner

Cause: the source client reports evacuated zones, and nothing used them.

Change: each proxy keeps a last-writer-wins register per zone, merged from reads of the source and from news, state and polled messages. Upstreams of evacuated zones are left out of acceptingByService; an owner there refuses arriving and waiting attempts as zone_evacuated. A long poll that returns only evacuations is broadcast at once and advances the position of the next poll.

--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -50,6 +50,7 @@
   'upstream_down',
   'wrong_home',
   'proxy_stopping',
+  'zone_evacuated',
 ]);
 
 /** Handles the result of an attempt that its owner reports. */
--- a/src/core/mesh/config_freshness.ts
+++ b/src/core/mesh/config_freshness.ts
@@ -26,7 +26,10 @@
   confirmedAt: number;
   /** When the source delivered the version in force to the first proxy. */
   versionReadAt: number;
-  /** When two peers are told of the version in force; undefined: they were. */
+  /**
+   * When two peers are told of the version in force and of evacuated zones;
+   * undefined: they were.
+   */
   announceAt?: number;
   /** Since when the configuration counts as unconfirmed. */
   unconfirmedSince?: number;
--- a/src/core/mesh/fleet_view.ts
+++ b/src/core/mesh/fleet_view.ts
@@ -6,6 +6,11 @@
  * and registrations of running instances may be missing.
  */
 import {FleetUpdate, Instance} from '../../model/mesh.js';
+import {
+  EvacuationRegisters,
+  createEvacuationRegisters,
+  isZoneEvacuated,
+} from './evacuations.js';
 import {getEra} from './source_position.js';
 
 /**
@@ -44,11 +49,15 @@
    * leaving. Kept when an instance is removed: a stale listing may show it again.
    */
   readonly leaving: Map<string, number>;
+  readonly evacuations: EvacuationRegisters;
   /** Until this time, an unlisted instance is kept in `missingUntil`. */
   removalsHeldUntil: number;
   /** Latest instance at each address; rebuilt on each change. */
   byAddress: ReadonlyMap<string, Instance>;
-  /** Instances of each service that accept new work; rebuilt on each change. */
+  /**
+   * Instances of each service that accept new work, without those of evacuated
+   * zones; rebuilt on each change. Every choice of an upstream starts from these.
+   */
   acceptingByService: ReadonlyMap<string, readonly Instance[]>;
 }
 
@@ -59,6 +68,7 @@
     missingUntil: new Map(),
     tombstones: new Map(),
     leaving: new Map(),
+    evacuations: createEvacuationRegisters(),
     removalsHeldUntil: 0,
     byAddress: new Map(),
     acceptingByService: new Map(),
@@ -276,7 +286,8 @@
   return (view.leaving.get(id) ?? -Infinity) >= incarnation;
 }
 
-function rebuildIndexes(view: FleetView): void {
+/** Rebuilds what is derived from instances and evacuations. */
+export function rebuildIndexes(view: FleetView): void {
   // Of two instances with one address, the later one has it.
   const byAddress = new Map<string, Instance>();
   for (const instance of view.instances.values()) {
@@ -287,7 +298,11 @@
   }
   const accepting = new Map<string, Instance[]>();
   for (const instance of byAddress.values()) {
-    if (instance.state === 'ready' && !isLeaving(view, instance)) {
+    if (
+      instance.state === 'ready' &&
+      !isLeaving(view, instance) &&
+      !isZoneEvacuated(view.evacuations, instance.zone)
+    ) {
       const instances = accepting.get(instance.service) ?? [];
       instances.push(instance);
       accepting.set(instance.service, instances);
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -200,6 +200,7 @@
   | 'update_ignored'
   | 'update_repaired'
   | 'instance_changed'
+  | 'zone_changed'
   | 'peer_message'
   | 'crash_suspected'
   | 'upstream_failed'
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -7,6 +7,7 @@
 import {isQuarantined, isSuspect} from '../owner/crash_suspects.js';
 import {Refusal, createRefusal} from '../refusals.js';
 import {Answer} from '../types.js';
+import {isOwnZoneEvacuated} from './evacuation_updates.js';
 import {isLeaving} from './fleet_view.js';
 import {MeshState, getOwnInstance, isUpstreamLeaving} from './mesh_state.js';
 import {AttemptOutcome, MeshEmit} from './mesh_types.js';
@@ -101,13 +102,16 @@
 function getUnavailableReason(
   state: MeshState,
   {instanceId}: MeshAttempt,
-): 'wrong_home' | 'upstream_leaving' | undefined {
+): 'wrong_home' | 'zone_evacuated' | 'upstream_leaving' | undefined {
   const {replacedId, deregisteredId} = state.health;
   const own = getOwnInstance(state);
   const isOther = own !== undefined && own.id !== instanceId;
   if (isOther || replacedId === instanceId) {
     return 'wrong_home';
   }
+  if (isOwnZoneEvacuated(state)) {
+    return 'zone_evacuated';
+  }
   const isGone = deregisteredId === instanceId;
   return isGone || isInstanceLeaving(state, instanceId)
     ? 'upstream_leaving'
@@ -272,7 +276,7 @@
   }
 }
 
-/** Refuses waiting attempts whose upstream is down, leaving or replaced. */
+/** Refuses waiting attempts whose upstream is down, evacuated, leaving or replaced. */
 function refuseUnreachable(state: MeshState, at: number, emit: MeshEmit): void {
   const {work, health} = state;
   for (const {attempt} of [...work.queue]) {
--- a/src/core/mesh/peer_updates.ts
+++ b/src/core/mesh/peer_updates.ts
@@ -21,6 +21,10 @@
   recordAppointment,
   recordPoll,
 } from './config_polling.js';
+import {
+  applyPeerEvacuations,
+  getSentEvacuations,
+} from './evacuation_updates.js';
 import {createFullUpdate, removeExpired} from './fleet_view.js';
 import {MeshState} from './mesh_state.js';
 import {MeshEmit, MeshEvent} from './mesh_types.js';
@@ -109,6 +113,7 @@
     version: state.config?.version ?? 0,
     configRevision: state.sourceReads.configRevision,
     ...getConfigAges(state, at),
+    ...getSentEvacuations(state),
   };
 }
 
@@ -144,6 +149,14 @@
     applyFleetUpdate(state, message.fleet, at, from, emit);
     recordPeerAge(state, at, ageMs);
   }
+  const {evacuations} = message;
+  const isNewEvacuation = applyPeerEvacuations(
+    state,
+    evacuations,
+    at,
+    from,
+    emit,
+  );
   if (appointment !== undefined) {
     recordAppointment(state, appointment, at);
   }
@@ -155,7 +168,7 @@
   const {revision} = message.fleet;
   pullHeardState(state, {from, version, revision}, at, emit);
   const members = new Set(message.forwardTo ?? getZonePeers(state));
-  if (isNewListing || isNewVersion) {
+  if (isNewListing || isNewVersion || isNewEvacuation) {
     // The sender may not know that they run.
     getDependentPeers(state).forEach(address => members.add(address));
   }
@@ -197,6 +210,7 @@
   at: number,
   emit: MeshEmit,
 ): void {
+  applyPeerEvacuations(state, message.evacuations, at, from, emit);
   if (message.failed) {
     excludePoller(state, from, at);
     return;
@@ -222,7 +236,10 @@
   }
 }
 
-/** Answers a pull with what the peer lacks, if anything. */
+/**
+ * Answers a pull with what the peer lacks, if anything. A pull doesn't tell which
+ * evacuations its sender knows, so it is always answered where there are any.
+ */
 export function answerPull(
   state: MeshState,
   from: string,
@@ -239,7 +256,8 @@
   const isFresher =
     ageMs + MIN_AGE_GAIN_MS < message.ageMs ||
     ages.configAgeMs + MIN_AGE_GAIN_MS < message.configAgeMs;
-  if (!needsFleet && !needsConfig && !isFresher) {
+  const hasEvacuations = fleet.evacuations.list.length > 0;
+  if (!needsFleet && !needsConfig && !isFresher && !hasEvacuations) {
     return;
   }
   const deltas = needsConfig
@@ -259,6 +277,7 @@
       configRevision: state.sourceReads.configRevision,
       ...ages,
       hasConfig: wholeConfig !== undefined,
+      ...getSentEvacuations(state),
     },
     config: wholeConfig,
   });
@@ -284,6 +303,7 @@
   if (fleet.revision > 0 && fleet.revision === message.revision) {
     recordPeerAge(state, at, message.ageMs);
   }
+  applyPeerEvacuations(state, message.evacuations, at, from, emit);
   const origin = {from, at, readAt: at - message.versionAgeMs};
   applyDeltas(state, message.deltas, origin, emit);
   if (config !== undefined) {
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -17,6 +17,11 @@
   recordPoll,
 } from './config_polling.js';
 import {createConfigDelta} from './config_delta.js';
+import {
+  applyEvacuationReading,
+  getSentEvacuations,
+} from './evacuation_updates.js';
+import {getLatestRevision} from './evacuations.js';
 import {FleetChange, REREGISTRATION_MS} from './fleet_view.js';
 import {MeshState, getOwnInstance} from './mesh_state.js';
 import {
@@ -229,7 +234,10 @@
   });
 }
 
-/** Adopts a configuration and broadcasts its difference to the previous one. */
+/**
+ * Adopts a configuration and evacuated zones, and broadcasts the difference to the
+ * previous ones.
+ */
 function handleConfigAnswer(
   state: MeshState,
   answer: Extract<SourceAnswer, {kind: 'config'}>,
@@ -238,7 +246,7 @@
   emit: MeshEmit,
 ): void {
   const {sourceReads, fleet} = state;
-  const {revision, config} = answer;
+  const {revision, config, evacuations} = answer;
   const before = state.config;
   const delta =
     config === undefined ||
@@ -252,11 +260,13 @@
   const origin = {from: 'source', at, readAt: at, delta};
   const adopted =
     config !== undefined && adoptConfig(state, config, origin, emit);
+  const zonesChanged = applyEvacuationReading(state, evacuations, at, emit);
   // A poll that found nothing may not have heard of changes while it waited.
   const confirmedAt =
     config === undefined ? sourceReads.configReadStartedAt : at;
   confirmVersion(state, config?.version ?? 0, confirmedAt);
-  if (!adopted && at - sourceReads.configReadStartedAt < CONFIG_RECHECK_MS) {
+  const isNew = adopted || zonesChanged;
+  if (!isNew && at - sourceReads.configReadStartedAt < CONFIG_RECHECK_MS) {
     sourceReads.configNotBefore = at + CONFIG_RECHECK_MS;
   }
   if (request.kind === 'config' || config !== undefined) {
@@ -265,11 +275,20 @@
   } else {
     recordConfigCheckpoint(sourceReads, revision, at);
   }
+  const reports = evacuations?.changes ?? [];
+  if (request.kind === 'nextConfig') {
+    // A poll misses nothing before a change that it delivers. Without this, the next
+    // polls would ask for the same change again, and be answered at once.
+    const latest = getLatestRevision(reports);
+    sourceReads.configRevision = Math.max(sourceReads.configRevision, latest);
+  }
   if (request.kind === 'nextConfig') {
     sourceReads.failedConfigReads = 0;
     reportPoll(state, false, at, emit);
   }
-  if (config !== undefined && config.version === state.config?.version) {
+  const isLatest =
+    config !== undefined && config.version === state.config?.version;
+  if (isLatest || zonesChanged || reports.length > 0) {
     // Also if a peer was faster: this update takes other ways than the peer's.
     const base = fleet.revision;
     const update = {base, revision: base, changed: [], removed: []};
@@ -304,6 +323,7 @@
     version: config?.version ?? 0,
     configRevision: sourceReads.configRevision,
     ...getConfigAges(state, at),
+    ...getSentEvacuations(state),
   } as const;
   emit({kind: 'sendMessage', to: by, message});
 }
--- a/src/core/mesh/version_announcement.ts
+++ b/src/core/mesh/version_announcement.ts
@@ -5,13 +5,14 @@
  */
 import {getNeighbours} from './broadcast_tree.js';
 import {getConfigAges} from './config_freshness.js';
+import {getSentEvacuations} from './evacuation_updates.js';
 import {getBoundedKnowledgeAgeMs} from './known_state.js';
 import {MeshState, isRunning} from './mesh_state.js';
 import {MeshEmit} from './mesh_types.js';
 
 /**
  * Tells the next proxy of this zone and one of another zone which version is in
- * force, a moment after its adoption.
+ * force and which zones are evacuated, a moment after either changed here.
  */
 export function announceVersionIfDue(
   state: MeshState,
@@ -42,6 +43,7 @@
       version: config?.version ?? 0,
       configRevision: sourceReads.configRevision,
       ...getConfigAges(state, at),
+      ...getSentEvacuations(state),
     } as const;
     emit({kind: 'sendMessage', to, message});
   }
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -22,6 +22,7 @@
   update_ignored: 'Updates that changed nothing, by reason.',
   update_repaired: 'Questions to peers for missed updates, by cause.',
   instance_changed: 'Changes of registered upstreams, by kind.',
+  zone_changed: 'Zones evacuated or taken back.',
   peer_message: 'Messages from peers, by kind.',
   crash_suspected: 'Requests suspected, cleared or quarantined after a crash.',
   upstream_failed: 'Dispatches that got no whole answer, by failure.',
@@ -61,6 +62,7 @@
   readonly upstream_limit: number;
   /** 1 if the upstream has reported that it is leaving. */
   readonly upstream_leaving: number;
+  readonly evacuated_zones: number;
   readonly link_sent_bytes: number;
   readonly link_received_bytes: number;
   readonly processor_seconds: number;
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -1,5 +1,6 @@
 /** Connects the core of a fleet proxy to sockets, timers and logs. */
 import {brotliCompressSync, brotliDecompressSync, constants} from 'node:zlib';
+import {getEvacuatedZones} from '../core/mesh/evacuations.js';
 import {reduceMesh} from '../core/mesh/mesh_core.js';
 import {MeshSettings} from '../core/mesh/mesh_settings.js';
 import {
@@ -512,6 +513,7 @@
       queued: state.work.queue.length,
       upstream_limit: state.work.limit.perSecond ?? -1,
       upstream_leaving: Number(isUpstreamLeaving(state)),
+      evacuated_zones: getEvacuatedZones(state.fleet.evacuations).length,
       link_sent_bytes: sentBytes,
       link_received_bytes: receivedBytes,
       processor_seconds: (userCPUTime + systemCPUTime) / 1e6,
--- a/src/mesh/operator_handlers.ts
+++ b/src/mesh/operator_handlers.ts
@@ -1,5 +1,6 @@
 /** HTTP handlers for metrics, status and readiness checks. */
 import {IncomingMessage, ServerResponse} from 'node:http';
+import {getEvacuatedZones} from '../core/mesh/evacuations.js';
 import {MeshState, isReady} from '../core/mesh/mesh_state.js';
 import {writeJson} from '../proxy/operator_server.js';
 import {MeshMetrics} from './mesh_metrics.js';
@@ -48,6 +49,7 @@
     ready: isReady(state),
     version: state.config?.version,
     revision: fleet.revision,
+    evacuatedZones: getEvacuatedZones(fleet.evacuations),
     instances: [...fleet.instances.values()],
     peers: [...peers].map(([address, peer]) => ({address, ...peer})),
     running: work.running.size,
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -6,11 +6,17 @@
 import {reduceMesh} from '../../../src/core/mesh/mesh_core.js';
 import {MeshState, createMeshState} from '../../../src/core/mesh/mesh_state.js';
 import {
+  EvacuationReading,
   MeshEffect,
   MeshEventBody,
   PeerMessage,
   SourceRequest,
 } from '../../../src/core/mesh/mesh_types.js';
+import {
+  createPosition,
+  getEra,
+  getRevision,
+} from '../../../src/core/mesh/source_position.js';
 import {SeededRandom} from '../../../src/experiments/seeded_random.js';
 import {VirtualClock} from '../../../src/experiments/virtual_clock.js';
 import {Instance, MeshAttempt, MeshConfig} from '../../../src/model/mesh.js';
@@ -21,6 +27,7 @@
   createHello,
   createInstance,
 } from '../mesh_fixture.js';
+import {EvacuationStore} from './evacuation_store.js';
 import {InvariantChecker} from './invariant_checker.js';
 
 const TICK_MS = 25;
@@ -138,6 +145,7 @@
   readonly clock = new VirtualClock(1_000);
   readonly nodes: Node[] = [];
   readonly checker = new InvariantChecker();
+  readonly evacuations = new EvacuationStore();
   config: MeshConfig = createConfig(1);
   sourceUp = true;
   /** Until then no long poll hears of changes. */
@@ -150,7 +158,7 @@
   /** Revision and time of each version. */
   private readonly published = new Map<
     number,
-    {readonly revision: number; readonly at: number}
+    {revision: number; readonly at: number}
   >();
   private readonly drainedAt = new Map<string, number>();
   readonly lags: Lag[] = [];
@@ -475,7 +483,13 @@
         return this.postLater(node, SOURCE_LATENCY_MS, event);
       }
       case 'config':
-        return this.sendConfig(node, request, 1, this.revision);
+        return this.sendConfig(
+          node,
+          request,
+          1,
+          this.revision,
+          this.evacuations.read(this.revision),
+        );
       case 'nextConfig':
         return this.pollConfig({node, state: node.state, request});
     }
@@ -491,6 +505,7 @@
     request: SourceRequest,
     documents: number,
     revision: number,
+    evacuations: EvacuationReading,
   ): void {
     const config = documents > 0 ? this.config : undefined;
     const {documentBytes = 0} = this.options;
@@ -498,7 +513,7 @@
     this.postLater(node, SOURCE_LATENCY_MS + ms, {
       kind: 'sourceAnswered',
       request,
-      answer: {kind: 'config', revision, config},
+      answer: {kind: 'config', revision, config, evacuations},
     });
   }
 
@@ -519,20 +534,25 @@
     this.pendingPolls.add(poll);
     this.after(request.waitMs, () => {
       if (this.pendingPolls.delete(poll) && node.state === poll.state) {
-        this.sendConfig(node, request, 0, this.revision);
+        const nothing = this.evacuations.readAfter(Infinity, this.revision);
+        this.sendConfig(node, request, 0, this.revision, nothing);
       }
     });
   }
 
-  /** Answers a poll with every version after its position, if there is any. */
+  /** Answers a poll with all that changed after its position, if anything did. */
   private answerPoll({node, request, state}: PendingPoll): boolean {
     const versions = [...this.published.values()].filter(
       ({revision}) => revision > request.after,
     );
-    const isKnown = versions.length > 0 || this.configRevision > request.after;
+    const hasVersion =
+      versions.length > 0 || this.configRevision > request.after;
+    const revision = hasVersion ? this.configRevision : this.revision;
+    const evacuations = this.evacuations.readAfter(request.after, revision);
+    const isKnown = hasVersion || evacuations.changes.length > 0;
     if (isKnown && node.state === state) {
-      const documents = Math.max(1, versions.length);
-      this.sendConfig(node, request, documents, this.configRevision);
+      const documents = hasVersion ? Math.max(1, versions.length) : 0;
+      this.sendConfig(node, request, documents, revision, evacuations);
     }
     return isKnown;
   }
@@ -545,13 +565,17 @@
     this.mutedUntil = this.clock.now + ms;
     this.after(ms, () => {
       this.historyStart = this.revision;
-      for (const poll of this.pendingPolls) {
-        this.failRead(poll.node, poll.request, 0);
-      }
-      this.pendingPolls.clear();
+      this.cutPolls();
     });
   }
 
+  private cutPolls(): void {
+    for (const poll of this.pendingPolls) {
+      this.failRead(poll.node, poll.request, 0);
+    }
+    this.pendingPolls.clear();
+  }
+
   /** Lets a process stand still. */
   freeze(node: Node, ms: number): void {
     node.frozenUntil = Math.max(node.frozenUntil, this.clock.now + ms);
@@ -690,7 +714,44 @@
     this.after(MAX_VERSION_DELAY_MS, () =>
       this.checker.checkVersions(this.nodes, version, clock.now),
     );
-    if (clock.now < this.mutedUntil) {
+    this.notifyPolls();
+  }
+
+  /** Evacuates a zone or takes it back. */
+  evacuate(zone: string, evacuated: boolean): void {
+    this.revision += 1;
+    this.evacuations.set(zone, evacuated, this.revision);
+    this.notifyPolls();
+  }
+
+  getRevision(): number {
+    return this.revision;
+  }
+
+  /**
+   * Restores the source from a copy that has all versions and registrations, but only
+   * the evacuations up to a revision. Waiting polls are cut.
+   */
+  restore(copyRevision: number): void {
+    const era = getEra(this.revision) + 1;
+    const move = (position: number) =>
+      createPosition(era, getRevision(position));
+    this.evacuations.restore(copyRevision, era);
+    this.revision = move(this.revision);
+    this.configRevision = move(this.configRevision);
+    this.historyStart = this.revision;
+    for (const version of this.published.values()) {
+      version.revision = move(version.revision);
+    }
+    for (const node of this.nodes) {
+      const registeredAt = move(node.instance.registeredAt);
+      node.instance = {...node.instance, registeredAt};
+    }
+    this.cutPolls();
+  }
+
+  private notifyPolls(): void {
+    if (this.clock.now < this.mutedUntil) {
       return;
     }
     for (const poll of [...this.pendingPolls]) {
