Let the soak evacuate zones

Change: a scenario of the soak evacuates zones and takes them back under faults of all kinds. The checker reports runs in a zone later than 5 s after its evacuation, and proxies that know other zones at the end. Draws of the scenarios that existed before are unchanged.

--- a/test/mesh/soak/invariant_checker.ts
+++ b/test/mesh/soak/invariant_checker.ts
@@ -1,4 +1,5 @@
 /** Records the events of a soak test and collects violated invariants. */
+import {getEvacuatedZones} from '../../../src/core/mesh/evacuations.js';
 import {Refusal} from '../../../src/core/refusals.js';
 import {Answer} from '../../../src/core/types.js';
 import {MeshAttempt} from '../../../src/model/mesh.js';
@@ -15,6 +16,9 @@
 /** Time within which all proxies must know that an upstream drains. */
 const MAX_DRAIN_DELAY_MS = 2_000;
 
+/** Time after which no request may reach an evacuated zone. */
+const MAX_EVACUATION_MS = 5_000;
+
 /** The users' rule on rate limits: span, time from the first naming, slack. */
 const LIMIT_WINDOW_MS = 4_000;
 const LIMIT_STABLE_MS = 3_000;
@@ -54,6 +58,7 @@
   private readonly calls = new Map<string, SoakCall>();
   private readonly versions = new Map<Node, number>();
   private readonly drainingSince = new Map<string, number>();
+  private readonly evacuatedSince = new Map<string, number>();
   /** By upstream's instance. */
   private readonly limits = new Map<string, LimitHistory>();
   /** When each proxy first passed on a limit, by proxy and instance. */
@@ -93,6 +98,7 @@
       this.violations.push(`${requestId} ran ${call.runs} times`);
     }
     this.checkNotRun(requestId, call);
+    this.checkEvacuation(requestId, node, at);
     const since = this.drainingSince.get(node.instance.id);
     const isAfterOutage = since !== undefined && since > this.outageUntil;
     if (isAfterOutage && at - since > MAX_DRAIN_DELAY_MS) {
@@ -277,6 +283,28 @@
     }
   }
 
+  recordEvacuation(zone: string, evacuated: boolean, at: number): void {
+    if (evacuated) {
+      this.evacuatedSince.set(zone, at);
+    } else {
+      this.evacuatedSince.delete(zone);
+    }
+  }
+
+  private checkEvacuation(requestId: string, node: Node, at: number): void {
+    const {zone} = node.instance;
+    const since = this.evacuatedSince.get(zone);
+    if (since === undefined) {
+      return;
+    }
+    const from = Math.max(since, this.outageUntil, node.disturbedUntil);
+    if (at - from > MAX_EVACUATION_MS) {
+      this.violations.push(
+        `${requestId} ran in ${zone} ${Math.round(at - since)} ms after its evacuation`,
+      );
+    }
+  }
+
   recordDraining(node: Node, at: number): void {
     this.drainingSince.set(node.instance.id, at);
   }
@@ -288,6 +316,15 @@
 
   /** Checks the state of all proxies after the recovery period. */
   checkFinalState(nodes: readonly Node[], version: number): void {
+    const zones = [...this.evacuatedSince.keys()].sort().join();
+    for (const {host, state} of nodes) {
+      const known = getEvacuatedZones(state.fleet.evacuations).join();
+      if (known !== zones) {
+        this.violations.push(
+          `${host} knows evacuated zones ${known}, expected ${zones}`,
+        );
+      }
+    }
     for (const [callId, {result, lost}] of this.calls) {
       if (result === undefined && !lost) {
         this.violations.push(`${callId} was never answered`);
--- a/test/mesh/soak/run_soak.ts
+++ b/test/mesh/soak/run_soak.ts
@@ -147,6 +147,20 @@
   },
 };
 
+/** Time for which a zone is evacuated at least; above the users' bound. */
+const EVACUATION_MS = 5_500;
+
+const EVACUATION_FAULTS: Readonly<Record<string, Fault>> = {
+  evacuate: (fleet, {instance}, durationMs) => {
+    const {zone} = instance;
+    if (fleet.evacuations.getZones().includes(zone)) {
+      return;
+    }
+    fleet.evacuate(zone, true);
+    fleet.after(EVACUATION_MS + durationMs, () => fleet.evacuate(zone, false));
+  },
+};
+
 /** Result of one seed. */
 export interface SoakOutcome {
   readonly violations: readonly string[];
@@ -187,6 +201,18 @@
   },
 };
 
+/** Zones are evacuated and taken back, under faults of all kinds. */
+export const EVACUATIONS: Scenario = {
+  proxies: 32,
+  zones: ['east', 'north', 'south'],
+  meanCallGapMs: 40,
+  schedule: (fleet, until, faults) => {
+    const drawn = {...FAULTS, ...UPDATE_FAULTS};
+    scheduleFaults(fleet, until, faults, drawn, MEAN_FAULT_GAP_MS * 2);
+    scheduleFaults(fleet, until, faults, EVACUATION_FAULTS, EVACUATION_MS);
+  },
+};
+
 /**
  * All proxies stop and start in turn, again and again. The limits of the upstreams
  * are below the load, so that entries ask every owner that is left.
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -721,6 +721,7 @@
   evacuate(zone: string, evacuated: boolean): void {
     this.revision += 1;
     this.evacuations.set(zone, evacuated, this.revision);
+    this.checker.recordEvacuation(zone, evacuated, this.clock.now);
     this.notifyPolls();
   }
 
--- a/test/mesh/soak/soak.test.ts
+++ b/test/mesh/soak/soak.test.ts
@@ -4,7 +4,12 @@
  * its seed, which reproduces the failure.
  */
 import {expect} from '../../support/chai_setup.js';
-import {RELAYED_UPDATES, STOPS_IN_TURN, runSoak} from './run_soak.js';
+import {
+  EVACUATIONS,
+  RELAYED_UPDATES,
+  STOPS_IN_TURN,
+  runSoak,
+} from './run_soak.js';
 
 /** 35: a restart replaced a running process of the simulation, and its calls. */
 const DEFAULT_SEEDS = '1-6,35';
@@ -30,6 +35,12 @@
       expect(answered).to.be.above(100);
     });
 
+    it(`sends nothing to evacuated zones with seed ${seed}`, () => {
+      const {violations, faults, answered} = runSoak(seed, EVACUATIONS);
+      expect(violations, `after ${faults.join('; ')}`).to.deep.equal([]);
+      expect(answered).to.be.above(100);
+    });
+
     it(`cuts nothing by stops in turn with seed ${seed}`, () => {
       const {violations, faults, answered} = runSoak(seed, STOPS_IN_TURN);
       expect(violations, `after ${faults.join('; ')}`).to.deep.equal([]);
