--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -289,7 +289,7 @@
 ): number {
   const load = getOrCreateLoad(state.loads, instance.id);
   const priorMs = getPriorRunMs(route.aimMs);
-  const runMs = priorMs * getSlowness(load, instance);
+  const runMs = priorMs * getSlowness(state, load, instance, at);
   const requests = estimateInFlight(load, at);
   const waiting = Math.max(0, requests + 1 - instance.slots);
   const slotWaitMs = (waiting / instance.slots) * runMs;
@@ -314,7 +314,22 @@
   return Math.min(MAX_CROSS_ZONE_PENALTY, penalty);
 }
 
-function getSlowness(load: UpstreamLoad, instance: Instance): number {
-  const assumed = instance.coldMs > 0 ? COLD_SLOWNESS : 1;
-  return load.report?.slowness ?? assumed;
+/**
+ * Gets the slowness that is to be expected. Where cold upstreams are limited, a
+ * report from before an upstream turned cold does not count more than the list.
+ */
+function getSlowness(
+  {settings, fleet}: MeshState,
+  load: UpstreamLoad,
+  {id, coldMs}: Instance,
+  at: number,
+): number {
+  const reported = load.report?.slowness;
+  if (settings.coldLimit === undefined) {
+    return reported ?? (coldMs > 0 ? COLD_SLOWNESS : 1);
+  }
+  const isListedCold = (fleet.coldUntil.get(id) ?? -Infinity) > at;
+  return isListedCold
+    ? Math.max(reported ?? 0, COLD_SLOWNESS)
+    : (reported ?? 1);
 }
--- a/src/core/mesh/crash_detection.ts
+++ b/src/core/mesh/crash_detection.ts
@@ -4,6 +4,7 @@
  */
 import {createUnknownOutcomeRefusal} from '../failure_refusals.js';
 import {recordCrash} from '../owner/crash_suspects.js';
+import {markAcceptingAgain} from './cold_detection.js';
 import {MeshState} from './mesh_state.js';
 import {MeshEmit} from './mesh_types.js';
 import {
@@ -52,7 +53,7 @@
   const lostRuns = [...health.lost];
   if (accepted) {
     health.lost = [];
-    markUpstreamUp(state, emit);
+    markUpstreamUp(state, at, emit);
   } else {
     recordUpstreamCrash(state, at, emit);
     markUpstreamDown(state, at, emit);
@@ -68,11 +69,16 @@
 }
 
 /** Marks the upstream as up and notifies peers, if it was down. */
-export function markUpstreamUp(state: MeshState, emit: MeshEmit): void {
+export function markUpstreamUp(
+  state: MeshState,
+  at: number,
+  emit: MeshEmit,
+): void {
   if (!state.health.down) {
     return;
   }
   state.health.down = false;
+  markAcceptingAgain(state, at);
   state.estimates.failing = 0;
   broadcastUpstreamState(state, true, emit);
   emit({
--- a/src/core/mesh/dispatch_results.ts
+++ b/src/core/mesh/dispatch_results.ts
@@ -44,7 +44,7 @@
   }
   state.lastWorkAt = at;
   state.health.answeredAt = at;
-  markUpstreamUp(state, emit);
+  markUpstreamUp(state, at, emit);
   if (facts.report !== undefined && !facts.otherInstance) {
     const isRegular = !facts.notRun && !isServerError(answer);
     const {report} = facts;
--- a/src/core/mesh/fleet_view.ts
+++ b/src/core/mesh/fleet_view.ts
@@ -44,6 +44,8 @@
    * leaving. Kept when an instance is removed: a stale listing may show it again.
    */
   readonly leaving: Map<string, number>;
+  /** Until when the latest report lets each cold instance be cold, at most. */
+  readonly coldUntil: Map<string, number>;
   /** Until this time, an unlisted instance is kept in `missingUntil`. */
   removalsHeldUntil: number;
   /** Latest instance at each address; rebuilt on each change. */
@@ -59,6 +61,7 @@
     missingUntil: new Map(),
     tombstones: new Map(),
     leaving: new Map(),
+    coldUntil: new Map(),
     removalsHeldUntil: 0,
     byAddress: new Map(),
     acceptingByService: new Map(),
@@ -68,7 +71,8 @@
 /** Change of one instance. */
 export interface FleetChange {
   readonly id: string;
-  readonly kind: 'added' | 'restarted' | 'draining' | 'changed' | 'removed';
+  readonly kind:
+    'added' | 'restarted' | 'draining' | 'cold' | 'changed' | 'removed';
   readonly instance: Instance;
 }
 
@@ -160,7 +164,7 @@
   }
   const changes: FleetChange[] = [];
   for (const instance of update.changed) {
-    const change = applyInstance(view, instance);
+    const change = applyInstance(view, instance, at);
     if (change !== undefined) {
       changes.push(change);
     }
@@ -185,6 +189,7 @@
 function applyInstance(
   view: FleetView,
   instance: Instance,
+  at: number,
 ): FleetChange | undefined {
   const {id} = instance;
   const known = view.instances.get(id);
@@ -197,10 +202,35 @@
   view.missingUntil.delete(id);
   view.tombstones.delete(id);
   view.instances.set(id, instance);
-  const kind = classifyChange(known, instance);
+  const isCold = recordColdTime(view, known, instance, at);
+  const kind = classifyChange(known, instance) ?? (isCold ? 'cold' : undefined);
   return kind === undefined ? undefined : {id, kind, instance};
 }
 
+/**
+ * Records how long an instance is cold at most: what was left when the report was
+ * written. Of one cold period, each report states less than the one before.
+ * @returns Whether it has turned cold.
+ */
+function recordColdTime(
+  view: FleetView,
+  known: Instance | undefined,
+  next: Instance,
+  at: number,
+): boolean {
+  const {id, coldMs} = next;
+  if (coldMs === 0) {
+    view.coldUntil.delete(id);
+    return false;
+  }
+  if (known !== undefined && compareReports(next, known) === 0) {
+    return false;
+  }
+  const wasCold = (view.coldUntil.get(id) ?? -Infinity) > at;
+  view.coldUntil.set(id, at + coldMs);
+  return !wasCold || coldMs > (known?.coldMs ?? 0);
+}
+
 function findUnlisted(view: FleetView, update: FleetUpdate): string[] {
   const listed = new Set(update.changed.map(({id}) => id));
   return [...view.instances.keys()].filter(id => !listed.has(id));
@@ -218,6 +248,7 @@
   }
   view.instances.delete(id);
   view.missingUntil.delete(id);
+  view.coldUntil.delete(id);
   const {incarnation, registeredAt, heartbeat} = instance;
   view.tombstones.set(id, {incarnation, registeredAt, heartbeat});
   if (view.tombstones.size > MAX_TOMBSTONES) {
--- a/src/core/mesh/known_state.ts
+++ b/src/core/mesh/known_state.ts
@@ -10,6 +10,7 @@
   MeshConfig,
 } from '../../model/mesh.js';
 import {retainRoutes} from './caller_budgets.js';
+import {endSignIfWarm, markNewStart} from './cold_detection.js';
 import {
   ANNOUNCE_DELAY_MS,
   MAX_SENT_AGE_MS,
@@ -69,6 +70,7 @@
     state.sourceReads.upstreamsKnownAt ??= at;
   }
   recordFleetChanges(state, changes, at, from, emit);
+  endSignIfWarm(state);
   return changes;
 }
 
@@ -86,7 +88,7 @@
       state.preparedLinks.delete(getLinkAddress(state, instance));
     }
     if (instance.address === state.settings.upstreamAddress) {
-      handleOwnInstanceChange(state, id, emit);
+      handleOwnInstanceChange(state, id, at, emit);
     }
     emit({kind: 'count', counter: 'instance_changed', reason: kind});
     emit({
@@ -114,11 +116,12 @@
 function handleOwnInstanceChange(
   state: MeshState,
   changedId: string,
+  at: number,
   emit: MeshEmit,
 ): void {
   const own = getOwnInstance(state);
   const id = own?.id;
-  resetLimitOfEarlierProcess(state, own);
+  updateLimitsOfNewProcess(state, own, at);
   state.health.deregisteredId = id === undefined ? changedId : undefined;
   if (id !== undefined && state.health.registeredId !== id) {
     state.health.registeredId = id;
@@ -127,11 +130,16 @@
   }
 }
 
-/** A limit that an earlier process of the upstream has named no longer holds. */
-function resetLimitOfEarlierProcess(
-  {health, work}: MeshState,
+/**
+ * A limit that an earlier process of the upstream has named no longer holds, and
+ * the new one may be cold. The first list shows processes of any age.
+ */
+function updateLimitsOfNewProcess(
+  state: MeshState,
   own: Instance | undefined,
+  at: number,
 ): void {
+  const {health, work, sourceReads} = state;
   if (own === undefined) {
     return;
   }
@@ -141,6 +149,9 @@
   if (registeredId !== undefined && !isSameProcess) {
     resetRateLimit(work.limit);
   }
+  if (!isSameProcess && sourceReads.upstreamsKnownAt !== at) {
+    markNewStart(state, own, at);
+  }
   health.registeredIncarnation = own.incarnation;
 }
 
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -17,6 +17,7 @@
   handleAttemptOutcome,
   tickCalls,
 } from './call_results.js';
+import {markProxyStarted} from './cold_detection.js';
 import {logUnconfirmedConfig} from './config_freshness.js';
 import {MeshState} from './mesh_state.js';
 import {MeshEffect, MeshEmit, MeshEvent} from './mesh_types.js';
@@ -83,6 +84,7 @@
   const {at, entropy} = event;
   switch (event.kind) {
     case 'started':
+      markProxyStarted(state, at);
       return readSourceIfDue(state, at, entropy, emit);
     case 'tick':
       return reduceTick(state, event, emit);
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -204,6 +204,7 @@
   | 'crash_suspected'
   | 'upstream_failed'
   | 'upstream_report'
+  | 'cold_limit'
   | 'link_changed';
 
 export type LogFields = Readonly<
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -7,6 +7,8 @@
 import {isQuarantined, isSuspect} from '../owner/crash_suspects.js';
 import {Refusal, createRefusal} from '../refusals.js';
 import {Answer} from '../types.js';
+import {updateColdLimit} from './cold_detection.js';
+import {getColdDelayMs, getColdRate} from './cold_limit.js';
 import {isLeaving} from './fleet_view.js';
 import {MeshState, getOwnInstance, isUpstreamLeaving} from './mesh_state.js';
 import {AttemptOutcome, MeshEmit} from './mesh_types.js';
@@ -55,6 +57,7 @@
     suspect: isSuspect(state.suspects, attempt.fingerprint),
   };
   const {work, estimates} = state;
+  updateColdLimit(state, at, emit);
   adoptRateLimitHint(work.limit, attempt.limitPerSecond, at);
   const slots = getSlots(getOwnInstance(state));
   const rejection = tryEnqueue(work, estimates, slots, arriving, at);
@@ -141,7 +144,7 @@
   const {work, estimates, health, fleet, linkLoad} = state;
   const own = getOwnInstance(state);
   const incarnation = own?.id === instanceId ? own.incarnation : 0;
-  const {limit, queue} = work;
+  const {limit, cold, queue} = work;
   return {
     running: countUsedSlots(work, estimates, at),
     queued: queue.length,
@@ -159,6 +162,12 @@
           limitPerSecond: limit.perSecond,
           limitDelayMs: Math.round(getRateDelayMs(limit, queue.length, at)),
         }),
+    ...(cold.bound === undefined
+      ? {}
+      : {
+          coldPerSecond: roundToHundredths(getColdRate(cold.bound)),
+          coldDelayMs: Math.round(getColdDelayMs(cold, queue.length, at)),
+        }),
     ...(linkLoad.share < MIN_REPORTED_LINK_SHARE
       ? {}
       : {linkShare: roundToHundredths(linkLoad.share)}),
@@ -229,6 +238,7 @@
       running: state.work.running.size,
       slowness: roundToHundredths(state.estimates.slowness),
       limitPerSecond: state.work.limit.perSecond,
+      coldAllowance: state.work.cold.bound?.allowance,
       revision: state.fleet.revision,
     },
   });
@@ -246,6 +256,7 @@
   emit: MeshEmit,
 ): void {
   const {work, estimates} = state;
+  updateColdLimit(state, at, emit);
   refuseUnservable(state, at, emit);
   refuseUnreachable(state, at, emit);
   const slots = getSlots(getOwnInstance(state));
--- a/src/core/mesh/rate_limit.ts
+++ b/src/core/mesh/rate_limit.ts
@@ -133,17 +133,31 @@
 }
 
 /**
- * Estimates how long the limit makes another request wait, as an entry knows it.
+ * Estimates how long the upstream's limits, of which one holds only while it is
+ * cold, make another request wait, as an entry knows them.
  * @param load - The upstream's record.
  * @param at - Now, in milliseconds.
- * @returns Milliseconds; 0 if the upstream has named no limit.
+ * @returns Milliseconds; 0 if its owner has reported no limit.
  */
 export function estimateLimitDelayMs(load: UpstreamLoad, at: number): number {
-  const {limitPerSecond, limitDelayMs = 0} = load.report ?? {};
-  if (limitPerSecond === undefined) {
+  const {limitPerSecond, limitDelayMs, coldPerSecond, coldDelayMs} =
+    load.report ?? {};
+  return Math.max(
+    estimateReportedDelayMs(load, limitPerSecond, limitDelayMs, at),
+    estimateReportedDelayMs(load, coldPerSecond, coldDelayMs, at),
+  );
+}
+
+function estimateReportedDelayMs(
+  load: UpstreamLoad,
+  perSecond: number | undefined,
+  delayMs = 0,
+  at: number,
+): number {
+  if (perSecond === undefined) {
     return 0;
   }
   const sentSince = Math.max(0, load.ownAttempts - load.reportedAttempts);
-  const sentMs = (sentSince / getRate(limitPerSecond)) * 1_000;
-  return Math.max(0, limitDelayMs + sentMs - (at - load.reportedAt));
+  const sentMs = (sentSince / getRate(perSecond)) * 1_000;
+  return Math.max(0, delayMs + sentMs - (at - load.reportedAt));
 }
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -9,6 +9,7 @@
   getBoundedKnowledgeAgeMs,
   getKnowledgeAgeMs,
 } from './known_state.js';
+import {noteCurrentRegistration} from './cold_detection.js';
 import {confirmVersion, getConfigAges} from './config_freshness.js';
 import {
   appointPollers,
@@ -207,6 +208,7 @@
   if (mayBeStale) {
     return;
   }
+  noteCurrentRegistration(state);
   const peerUpdate = createPeerUpdate(knownRevision, revision, changes);
   const appointment = appointPollers(state, at);
   const update = {fleet: peerUpdate, ageMs: 0, appointment};
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -3,6 +3,12 @@
  * and, among equals, to an attempt that can still meet its aim (target latency).
  */
 import {MeshAttempt} from '../../model/mesh.js';
+import {
+  ColdLimit,
+  createColdLimit,
+  getColdDelayMs,
+  recordColdStart,
+} from './cold_limit.js';
 import {FinishErrors, createFinishErrors} from './finish_errors.js';
 import {
   RateLimit,
@@ -39,6 +45,8 @@
   readonly finishErrors: FinishErrors;
   /** Rate at which the upstream lets runs start. */
   readonly limit: RateLimit;
+  /** Bound on its requests while it is cold. */
+  readonly cold: ColdLimit;
 }
 
 export function createWorkQueue(): WorkQueue {
@@ -47,6 +55,7 @@
     queue: [],
     finishErrors: createFinishErrors(),
     limit: createRateLimit(),
+    cold: createColdLimit(),
   };
 }
 
@@ -119,8 +128,27 @@
 }
 
 /**
- * Estimates how long the upstream's rate limit makes an attempt wait, which is in
- * the queue or is about to be added to it.
+ * Returns the time until the upstream's limits allow a request to start: the one
+ * that it names, and the one while it is cold.
+ * @param work - The running and waiting attempts.
+ * @param ahead - Number of requests that start before it.
+ * @param at - Now, in milliseconds.
+ * @returns Milliseconds; 0 if there is no limit.
+ */
+export function getStartDelayMs(
+  {limit, cold}: WorkQueue,
+  ahead: number,
+  at: number,
+): number {
+  return Math.max(
+    getRateDelayMs(limit, ahead, at),
+    getColdDelayMs(cold, ahead, at),
+  );
+}
+
+/**
+ * Estimates how long the upstream's limits make an attempt wait, which is in the
+ * queue or is about to be added to it.
  */
 export function estimateRateDelayMs(
   work: WorkQueue,
@@ -128,8 +156,8 @@
   attempt: QueuedAttempt,
   at: number,
 ): number {
-  const {limit, queue} = work;
-  if (limit.perSecond === undefined) {
+  const {limit, cold, queue} = work;
+  if (limit.perSecond === undefined && cold.bound === undefined) {
     return 0;
   }
   const index = queue.indexOf(attempt);
@@ -139,7 +167,7 @@
       hasPrecedence(other, attempt, estimates, at) ||
       (n < position && !hasPrecedence(attempt, other, estimates, at)),
   );
-  return getRateDelayMs(limit, ahead.length, at);
+  return getStartDelayMs(work, ahead.length, at);
 }
 
 /**
@@ -171,8 +199,8 @@
   slots: number,
   at: number,
 ): number {
-  const {limit, queue} = work;
-  const rateMs = getRateDelayMs(limit, queue.length, at);
+  const {queue} = work;
+  const rateMs = getStartDelayMs(work, queue.length, at);
   return Math.max(rateMs, estimateTurnMs(work, queue, estimates, slots));
 }
 
@@ -216,7 +244,7 @@
   slots: number,
   at: number,
 ): RunningAttempt | undefined {
-  const isHeldByLimit = getRateDelayMs(work.limit, 0, at) > 0;
+  const isHeldByLimit = getStartDelayMs(work, 0, at) > 0;
   if (isHeldByLimit || countUsedSlots(work, estimates, at) >= slots) {
     return undefined;
   }
@@ -240,6 +268,7 @@
   const running = {...next, startedAt: at};
   work.running.set(next.attempt.attemptId, running);
   spendRateToken(work.limit);
+  recordColdStart(work.cold, at);
   return running;
 }
 
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -27,6 +27,7 @@
   upstream_failed: 'Dispatches that got no whole answer, by failure.',
   upstream_report:
     'Limits and departures that the upstream reported in its answers, by kind.',
+  cold_limit: 'Begins and ends of the limit for a cold upstream, by cause.',
   link_changed: 'Links to peers opened or closed.',
   bad_input: 'Malformed input refused, by kind.',
   unknown_input: 'Values that this build does not know, by kind.',
@@ -59,6 +60,8 @@
   readonly queued: number;
   /** Requests per second that the upstream accepts; -1: no limit. */
   readonly upstream_limit: number;
+  /** Requests per second that the upstream gets while it is cold; -1: all. */
+  readonly upstream_cold_limit: number;
   /** 1 if the upstream has reported that it is leaving. */
   readonly upstream_leaving: number;
   readonly link_sent_bytes: number;
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -1,5 +1,6 @@
 /** Connects the core of a fleet proxy to sockets, timers and logs. */
 import {brotliCompressSync, brotliDecompressSync, constants} from 'node:zlib';
+import {getColdRate} from '../core/mesh/cold_limit.js';
 import {reduceMesh} from '../core/mesh/mesh_core.js';
 import {MeshSettings} from '../core/mesh/mesh_settings.js';
 import {
@@ -202,7 +203,13 @@
         addresses.operators,
         MAX_OPERATOR_CONNECTIONS,
         (req, res) =>
-          void handleOperatorRequest(req, res, this.loop.state, this.metrics),
+          void handleOperatorRequest(
+            req,
+            res,
+            this.loop.state,
+            this.metrics,
+            this.clock.now(),
+          ),
       ),
     );
     this.scheduleTick();
@@ -498,6 +505,7 @@
 
   private getGaugeValues(): GaugeValues {
     const {state} = this.loop;
+    const cold = state.work.cold.bound;
     const {sentBytes, receivedBytes} = this.links.traffic;
     const {userCPUTime, systemCPUTime, maxRSS} = process.resourceUsage();
     const now = this.clock.now();
@@ -511,6 +519,7 @@
       running: state.work.running.size,
       queued: state.work.queue.length,
       upstream_limit: state.work.limit.perSecond ?? -1,
+      upstream_cold_limit: cold === undefined ? -1 : getColdRate(cold),
       upstream_leaving: Number(isUpstreamLeaving(state)),
       link_sent_bytes: sentBytes,
       link_received_bytes: receivedBytes,
--- a/src/mesh/operator_handlers.ts
+++ b/src/mesh/operator_handlers.ts
@@ -10,12 +10,14 @@
  * @param res - The response.
  * @param state - The proxy's state.
  * @param metrics - The proxy's metrics.
+ * @param at - Now, on the clock of the core, in milliseconds.
  */
 export async function handleOperatorRequest(
   req: IncomingMessage,
   res: ServerResponse,
   state: MeshState,
   metrics: MeshMetrics,
+  at: number,
 ): Promise<void> {
   req.resume();
   switch (`${req.method} ${req.url}`) {
@@ -26,7 +28,7 @@
       return;
     }
     case 'GET /v1/status':
-      return writeJson(res, 200, createStatus(state));
+      return writeJson(res, 200, createStatus(state, at));
     default:
       return writeJson(res, 404, {
         error: {code: 'not_found', message: 'Use GET /metrics or /v1/status.'},
@@ -37,9 +39,10 @@
 /**
  * Creates the response to `GET /v1/status`.
  * @param state - The proxy's state.
+ * @param at - Now, on the clock of the core, in milliseconds.
  * @returns A value that can be serialized as JSON.
  */
-export function createStatus(state: MeshState): object {
+export function createStatus(state: MeshState, at: number): object {
   const {settings, fleet, work, estimates, health, peers, suspects} = state;
   return {
     address: settings.address,
@@ -54,6 +57,14 @@
     queued: work.queue.length,
     estimates: {...estimates, byRoute: Object.fromEntries(estimates.byRoute)},
     upstreamDown: health.down,
+    coldLimit: work.cold.bound && {
+      cause: work.cold.bound.cause,
+      allowance: work.cold.bound.allowance,
+      untilWarmMs: Math.max(0, Math.round(work.cold.bound.until - at)),
+    },
+    coldUpstreams: [...fleet.coldUntil]
+      .filter(([, until]) => until > at)
+      .map(([id, until]) => ({id, untilWarmMs: Math.round(until - at)})),
     suspects: [...suspects.byFingerprint.values()],
   };
 }
