Describe the limit for cold upstreams; make its tests detect each guard

The transit times of the test now alternate by window, so that a window without margin fails; restarts come early enough to need the empty allowance.

--- a/test/mesh/cold_limit.test.ts
+++ b/test/mesh/cold_limit.test.ts
@@ -113,8 +113,8 @@
         const {attemptId} = effect;
         const entry = Number(attemptId.split('/')[1]);
         this.runs.push({attemptId, entry, endAt: at + RUN_MS});
-        // The first requests of a burst travel longest, those after it shortest.
-        const isLate = this.arrivals.length % BOUND !== 0;
+        // Those of one window travel long, and those of the next one do not.
+        const isLate = Math.floor(this.arrivals.length / BOUND) % 2 === 0;
         this.arrivals.push(at + (isLate ? MAX_TRANSIT_MS : 0));
       } else if (effect.kind === 'finishAttempt') {
         const {attemptId, outcome} = effect;
@@ -165,16 +165,17 @@
       const burst = new Burst(entries);
       burst.restartOwner();
       // Attempts arrive before the owner has read anything.
-      burst.run(100);
+      burst.run(1_100);
       // The source still lists the upstream's earlier process, which was warm.
       burst.read(createOwn());
-      expectLimited(burst);
+      burst.run(1_800);
+      expect(burst.countFullestSecond()).to.equal(BOUND);
     });
 
     it('is kept to the limit across a restart of its owner alone', () => {
       const own = createOwn({coldMs: 5_000});
       const burst = new Burst(entries, createColdConfig(), own);
-      burst.run(1_000);
+      burst.run(500);
       burst.restartOwner();
       burst.read(createOwn({coldMs: 4_000}));
       burst.run(2_000);
