--- a/test/mesh/cold_limit.test.ts
+++ b/test/mesh/cold_limit.test.ts
@@ -81,9 +81,9 @@
   }
 
   /** Delivers a read of the list and of the configuration. */
-  read(own: Instance): void {
+  read(...own: readonly Instance[]): void {
     this.revision += 1;
-    const instances = [own, createInstance(2)];
+    const instances = [...own, createInstance(2)];
     this.owner.loadFromSource(instances, this.config, this.revision);
   }
 
@@ -195,6 +195,21 @@
       expectLimited(burst);
     });
 
+    it('is kept to the limit on a new VM, while the rest of its service is not', () => {
+      const replaced = new Burst(entries);
+      const others = [new Burst(entries), new Burst(entries)];
+      replaced.restartOwner();
+      replaced.read();
+      // The upstream starts long after its proxy, which no longer counts it as cold.
+      replaced.owner.advance(4_000);
+      replaced.read(createOwn());
+      expectLimited(replaced);
+      for (const other of others) {
+        other.run(200);
+        expect(other.countFullestSecond()).to.be.above(4 * BOUND);
+      }
+    });
+
     it('is kept to the limit after it refused connections', () => {
       const burst = new Burst(entries);
       burst.owner.post({kind: 'connectProbed', accepted: false});
