--- a/src/core/mesh/evacuation_updates.ts
+++ b/src/core/mesh/evacuation_updates.ts
@@ -1,5 +1,6 @@
 /** Applies reports of evacuated zones to the state of a proxy, and sends its own. */
 import {Evacuation} from '../../model/mesh.js';
+import {markZoneTakenBack} from './cold_detection.js';
 import {ANNOUNCE_DELAY_MS} from './config_freshness.js';
 import {
   getEvacuatedZones,
@@ -67,6 +68,9 @@
     if (evacuated === before.has(zone)) {
       continue;
     }
+    if (!evacuated) {
+      markZoneTakenBack(state, zone, at);
+    }
     const reason = evacuated ? 'evacuated' : 'taken_back';
     emit({kind: 'count', counter: 'zone_changed', reason});
     const upstreams = [...fleet.byAddress.values()].filter(
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -117,7 +117,11 @@
 }
 
 export type MeshEventBody =
-  | {readonly kind: 'started'}
+  | {
+      readonly kind: 'started';
+      /** Time since the process was started, in milliseconds. */
+      readonly bootMs?: number;
+    }
   | {readonly kind: 'tick'; readonly linkBytes: LinkBytes}
   | {
       readonly kind: 'sourceAnswered';
@@ -205,6 +209,7 @@
   | 'crash_suspected'
   | 'upstream_failed'
   | 'upstream_report'
+  | 'cold_limit'
   | 'link_changed';
 
 export type LogFields = Readonly<
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -1,6 +1,7 @@
 /** Connects the core of a fleet proxy to sockets, timers and logs. */
 import {brotliCompressSync, brotliDecompressSync, constants} from 'node:zlib';
 import {getEvacuatedZones} from '../core/mesh/evacuations.js';
+import {getColdRate} from '../core/mesh/cold_limit.js';
 import {reduceMesh} from '../core/mesh/mesh_core.js';
 import {MeshSettings} from '../core/mesh/mesh_settings.js';
 import {
@@ -203,7 +204,13 @@
         addresses.operators,
         MAX_OPERATOR_CONNECTIONS,
         (req, res) =>
-          void handleOperatorRequest(req, res, this.loop.state, this.metrics),
+          void handleOperatorRequest(
+            req,
+            res,
+            this.loop.state,
+            this.metrics,
+            this.clock.now(),
+          ),
       ),
     );
     this.scheduleTick();
@@ -212,7 +219,7 @@
       service: this.settings.service,
       upstream: this.settings.upstream,
     });
-    this.loop.post({kind: 'started'});
+    this.loop.post({kind: 'started', bootMs: performance.now()});
   }
 
   private scheduleTick(): void {
@@ -499,6 +506,7 @@
 
   private getGaugeValues(): GaugeValues {
     const {state} = this.loop;
+    const cold = state.work.cold.bound;
     const {sentBytes, receivedBytes} = this.links.traffic;
     const {userCPUTime, systemCPUTime, maxRSS} = process.resourceUsage();
     const now = this.clock.now();
@@ -512,6 +520,7 @@
       running: state.work.running.size,
       queued: state.work.queue.length,
       upstream_limit: state.work.limit.perSecond ?? -1,
+      upstream_cold_limit: cold === undefined ? -1 : getColdRate(cold),
       upstream_leaving: Number(isUpstreamLeaving(state)),
       evacuated_zones: getEvacuatedZones(state.fleet.evacuations).length,
       link_sent_bytes: sentBytes,
--- a/test/mesh/evacuation.test.ts
+++ b/test/mesh/evacuation.test.ts
@@ -86,7 +86,7 @@
 }
 
 function getZones(proxy: MeshFixture): string[] {
-  return (createStatus(proxy.state) as {evacuatedZones: string[]})
+  return (createStatus(proxy.state, proxy.at) as {evacuatedZones: string[]})
     .evacuatedZones;
 }
 
