Test evacuations in reports of polls, polling pauses and dependent proxies

Cause: with each guard taken out in turn on a scratch copy, three changes of 28 were not detected: registers in polled messages, no pause after a new change, and forwarding to proxies without a registered upstream.

--- a/test/mesh/evacuation.test.ts
+++ b/test/mesh/evacuation.test.ts
@@ -7,13 +7,19 @@
   PeerMessage,
   SourceRequest,
 } from '../../src/core/mesh/mesh_types.js';
-import {Evacuation, Instance, LinkMessage} from '../../src/model/mesh.js';
+import {
+  Appointment,
+  Evacuation,
+  Instance,
+  LinkMessage,
+} from '../../src/model/mesh.js';
 import {createStatus} from '../../src/mesh/operator_handlers.js';
 import {expect} from '../support/chai_setup.js';
 import {
   MeshFixture,
   createAttempt,
   createConfig,
+  createHello,
   createInstance,
 } from './mesh_fixture.js';
 import {SimulatedFleet} from './soak/simulated_fleet.js';
@@ -70,6 +76,7 @@
 function postNews(
   proxy: MeshFixture,
   evacuations: readonly Evacuation[],
+  appointment?: Appointment,
 ): readonly MeshEffect[] {
   const message: PeerMessage = {
     kind: 'news',
@@ -81,10 +88,17 @@
     configAgeMs: 0,
     versionAgeMs: 0,
     evacuations,
+    appointment,
   };
   return proxy.post({kind: 'messageReceived', from: PEER, message});
 }
 
+/** Lets a peer appoint the proxy to wait for the next change. */
+function appoint(proxy: MeshFixture): void {
+  const pollers = [proxy.state.settings.address];
+  postNews(proxy, [], {by: PEER, pollers});
+}
+
 function getZones(proxy: MeshFixture): string[] {
   return (createStatus(proxy.state) as {evacuatedZones: string[]})
     .evacuatedZones;
@@ -485,6 +499,44 @@
     );
   });
 
+  it('go on to a proxy whose upstream is not registered', () => {
+    // No other proxy may know that it runs.
+    const proxy = createProxy();
+    const address = '10.0.0.9:7000';
+    const message = createHello({address});
+    proxy.post({kind: 'messageReceived', from: address, message});
+    const list = [evacuate('south', 12)];
+    const send = () =>
+      postNews(proxy, list).filter(
+        effect => effect.kind === 'sendMessage' && effect.to === address,
+      );
+    expect(send()).to.have.length(1);
+    expect(send(), 'known').to.have.length(0);
+  });
+
+  it('go to the proxy that appointed the poller', () => {
+    const proxy = createProxy();
+    appoint(proxy);
+    const list = [evacuate('south', 12)];
+    const [polled, ...others] = getMessages(poll(proxy, ...list), 'polled');
+    expect(others).to.deep.equal([]);
+    expect(polled).to.deep.include({evacuations: list});
+  });
+
+  it('do not delay the next poll, unless they told nothing new', () => {
+    // A pause after each change would delay the second of two quick evacuations.
+    const proxy = createProxy();
+    appoint(proxy);
+    const countPolls = (effects: readonly MeshEffect[]) =>
+      effects.filter(
+        effect =>
+          effect.kind === 'readSource' && effect.request.kind === 'nextConfig',
+      ).length;
+    expect(countPolls(poll(proxy, evacuate('south', 12)))).to.equal(1);
+    expect(countPolls(poll(proxy, evacuate('south', 12)))).to.equal(0);
+    expect(countPolls(proxy.advance(300))).to.equal(1);
+  });
+
   it('do not make the next polls return the same change at once', () => {
     const fleet = new SimulatedFleet(new SeededRandom(1), 6);
     fleet.clock.runUntil(7_000);
