Pace the large bodies of all links by the VM's bandwidth

Small messages are sent at once and counted. Answers that an entry has cancelled are dropped, as uploads were. Waiting bodies of one link are bounded by 64 MB.

--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -9,6 +9,7 @@
 import {roundToHundredths} from '../core/mesh/rounding.js';
 import {LinkMessage, MeshAttempt} from '../model/mesh.js';
 import {OutboundRequest} from '../proxy/pending_calls.js';
+import {BodyClaim} from './body_pacer.js';
 import {Link} from './link.js';
 import {LinkManager} from './link_manager.js';
 
@@ -44,11 +45,18 @@
 
 interface ReceivedAttempt {
   readonly attempt: MeshAttempt;
+  /** Claim of its answer. */
+  readonly claim: BodyClaim;
   readonly outbound: OutboundRequest;
   /** The entry's link; undefined if this proxy is also the entry. */
   link?: Link;
 }
 
+interface KeptOutcome {
+  readonly outcome: AttemptOutcome;
+  readonly claim: BodyClaim;
+}
+
 type AttemptMessage = Extract<LinkMessage, {kind: 'attempt'}>;
 type OutcomeMessage = Extract<LinkMessage, {kind: 'answer' | 'refusal'}>;
 
@@ -57,7 +65,7 @@
   private readonly sent = new Map<string, SentAttempt>();
   private readonly received = new Map<string, ReceivedAttempt>();
   /** Outcomes of ended attempts, oldest first. */
-  private readonly keptOutcomes = new Map<string, AttemptOutcome>();
+  private readonly keptOutcomes = new Map<string, KeptOutcome>();
   /** Ids of attempts that were received, or must not run if they arrive. */
   private readonly seenIds = new Set<string>();
 
@@ -73,7 +81,8 @@
 
   /** Delivers an attempt for which this proxy is both entry and owner. */
   receiveLocal(attempt: MeshAttempt, outbound: OutboundRequest): void {
-    this.received.set(attempt.attemptId, {attempt, outbound});
+    const claim = createClaim(attempt);
+    this.received.set(attempt.attemptId, {attempt, claim, outbound});
     this.post({kind: 'attemptArrived', attempt});
   }
 
@@ -105,18 +114,19 @@
     this.attachLink(sentAttempt, link);
     const spentMs = performance.now() - openedAt;
     const {method, path, headers, body} = outbound;
+    const sending: MeshAttempt = {
+      ...attempt,
+      aimMs: roundToHundredths(attempt.aimMs - spentMs),
+      timeoutMs: roundToHundredths(Math.max(0, attempt.timeoutMs - spentMs)),
+    };
     const message: LinkMessage = {
       kind: 'attempt',
-      attempt: {
-        ...attempt,
-        aimMs: roundToHundredths(attempt.aimMs - spentMs),
-        timeoutMs: roundToHundredths(Math.max(0, attempt.timeoutMs - spentMs)),
-      },
+      attempt: sending,
       method,
       path,
       headers,
     };
-    link.send(message, body, attemptId);
+    link.send(message, body, attemptId, createClaim(sending));
   }
 
   private attachLink(sentAttempt: SentAttempt, link: Link): void {
@@ -165,12 +175,13 @@
       this.post({kind: 'attemptEnded', attemptId, outcome});
       return;
     }
-    this.keepOutcome(attemptId, outcome);
-    sendOutcome(receivedAttempt.link, attemptId, outcome);
+    const {link, claim} = receivedAttempt;
+    this.keepOutcome(attemptId, {outcome, claim});
+    sendOutcome(link, attemptId, outcome, claim);
   }
 
-  private keepOutcome(attemptId: string, outcome: AttemptOutcome): void {
-    this.keptOutcomes.set(attemptId, outcome);
+  private keepOutcome(attemptId: string, kept: KeptOutcome): void {
+    this.keptOutcomes.set(attemptId, kept);
     if (this.keptOutcomes.size > MAX_KEPT_OUTCOMES) {
       const [oldest] = this.keptOutcomes.keys();
       this.keptOutcomes.delete(oldest);
@@ -191,7 +202,7 @@
       case 'attempt':
         return this.handleAttempt(link, message, body);
       case 'cancel':
-        return this.handleCancel(message.attemptId);
+        return this.handleCancel(link, message.attemptId);
       case 'resume':
         return this.handleResume(link, message.attemptId);
       case 'answer':
@@ -214,11 +225,13 @@
     }
     this.markSeen(attemptId);
     const outbound = {method, path, headers, body};
-    this.received.set(attemptId, {attempt, outbound, link});
+    const claim = createClaim(attempt);
+    this.received.set(attemptId, {attempt, claim, outbound, link});
     this.post({kind: 'attemptArrived', attempt});
   }
 
-  private handleCancel(attemptId: string): void {
+  private handleCancel(link: Link, attemptId: string): void {
+    link.discard(attemptId);
     if (this.received.has(attemptId)) {
       this.cancelReceived(attemptId);
     }
@@ -231,9 +244,9 @@
       receivedAttempt.link = link;
       return;
     }
-    const outcome = this.keptOutcomes.get(attemptId);
-    if (outcome !== undefined) {
-      sendOutcome(link, attemptId, outcome);
+    const kept = this.keptOutcomes.get(attemptId);
+    if (kept !== undefined) {
+      sendOutcome(link, attemptId, kept.outcome, kept.claim);
       return;
     }
     const reachedUpstream = this.seenIds.has(attemptId);
@@ -314,10 +327,17 @@
   }
 }
 
+/** Creates the claim of the bodies of an attempt that is sent or received now. */
+function createClaim({priority, nested, aimMs}: MeshAttempt): BodyClaim {
+  const aimAt = performance.now() + aimMs;
+  return {priority, nested: nested === true, aimAt};
+}
+
 function sendOutcome(
   link: Link,
   attemptId: string,
   {result, reachedUpstream, load}: AttemptOutcome,
+  claim?: BodyClaim,
 ): void {
   const reportedLoad = load ?? {
     running: 0,
@@ -329,7 +349,8 @@
     const {status, body, unframed} = result;
     const headers = result.headers as Record<string, string | string[]>;
     const message = {kind: 'answer', attemptId, status, headers} as const;
-    link.send({...message, unframed, load: reportedLoad}, body);
+    const answer = {...message, unframed, load: reportedLoad};
+    link.send(answer, body, attemptId, claim);
     return;
   }
   const {reason, outcome, retryAfterMs} = result;
--- a/src/mesh/body_transfers.ts
+++ b/src/mesh/body_transfers.ts
@@ -1,11 +1,13 @@
 /**
- * Large bodies on a link between two proxies. They are sent in chunks, in turn,
- * and only while few bytes wait in the socket, so that a small message never
- * waits behind a whole upload on a slow link.
+ * Large bodies on a link between two proxies. They are sent in chunks, when the
+ * process's {@link BodyPacer} lets them, and only while few bytes wait in the socket, so
+ * that a small message never waits behind a whole upload on a slow link.
  */
+import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
+import {BodyClaim, BodyPacer, BodySource, WaitingBody} from './body_pacer.js';
 import {Frame, TransferFrame, WholeFrame} from './frames.js';
 
-const CHUNK_BYTES = 8_192;
+const CHUNK_BYTES = MAX_WHOLE_BODY_BYTES;
 
 /** Unsent bytes in the socket up to which the next chunk is written. */
 const MAX_WAITING_BYTES = 16_384;
@@ -18,12 +20,24 @@
   getUnsentBytes(): number;
 }
 
-interface Outgoing {
-  readonly transfer: number;
-  readonly key?: string;
-  readonly message: Uint8Array;
-  readonly body: Uint8Array;
-  sentBytes: number;
+/** A message whose body is sent in chunks. */
+class Outgoing implements WaitingBody {
+  lastChunk = 0;
+  sentBytes = 0;
+
+  constructor(
+    readonly transfer: number,
+    readonly key: string | undefined,
+    readonly message: Uint8Array,
+    readonly body: Uint8Array,
+    readonly claim: BodyClaim,
+    readonly queuedAt: number,
+    readonly turnAt: number,
+  ) {}
+
+  get unsentBytes(): number {
+    return this.body.length - this.sentBytes;
+  }
 }
 
 interface Incoming {
@@ -34,40 +48,58 @@
 const NOTHING = new Uint8Array(0);
 
 /** The bodies that one link sends and receives in chunks. */
-export class BodyTransfers {
-  /** Transfers in the order of their next chunks. */
+export class BodyTransfers implements BodySource {
   private readonly outgoing: Outgoing[] = [];
   private readonly incoming = new Map<number, Incoming>();
   private nextTransfer = 1;
 
-  constructor(private readonly sink: FrameSink) {}
+  constructor(
+    private readonly sink: FrameSink,
+    private readonly pacer: BodyPacer,
+  ) {}
+
+  /** Bodies that are not sent whole. */
+  get waiting(): readonly Outgoing[] {
+    return this.outgoing;
+  }
+
+  /** Bytes of bodies that are not written. */
+  get waitingBytes(): number {
+    return this.outgoing.reduce((sum, {unsentBytes}) => sum + unsentBytes, 0);
+  }
 
   /** Begins to send a message and its body. */
-  send(message: Uint8Array, body: Uint8Array, key?: string): void {
+  send(
+    message: Uint8Array,
+    body: Uint8Array,
+    claim: BodyClaim,
+    key?: string,
+  ): void {
     const transfer = this.nextTransfer;
     this.nextTransfer += 1;
-    this.outgoing.push({transfer, key, message, body, sentBytes: 0});
-    this.sendChunks();
+    const {queuedAt, turnAt} = this.pacer.createTurn(body.length);
+    this.outgoing.push(
+      new Outgoing(transfer, key, message, body, claim, queuedAt, turnAt),
+    );
+    this.pacer.add(this);
   }
 
-  /** Sends chunks until the socket has enough to write. */
-  sendChunks(): void {
-    while (this.sink.getUnsentBytes() <= MAX_WAITING_BYTES) {
-      const next = this.outgoing.shift();
-      if (next === undefined) {
-        return;
-      }
-      this.sendChunk(next);
-    }
+  /** Ends all sending; {@link hasUnsent} still tells what was not sent. */
+  close(): void {
+    this.pacer.remove(this);
+  }
+
+  hasRoom(): boolean {
+    return this.sink.getUnsentBytes() <= MAX_WAITING_BYTES;
   }
 
-  private sendChunk(outgoing: Outgoing): void {
+  writeChunk(outgoing: Outgoing): void {
     const {transfer, message, body, sentBytes} = outgoing;
     const end = Math.min(body.length, sentBytes + CHUNK_BYTES);
     const last = end === body.length;
     outgoing.sentBytes = end;
-    if (!last) {
-      this.outgoing.push(outgoing);
+    if (last) {
+      this.outgoing.splice(this.outgoing.indexOf(outgoing), 1);
     }
     const frame: Frame = {
       kind: 'chunk',
@@ -76,7 +108,7 @@
       body: body.subarray(sentBytes, end),
       last,
     };
-    this.sink.write(frame, () => this.sendChunks());
+    this.sink.write(frame, () => this.pacer.writeChunks());
   }
 
   /** Stops sending the message that was given this key. */
@@ -86,6 +118,9 @@
       return;
     }
     const [{transfer, sentBytes}] = this.outgoing.splice(index, 1);
+    if (this.outgoing.length === 0) {
+      this.pacer.remove(this);
+    }
     if (sentBytes > 0) {
       this.sink.write({kind: 'discarded', transfer});
     }
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -3,12 +3,17 @@
  * Small messages overtake the remaining chunks of large bodies.
  */
 import {Socket} from 'node:net';
+import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
 import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
+import {BodyClaim, BodyPacer, CONTROL_CLAIM} from './body_pacer.js';
 import {BodyTransfers} from './body_transfers.js';
 import {Frame, FrameReader, encodeFrame} from './frames.js';
 import {MessageCodec} from './message_codec.js';
 
-/** Size of the send buffer above which the link is closed. */
+/**
+ * Bytes in the send buffer, or of waiting bodies, above which the link is closed: its
+ * reader is too slow.
+ */
 const MAX_UNSENT_BYTES = 64 * 1_048_576;
 
 /**
@@ -29,9 +34,6 @@
 
 const EMPTY_BODY = new Uint8Array(0);
 
-/** Bodies above this size are sent in chunks, in bytes. */
-const MAX_WHOLE_BODY_BYTES = 8_192;
-
 const CALL_KINDS: ReadonlySet<string> = new Set(CALL_MESSAGE_KINDS);
 
 export interface LinkHandlers {
@@ -78,12 +80,16 @@
     private readonly codec: MessageCodec,
     private readonly traffic: LinkTraffic,
     private readonly now: () => number,
+    private readonly pacer: BodyPacer,
   ) {
     this.lastReceivedAt = now();
-    this.transfers = new BodyTransfers({
-      write: (frame, onFlushed) => this.write(frame, onFlushed),
-      getUnsentBytes: () => (this.closed ? Infinity : socket.writableLength),
-    });
+    this.transfers = new BodyTransfers(
+      {
+        write: (frame, onFlushed) => this.write(frame, onFlushed),
+        getUnsentBytes: () => (this.closed ? Infinity : socket.writableLength),
+      },
+      pacer,
+    );
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
     socket.on('error', () => this.close());
@@ -95,11 +101,13 @@
    * @param message - The message.
    * @param body - The request or answer body, or a compressed configuration.
    * @param key - With it, {@link discard} stops sending the body.
+   * @param claim - What the order of a large body depends on.
    */
   send(
     message: LinkMessage,
     body: Uint8Array = EMPTY_BODY,
     key?: string,
+    claim: BodyClaim = CONTROL_CLAIM,
   ): void {
     if (this.closed) {
       return;
@@ -113,7 +121,10 @@
       this.write({kind: 'whole', message: encoded, body});
       return;
     }
-    this.transfers.send(encoded, body, key);
+    this.transfers.send(encoded, body, claim, key);
+    if (this.transfers.waitingBytes > MAX_UNSENT_BYTES) {
+      this.close();
+    }
   }
 
   /**
@@ -140,6 +151,7 @@
     }
     const bytes = encodeFrame(frame);
     this.traffic.sentBytes += bytes.length;
+    this.pacer.countWritten(bytes.length);
     this.socket.write(bytes, onFlushed);
     if (this.socket.writableLength > MAX_UNSENT_BYTES) {
       this.close();
@@ -152,6 +164,7 @@
       return;
     }
     this.closed = true;
+    this.transfers.close();
     this.socket.destroy();
     this.handlers.onClose(this);
   }
--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -2,6 +2,7 @@
 import {Server, Socket, connect, createServer} from 'node:net';
 import {Hello, LinkMessage} from '../model/mesh.js';
 import {parseAddress} from '../proxy/addresses.js';
+import {BodyPacer} from './body_pacer.js';
 import {MessageCodec} from './message_codec.js';
 import {Link, LinkHandlers, LinkTraffic} from './link.js';
 
@@ -42,6 +43,7 @@
     private readonly handlers: LinkManagerHandlers,
     private readonly codec: MessageCodec,
     private readonly now: () => number,
+    private readonly pacer: BodyPacer,
   ) {
     this.linkHandlers = {
       onMessage: (link, message, body) =>
@@ -127,6 +129,7 @@
       this.codec,
       this.traffic,
       this.now,
+      this.pacer,
     );
     this.allLinks.add(link);
     link.send(this.handlers.createHello());
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -3,7 +3,8 @@
 import {MeshCounter, MeshEffect} from '../core/mesh/mesh_types.js';
 import {REFUSALS} from '../core/refusals.js';
 
-type HistogramName = Extract<MeshEffect, {kind: 'observe'}>['histogram'];
+type HistogramName =
+  Extract<MeshEffect, {kind: 'observe'}>['histogram'] | 'link_wait_seconds';
 type CounterName =
   | MeshCounter
   | 'bad_input'
@@ -39,6 +40,8 @@
   call_seconds: 'Time from a call to its upstream answer.',
   run_seconds: 'Time that requests run at the upstream.',
   wait_seconds: 'Time that attempts wait for a slot.',
+  link_wait_seconds:
+    'Time from the end of a run, or from a request, until its large body is written.',
   version_delay_seconds:
     'Time from the first delivery of a version by the source to its adoption here.',
 };
@@ -63,6 +66,8 @@
   readonly upstream_leaving: number;
   readonly link_sent_bytes: number;
   readonly link_received_bytes: number;
+  /** Bytes of large bodies that wait for the VM's bandwidth or their reader. */
+  readonly link_waiting_bytes: number;
   readonly processor_seconds: number;
   readonly peak_resident_bytes: number;
 }
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -28,6 +28,7 @@
 import {CoreLoop} from '../proxy/core_loop.js';
 import {Listener, listen} from '../proxy/listener.js';
 import {AttemptTransport} from './attempt_transport.js';
+import {BodyPacer} from './body_pacer.js';
 import {BoundedLog} from './bounded_log.js';
 import {FleetSource, SourceListener} from './fleet_source.js';
 import {Link} from './link.js';
@@ -104,6 +105,10 @@
   private readonly clock: Clock = new SystemClock();
   private readonly metrics = new MeshMetrics(() => this.getGaugeValues());
   private readonly log: BoundedLog;
+  private readonly pacer = new BodyPacer(
+    () => this.settings.linkMbps,
+    waitedMs => this.metrics.observe('link_wait_seconds', waitedMs / 1_000),
+  );
   private readonly links: LinkManager;
   private readonly attempts: AttemptTransport;
   private readonly callers: MeshCallerHandler;
@@ -149,6 +154,7 @@
         ...adapter.commonHeaders,
       ]),
       () => performance.now(),
+      this.pacer,
     );
     this.attempts = new AttemptTransport(this.links, post);
     this.callers = new MeshCallerHandler(
@@ -514,6 +520,7 @@
       upstream_leaving: Number(isUpstreamLeaving(state)),
       link_sent_bytes: sentBytes,
       link_received_bytes: receivedBytes,
+      link_waiting_bytes: this.pacer.countWaitingBytes(),
       processor_seconds: (userCPUTime + systemCPUTime) / 1e6,
       peak_resident_bytes: maxRSS * 1_024,
     };
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -5,6 +5,7 @@
 import {MeshEventBody} from '../../src/core/mesh/mesh_types.js';
 import {LinkMessage} from '../../src/model/mesh.js';
 import {AttemptTransport} from '../../src/mesh/attempt_transport.js';
+import {BodyPacer} from '../../src/mesh/body_pacer.js';
 import {LinkManager} from '../../src/mesh/link_manager.js';
 import {MessageCodec} from '../../src/mesh/message_codec.js';
 import {expect} from '../support/chai_setup.js';
@@ -43,6 +44,7 @@
       },
       new MessageCodec([]),
       () => performance.now(),
+      new BodyPacer(() => 10_000),
     );
     this.attempts = new AttemptTransport(this.links, event => {
       this.events.push(event);
