Refuse downloads that cannot arrive in time because of other bytes

The owner learns the size of answers by route and counts the bytes that wait for its VM's connection, and those that runs in progress will add. An attempt whose answer would arrive after its aim because of them is refused on arrival, not run, as link_saturated; Retry-After is the drain of the backlog. Load reports carry linkDelayMs.

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -117,7 +117,9 @@
   const {bodyBytes} = info;
   const lastReason = call.lastRefusal?.reason;
   const wasTurnedAway =
-    lastReason === 'queue_full' || lastReason === 'rate_limited';
+    lastReason === 'queue_full' ||
+    lastReason === 'rate_limited' ||
+    lastReason === 'link_saturated';
   const usefulMs = wasTurnedAway ? getUsefulMs(call, at) : undefined;
   const timeLeftMs = call.deadlineAt - at;
   const query = {service, route, tried, bodyBytes, timeLeftMs, usefulMs};
--- a/src/core/mesh/dispatch_results.ts
+++ b/src/core/mesh/dispatch_results.ts
@@ -22,6 +22,7 @@
   removeRun,
 } from './owner_attempts.js';
 import {applyUpstreamReport} from './upstream_reports.js';
+import {recordAnswerBytes} from './link_backlog.js';
 import {recordFinish} from './finish_errors.js';
 import {recordOutcome, recordRunTime} from './run_estimates.js';
 import {RunningAttempt} from './work_queue.js';
@@ -58,6 +59,7 @@
     const failed = isServerError(answer);
     recordOutcome(state.estimates, failed);
     recordCompletedRun(state, at, run, failed, emit);
+    recordAnswerBytes(state, run, answer.body.byteLength, failed, at);
     finishRun(state, at, run, answer, emit);
   }
   dispatchWaiting(state, at, emit);
--- a/src/core/mesh/link_load.ts
+++ b/src/core/mesh/link_load.ts
@@ -6,12 +6,16 @@
  */
 import {Instance} from '../../model/mesh.js';
 import {UpstreamLoad} from '../entry/load_view.js';
+import {WaitingBytes, recordWaitingBytes} from './link_backlog.js';
+import {getSendMs} from './link_rate.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 
 /** Bytes that this proxy has received and sent over its links since its start. */
 export interface LinkBytes {
   readonly received: number;
   readonly sent: number;
+  /** Large bodies that wait to be sent now; absent: none. */
+  readonly waiting?: readonly WaitingBytes[];
 }
 
 export interface LinkLoad {
@@ -37,9 +41,6 @@
 /** Bound that keeps estimates finite. */
 const MAX_SHARE = 0.95;
 
-const BITS_PER_BYTE = 8;
-const BITS_PER_MS_OF_MBPS = 1_000;
-
 /**
  * Records how much this proxy has received and sent.
  * @param state - This proxy's state.
@@ -47,10 +48,12 @@
  * @param at - Now, in milliseconds.
  */
 export function recordLinkBytes(
-  {linkLoad, settings}: MeshState,
+  state: MeshState,
   bytes: LinkBytes,
   at: number,
 ): void {
+  const {linkLoad, settings} = state;
+  recordWaitingBytes(state, bytes.waiting ?? [], at);
   const ms = at - linkLoad.measuredAt;
   if (ms < MEASURED_MS) {
     return;
@@ -64,10 +67,6 @@
   linkLoad.measuredAt = at;
 }
 
-function getSendMs(bytes: number, mbps: number): number {
-  return (bytes * BITS_PER_BYTE) / (mbps * BITS_PER_MS_OF_MBPS);
-}
-
 /**
  * Estimates what a body costs on the way to an upstream: its own time, and that by
  * which it delays what waits behind it. Without the second part, entries would fill a
--- a/src/core/mesh/link_rate.ts
+++ b/src/core/mesh/link_rate.ts
@@ -24,3 +24,8 @@
 export function getPacedMs(bytes: number, mbps: number): number {
   return getSendMs(bytes, mbps * USABLE_SHARE);
 }
+
+/** Returns the bytes of large bodies that are sent within a time in milliseconds. */
+export function getPacedBytes(ms: number, mbps: number): number {
+  return (ms * mbps * USABLE_SHARE * BITS_PER_MS_OF_MBPS) / BITS_PER_BYTE;
+}
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -12,6 +12,7 @@
   findInstanceAt,
   isLeaving,
 } from './fleet_view.js';
+import {LinkBacklog, createLinkBacklog} from './link_backlog.js';
 import {LinkLoad, createLinkLoad} from './link_load.js';
 import {MeshCall} from './mesh_calls.js';
 import {MeshSettings} from './mesh_settings.js';
@@ -74,6 +75,7 @@
   /** Attempts that wait or run at the upstream beside this proxy. */
   readonly work: WorkQueue;
   readonly linkLoad: LinkLoad;
+  readonly linkBacklog: LinkBacklog;
   readonly estimates: RunEstimates;
   readonly health: UpstreamHealth;
   readonly suspects: CrashSuspects;
@@ -112,6 +114,7 @@
     answerBytesByRoute: new Map(),
     work: createWorkQueue(),
     linkLoad: createLinkLoad(),
+    linkBacklog: createLinkBacklog(),
     estimates: createRunEstimates(),
     health: createUpstreamHealth(),
     suspects: createCrashSuspects(),
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -8,14 +8,16 @@
 import {Refusal, createRefusal} from '../refusals.js';
 import {Answer} from '../types.js';
 import {isLeaving} from './fleet_view.js';
+import {findLinkSaturation, getLinkDelayMs} from './link_backlog.js';
 import {MeshState, getOwnInstance, isUpstreamLeaving} from './mesh_state.js';
-import {AttemptOutcome, MeshEmit} from './mesh_types.js';
+import {AttemptOutcome, LogFields, MeshEmit} from './mesh_types.js';
 import {adoptRateLimitHint, getRateDelayMs} from './rate_limit.js';
 import {roundToHundredths} from './rounding.js';
 import {estimateRunMs} from './run_estimates.js';
 import {finishesBeforeStop} from './stop_deadline.js';
 import {tryStartProbe} from './upstream_health.js';
 import {
+  clampRetryAfterMs,
   getRetryAfterMs,
   removeUnservable,
   tryEnqueue,
@@ -57,6 +59,9 @@
   const {work, estimates} = state;
   adoptRateLimitHint(work.limit, attempt.limitPerSecond, at);
   const slots = getSlots(getOwnInstance(state));
+  if (refuseIfSaturated(state, at, arriving, slots, emit)) {
+    return;
+  }
   const rejection = tryEnqueue(work, estimates, slots, arriving, at);
   if (rejection !== undefined) {
     const {reason, retryAfterMs} = rejection;
@@ -67,6 +72,33 @@
   dispatchWaiting(state, at, emit);
 }
 
+/**
+ * Refuses an attempt whose answer would arrive too late because of other bytes.
+ * @returns Whether it was refused.
+ */
+function refuseIfSaturated(
+  state: MeshState,
+  at: number,
+  arriving: QueuedAttempt,
+  slots: number,
+  emit: MeshEmit,
+): boolean {
+  const saturation = findLinkSaturation(state, arriving, slots, at);
+  if (saturation === undefined) {
+    return false;
+  }
+  const {retryAfterMs, aheadMs, answerBytes} = saturation;
+  const refusal = createRefusal(
+    'link_saturated',
+    clampRetryAfterMs(retryAfterMs),
+  );
+  refuseAttempt(state, at, arriving.attempt, refusal, emit, {
+    answersAheadMs: Math.round(aheadMs),
+    answerBytes: Math.round(answerBytes),
+  });
+  return true;
+}
+
 /** Returns why an attempt must not be queued, or undefined if it may be. */
 function getAdmissionRefusal(
   state: MeshState,
@@ -129,6 +161,9 @@
 /** Used share of the bandwidth below which it is not worth the bytes to report. */
 const MIN_REPORTED_LINK_SHARE = 0.1;
 
+/** The same for the time that waiting answers take, in milliseconds. */
+const MIN_REPORTED_LINK_DELAY_MS = 5;
+
 /**
  * Creates the load report from which entries choose an upstream.
  * @param instanceId - The instance that the entry asked.
@@ -142,6 +177,7 @@
   const own = getOwnInstance(state);
   const incarnation = own?.id === instanceId ? own.incarnation : 0;
   const {limit, queue} = work;
+  const linkDelayMs = Math.round(getLinkDelayMs(state, at));
   return {
     running: countUsedSlots(work, estimates, at),
     queued: queue.length,
@@ -162,6 +198,7 @@
     ...(linkLoad.share < MIN_REPORTED_LINK_SHARE
       ? {}
       : {linkShare: roundToHundredths(linkLoad.share)}),
+    ...(linkDelayMs < MIN_REPORTED_LINK_DELAY_MS ? {} : {linkDelayMs}),
     ...(isLeaving(fleet, {id: instanceId, incarnation})
       ? {upstreamLeaving: true}
       : {}),
@@ -202,13 +239,17 @@
   finishMeshAttempt(state, at, run.attempt, {result, reachedUpstream}, emit);
 }
 
-/** Refuses an attempt that was not sent to the upstream. */
+/**
+ * Refuses an attempt that was not sent to the upstream.
+ * @param inputs - What decided, beside what is logged of every refusal.
+ */
 export function refuseAttempt(
   state: MeshState,
   at: number,
   attempt: MeshAttempt,
   refusal: Refusal,
   emit: MeshEmit,
+  inputs: LogFields = {},
 ): void {
   emit({kind: 'count', counter: 'attempt_refused', reason: refusal.reason});
   emit({
@@ -230,6 +271,7 @@
       slowness: roundToHundredths(state.estimates.slowness),
       limitPerSecond: state.work.limit.perSecond,
       revision: state.fleet.revision,
+      ...inputs,
     },
   });
   const outcome = {result: refusal, reachedUpstream: false};
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -230,7 +230,8 @@
     this.timer = setTimeout(
       () => {
         const {receivedBytes: received, sentBytes: sent} = this.links.traffic;
-        this.loop.post({kind: 'tick', linkBytes: {received, sent}});
+        const waiting = this.pacer.getWaiting();
+        this.loop.post({kind: 'tick', linkBytes: {received, sent, waiting}});
         this.scheduleTick();
       },
       this.ticksIdly ? IDLE_TICK_INTERVAL_MS : TICK_INTERVAL_MS,
