Choose the upstream of a download by free bandwidth

The estimate of an upstream adds the time of the expected answer on the narrower of both connections, and the time that waiting answers take there. Small answers and upstreams beside the entry are estimated as before.

--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -296,7 +296,14 @@
   const waitMs = Math.max(slotWaitMs, estimateLimitDelayMs(load, at));
   const utilization = Math.min(1, requests / instance.slots);
   const failureRate = Math.min(MAX_FAILURE_RATE, load.report?.failing ?? 0);
-  const transferMs = estimateTransferMs(state, instance, load, bodyBytes, at);
+  const transferMs = estimateTransferMs(
+    state,
+    instance,
+    load,
+    bodyBytes,
+    state.answerBytesByRoute.get(route.name) ?? 0,
+    at,
+  );
   const ownerMs = runMs * (1 + FULL_LOAD_SLOWDOWN * utilization) + waitMs;
   return ownerMs / (1 - failureRate) + transferMs;
 }
--- a/src/core/mesh/link_load.ts
+++ b/src/core/mesh/link_load.ts
@@ -7,7 +7,7 @@
 import {Instance} from '../../model/mesh.js';
 import {UpstreamLoad} from '../entry/load_view.js';
 import {WaitingBytes, recordWaitingBytes} from './link_backlog.js';
-import {getSendMs} from './link_rate.js';
+import {MAX_WHOLE_BODY_BYTES, getSendMs} from './link_rate.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 
 /** Bytes that this proxy has received and sent over its links since its start. */
@@ -38,6 +38,13 @@
 /** Age at which a reported load counts for nothing, in milliseconds. */
 const REPORT_LIFETIME_MS = 3_000;
 
+/**
+ * Least free share by which the time of a large answer is divided. Owners send answers
+ * in order and report what waits, so a connection in full use delays one by little more
+ * than that.
+ */
+const MIN_FREE_FOR_ANSWERS = 0.25;
+
 /** Bound that keeps estimates finite. */
 const MAX_SHARE = 0.95;
 
@@ -68,13 +75,15 @@
 }
 
 /**
- * Estimates what a body costs on the way to an upstream: its own time, and that by
- * which it delays what waits behind it. Without the second part, entries would fill a
- * connection up to the load at which each of them is late.
+ * Estimates what the bodies of a call cost on the way. The request: its own time, and
+ * that by which it delays what waits behind it. Without the second part, entries would
+ * fill a connection up to the load at which each of them is late. A large answer: its
+ * time on the narrower connection, and that of the answers which wait there.
  * @param state - This proxy's state.
  * @param instance - The upstream.
  * @param load - What is known of it.
- * @param bodyBytes - Size of the body.
+ * @param bodyBytes - Size of the request's body.
+ * @param answerBytes - Expected size of the answer's body.
  * @param at - Now, in milliseconds.
  * @returns Milliseconds; 0 for the upstream beside this proxy.
  */
@@ -83,11 +92,16 @@
   instance: Instance,
   load: UpstreamLoad,
   bodyBytes: number,
+  answerBytes: number,
   at: number,
 ): number {
-  const {settings, peers} = state;
+  const {settings, peers, linkLoad} = state;
+  const hasLargeAnswer = answerBytes > MAX_WHOLE_BODY_BYTES;
+  if (bodyBytes === 0 && !hasLargeAnswer) {
+    return 0;
+  }
   const address = getLinkAddress(state, instance);
-  if (bodyBytes === 0 || address === settings.address) {
+  if (address === settings.address) {
     return 0;
   }
   const peerMbps = peers.get(address)?.linkMbps ?? settings.linkMbps;
@@ -95,7 +109,15 @@
   const remaining = Math.max(0, 1 - age / REPORT_LIFETIME_MS);
   const reported = (load.report?.linkShare ?? 0) * remaining;
   const free = 1 - Math.min(MAX_SHARE, reported);
-  return (
-    getSendMs(bodyBytes, Math.min(settings.linkMbps, peerMbps)) / free ** 2
+  const requestMs =
+    getSendMs(bodyBytes, Math.min(settings.linkMbps, peerMbps)) / free ** 2;
+  if (!hasLargeAnswer) {
+    return requestMs;
+  }
+  const freeMbps = Math.min(
+    settings.linkMbps * Math.max(MIN_FREE_FOR_ANSWERS, 1 - linkLoad.share),
+    peerMbps * Math.max(MIN_FREE_FOR_ANSWERS, free),
   );
+  const waitingMs = (load.report?.linkDelayMs ?? 0) * remaining;
+  return requestMs + getSendMs(answerBytes, freeMbps) + waitingMs;
 }
--- a/test/mesh/choosing.test.ts
+++ b/test/mesh/choosing.test.ts
@@ -10,6 +10,7 @@
 import {
   MeshFixture,
   DEFAULT_ENTROPY,
+  createHello,
   createInstance,
   createRoute,
 } from './mesh_fixture.js';
@@ -22,6 +23,7 @@
   down: readonly string[] = [],
   bodyBytes = 0,
   linkMbps = 1_000,
+  answerBytes = 400,
 ): string | undefined {
   const proxy = new MeshFixture({linkMbps});
   proxy.loadFromSource([NEAR, FAR]);
@@ -38,7 +40,7 @@
     recordConnectionRefused(getOrCreateLoad(state.loads, id), at),
   );
   const route = createRoute();
-  state.answerBytesByRoute.set(route.name, 400);
+  state.answerBytesByRoute.set(route.name, answerBytes);
   const tried = new Set<string>();
   const query = {service: 'desk', route, tried, bodyBytes, timeLeftMs: 1_200};
   return chooseInstance(state, query, at, DEFAULT_ENTROPY)?.id;
@@ -90,6 +92,97 @@
   });
 });
 
+describe('choice of an upstream for downloads', () => {
+  const DOWNLOAD_BYTES = 90_000;
+  const STEP_MS = 6.5;
+
+  // Slots show nothing of the bytes: each upstream would get as many downloads.
+  it('spreads them by free bandwidth', () => {
+    const entry = new MeshFixture({upstreamAddress: '10.0.0.1:9999'});
+    const hosts = [2, 3, 4, 5, 6, 7, 8];
+    entry.loadFromSource(hosts.map(host => createInstance(host)));
+    const {state} = entry;
+    const route = createRoute({aimMs: 669});
+    state.answerBytesByRoute.set(route.name, DOWNLOAD_BYTES);
+    const upstreams = hosts.map(host => {
+      const linkMbps = host === 2 ? 28 : 14;
+      const from = `10.0.0.${host}:7000`;
+      const message = createHello({address: from, linkMbps});
+      entry.post({kind: 'messageReceived', from, message});
+      return {id: `i-${host}`, linkMbps, delayMs: 0, downloads: 0};
+    });
+    const tried = new Set<string>();
+    const query = {
+      service: 'desk',
+      route,
+      tried,
+      bodyBytes: 0,
+      timeLeftMs: 2_789,
+    };
+    let longestMs = 0;
+    for (let step = 1; step <= 800; step += 1) {
+      entry.at += STEP_MS;
+      for (const upstream of upstreams) {
+        upstream.delayMs = Math.max(0, upstream.delayMs - STEP_MS);
+        const idle = {running: 0, queued: 0, slots: 2, leaving: false};
+        const report = {...idle, linkDelayMs: upstream.delayMs};
+        recordLoadReport(
+          getOrCreateLoad(state.loads, upstream.id),
+          report,
+          entry.at,
+        );
+      }
+      const entropy = (DEFAULT_ENTROPY + step * 0x9e37_79b9) % 2 ** 32;
+      const chosen = chooseInstance(state, query, entry.at, entropy);
+      const upstream = upstreams.find(({id}) => id === chosen?.id);
+      if (upstream === undefined) {
+        throw new Error('No upstream was chosen.');
+      }
+      upstream.downloads += 1;
+      upstream.delayMs += (DOWNLOAD_BYTES * 8) / (upstream.linkMbps * 1_000);
+      longestMs = Math.max(longestMs, upstream.delayMs);
+    }
+    expect(longestMs).to.be.below(200);
+    const [wide, ...narrow] = upstreams.map(({downloads}) => downloads);
+    expect(wide).to.be.above(Math.max(...narrow) * 1.5);
+  });
+
+  // Reports of waiting bytes appear only once a narrow connection is full.
+  it('sends a download over the wider of two idle connections', () => {
+    const entry = new MeshFixture({upstreamAddress: '10.0.0.1:9999'});
+    entry.loadFromSource([createInstance(2), createInstance(3)]);
+    for (const [host, linkMbps] of [
+      [2, 14],
+      [3, 140],
+    ]) {
+      const from = `10.0.0.${host}:7000`;
+      const message = createHello({address: from, linkMbps});
+      entry.post({kind: 'messageReceived', from, message});
+    }
+    const route = createRoute();
+    entry.state.answerBytesByRoute.set(route.name, DOWNLOAD_BYTES);
+    const query = {
+      service: 'desk',
+      route,
+      tried: new Set<string>(),
+      bodyBytes: 0,
+      timeLeftMs: 1_200,
+    };
+    const chosen = [1, 2, 3, 4].map(
+      n => chooseInstance(entry.state, query, entry.at, n * 2 ** 29)?.id,
+    );
+    expect(new Set(chosen)).to.deep.equal(new Set(['i-3']));
+  });
+
+  it('sends a download past a connection where others wait, a small call to it', () => {
+    const waiting = {'i-2': {linkDelayMs: 900}, 'i-3': {}};
+    expect(choose(waiting, [], 0, 14, 90_000)).to.equal('i-3');
+    expect(choose(waiting, [], 0, 14)).to.equal('i-2');
+    const few = {'i-2': {linkDelayMs: 40}, 'i-3': {}};
+    expect(choose(few, [], 0, 14, 90_000)).to.equal('i-2');
+  });
+});
+
 describe('choice among the preferred upstreams of a large service', () => {
   const near = Array.from({length: 30}, (_, n) => createInstance(n + 2));
   const far = Array.from({length: 60}, (_, n) =>
