--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -26,12 +26,15 @@
   readonly events: MeshEventBody[] = [];
   readonly links: LinkManager;
   readonly attempts: AttemptTransport;
+  readonly pacer: BodyPacer;
   private notifyWaiter: () => void = () => undefined;
 
   constructor(
     private readonly address: string,
     incarnation = 1,
+    linkMbps = 10_000,
   ) {
+    this.pacer = new BodyPacer(() => linkMbps);
     this.links = new LinkManager(
       {
         createHello: () => createHello({address: this.address, incarnation}),
@@ -44,7 +47,7 @@
       },
       new MessageCodec([]),
       () => performance.now(),
-      new BodyPacer(() => 10_000),
+      this.pacer,
     );
     this.attempts = new AttemptTransport(this.links, event => {
       this.events.push(event);
@@ -230,6 +233,26 @@
     ]);
   });
 
+  // It would take the bandwidth of answers that somebody waits for.
+  it('drops the rest of an answer whose entry has cancelled', async () => {
+    owner.links.close();
+    owner = new TestProxy(address, 2, 0.1);
+    await owner.links.listen('127.0.0.1:0');
+    void entry.attempts.send(address, attempt, OUTBOUND);
+    await owner.waitForEvent('attemptArrived');
+    const large = {...result, body: Buffer.alloc(90_000)};
+    owner.attempts.finish(attemptId, {result: large, reachedUpstream: true});
+    expect(owner.pacer.countWaitingBytes()).to.be.above(60_000);
+    entry.attempts.cancel(attemptId);
+    const other = createAttempt({attemptId: 'a-2'});
+    await entry.attempts.send(address, other, OUTBOUND);
+    while (owner.events.length < 2) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    // Messages arrive in order, so the cancellation was handled before.
+    expect(owner.pacer.countWaitingBytes()).to.equal(0);
+  });
+
   it('cancels the attempt of an entry that does not reconnect', async () => {
     void entry.attempts.send(address, attempt, OUTBOUND);
     await owner.waitForEvent('attemptArrived');
