--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -30,6 +30,7 @@
 import {CoreLoop} from '../proxy/core_loop.js';
 import {Listener, listen} from '../proxy/listener.js';
 import {AttemptTransport} from './attempt_transport.js';
+import {BodyPacer} from './body_pacer.js';
 import {BoundedLog} from './bounded_log.js';
 import {FleetSource, SourceListener} from './fleet_source.js';
 import {Link} from './link.js';
@@ -106,6 +107,10 @@
   private readonly clock: Clock = new SystemClock();
   private readonly metrics = new MeshMetrics(() => this.getGaugeValues());
   private readonly log: BoundedLog;
+  private readonly pacer = new BodyPacer(
+    () => this.settings.linkMbps,
+    waitedMs => this.metrics.observe('link_wait_seconds', waitedMs / 1_000),
+  );
   private readonly links: LinkManager;
   private readonly attempts: AttemptTransport;
   private readonly callers: MeshCallerHandler;
@@ -151,6 +156,7 @@
         ...adapter.commonHeaders,
       ]),
       () => performance.now(),
+      this.pacer,
     );
     this.attempts = new AttemptTransport(this.links, post);
     this.callers = new MeshCallerHandler(
@@ -232,7 +238,8 @@
     this.timer = setTimeout(
       () => {
         const {receivedBytes: received, sentBytes: sent} = this.links.traffic;
-        this.loop.post({kind: 'tick', linkBytes: {received, sent}});
+        const waiting = this.pacer.getWaiting();
+        this.loop.post({kind: 'tick', linkBytes: {received, sent, waiting}});
         this.scheduleTick();
       },
       this.ticksIdly ? IDLE_TICK_INTERVAL_MS : TICK_INTERVAL_MS,
@@ -525,6 +532,7 @@
       evacuated_zones: getEvacuatedZones(state.fleet.evacuations).length,
       link_sent_bytes: sentBytes,
       link_received_bytes: receivedBytes,
+      link_waiting_bytes: this.pacer.countWaitingBytes(),
       processor_seconds: (userCPUTime + systemCPUTime) / 1e6,
       peak_resident_bytes: maxRSS * 1_024,
     };
