Wake for the next due moment instead of at a fixed interval

A tick fired each 40 ms while any call was in progress, and the checks of links had a timer of 200 ms. The core now names the time of the next tick: the deadline or the hedge of a call, and what else has a due time. While nothing is due, ticks come each 120 ms; while attempts wait for a slot or the proxy is not ready, each 40 ms as before. Links are checked with ticks, at least 80 ms apart. The test of attempts drives those checks.

--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -286,18 +286,31 @@
   call: MeshCall,
   emit: MeshEmit,
 ): void {
-  const [sent] = call.inFlight.values();
-  if (!call.route.idempotent || call.inFlight.size !== 1) {
-    return;
+  const dueAt = getHedgeDueAt(state, call);
+  if (dueAt !== undefined && stamp.at >= dueAt) {
+    tryRetry(state, stamp, call, 'slow', HEDGE_RESERVE_TOKENS, emit);
   }
-  const averageMs = state.answerMsByRoute.get(call.route.name);
-  const hedgeDelayMs = Math.max(
-    MIN_HEDGE_DELAY_MS,
-    (averageMs ?? Infinity) * HEDGE_DELAY_FACTOR,
-  );
-  const hasAttemptsLeft = call.reached + 1 < call.route.attempts;
-  if (stamp.at - sent.sentAt < hedgeDelayMs || !hasAttemptsLeft) {
-    return;
+}
+
+/**
+ * Gets the time from which a call is hedged.
+ * @returns The time; undefined if the call may not be hedged as it stands.
+ */
+export function getHedgeDueAt(
+  state: MeshState,
+  {route, inFlight, reached}: MeshCall,
+): number | undefined {
+  const averageMs = state.answerMsByRoute.get(route.name);
+  const hasAttemptsLeft = reached + 1 < route.attempts;
+  if (
+    !route.idempotent ||
+    !hasAttemptsLeft ||
+    inFlight.size !== 1 ||
+    averageMs === undefined
+  ) {
+    return undefined;
   }
-  tryRetry(state, stamp, call, 'slow', HEDGE_RESERVE_TOKENS, emit);
+  const [sent] = inFlight.values();
+  const delayMs = Math.max(MIN_HEDGE_DELAY_MS, averageMs * HEDGE_DELAY_FACTOR);
+  return sent.sentAt + delayMs;
 }
--- a/src/core/mesh/upstream_health.ts
+++ b/src/core/mesh/upstream_health.ts
@@ -5,7 +5,7 @@
  */
 
 /** Interval of connection attempts to an upstream that is down. */
-const PROBE_INTERVAL_MS = 250;
+export const PROBE_INTERVAL_MS = 250;
 
 /** Runs reset at most this long before a crash was detected are suspects. */
 const CRASH_WINDOW_MS = 500;
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -159,9 +159,9 @@
   /**
    * Pings a peer that is silent although it owes an answer or was sent a message,
    * and closes the link if it does not respond.
+   * @param now - Now, in milliseconds.
    */
-  checkAlive(): void {
-    const now = this.now();
+  checkAlive(now = this.now()): void {
     const owesAnswer = this.pendingAnswers > 0;
     if (this.pingSentAt !== undefined) {
       const timeoutMs = owesAnswer ? PONG_TIMEOUT_MS : UPDATE_PONG_TIMEOUT_MS;
--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -8,8 +8,11 @@
 /** Time within which a peer must accept a link and send its `hello`. */
 const OPEN_TIMEOUT_MS = 600;
 
-/** Interval of the liveness checks on all links. */
-const CHECK_INTERVAL_MS = 200;
+/**
+ * Least interval of the liveness checks on all links. They are made with ticks, which
+ * are at most 120 ms apart, so that they need no timer of their own.
+ */
+const CHECK_INTERVAL_MS = 80;
 
 export interface LinkManagerHandlers {
   /** Creates the first message on each link, which identifies this proxy. */
@@ -35,7 +38,7 @@
   >();
   private server?: Server;
   private closed = false;
-  private checkTimer?: NodeJS.Timeout;
+  private checkedAt = -Infinity;
   private readonly linkHandlers: LinkHandlers;
 
   constructor(
@@ -63,9 +66,15 @@
       server.once('error', reject);
       server.listen(port, host, resolve);
     });
-    this.checkTimer = setInterval(() => {
-      this.allLinks.forEach(link => link.checkAlive());
-    }, CHECK_INTERVAL_MS);
+  }
+
+  /** Checks whether the peers respond, unless this was done shortly before. */
+  checkIfDue(): void {
+    const now = this.now();
+    if (now - this.checkedAt >= CHECK_INTERVAL_MS) {
+      this.checkedAt = now;
+      this.allLinks.forEach(link => link.checkAlive(now));
+    }
   }
 
   /** The port that this proxy listens on; 0 before {@link listen}. */
@@ -103,7 +112,6 @@
   /** Closes all links and stops listening. */
   close(): void {
     this.closed = true;
-    clearInterval(this.checkTimer);
     this.server?.close();
     this.allLinks.forEach(link => link.close());
   }
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -14,6 +14,7 @@
   PeerMessage,
   SourceRequest,
 } from '../core/mesh/mesh_types.js';
+import {SHORT_TICK_MS, getNextDueAt} from '../core/mesh/next_due.js';
 import {DEFAULT_POLICY} from '../core/policy.js';
 import {
   CallerLimits,
@@ -42,15 +43,6 @@
 import {MeshUpstreamClient} from './mesh_upstream_client.js';
 import {HeaderNames} from './header_names.js';
 
-/** Interval of `tick` events, and so the precision of deadlines and hedges. */
-const TICK_INTERVAL_MS = 40;
-
-/**
- * Interval of `tick` events while no call and no attempt is in progress. Reads
- * of the source are staggered by 250 ms, so they need no finer one.
- */
-const IDLE_TICK_INTERVAL_MS = 120;
-
 /** Limits until a configuration sets them. */
 const DEFAULT_RECEIVE_TIMEOUT_MS = 10_000;
 const DEFAULT_MAX_HEADER_BYTES = 65_536;
@@ -84,10 +76,14 @@
   createSource(address: string, listener: SourceListener): FleetSource;
 }
 
-/** Events after which calls or attempts may be in progress. */
-const ENDS_IDLE_TICKS: ReadonlySet<MeshEventBody['kind']> = new Set([
+/** Events after which something may be due before the pending tick. */
+const ADDS_DUE_TIMES: ReadonlySet<MeshEventBody['kind']> = new Set([
   'callArrived',
   'attemptArrived',
+  'attemptEnded',
+  'attemptLost',
+  'upstreamFailed',
+  'connectProbed',
   'stopRequested',
 ]);
 
@@ -117,8 +113,8 @@
     readonly config: MeshConfig;
     readonly bytes: Uint8Array;
   };
-  /** The pending tick comes after the idle interval. */
-  private ticksIdly = false;
+  /** Time of the pending tick. */
+  private tickAt = 0;
   private resolveStopped: () => void = () => undefined;
 
   /** Resolves when the core has completed a planned stop. */
@@ -215,27 +211,35 @@
   }
 
   private scheduleTick(): void {
-    const {state} = this.loop;
-    const {calls, work} = state;
-    const isIdle =
-      calls.size === 0 && work.running.size === 0 && work.queue.length === 0;
-    // A proxy that is not ready may turn callers away, so its reads are urgent.
-    this.ticksIdly = isIdle && isReady(state);
-    this.timer = setTimeout(
-      () => {
-        const {receivedBytes: received, sentBytes: sent} = this.links.traffic;
-        this.loop.post({kind: 'tick', linkBytes: {received, sent}});
-        this.scheduleTick();
-      },
-      this.ticksIdly ? IDLE_TICK_INTERVAL_MS : TICK_INTERVAL_MS,
-    );
+    const now = this.clock.now();
+    this.tickAt = getNextDueAt(this.loop.state, now);
+    clearTimeout(this.timer);
+    // A timer with a fraction of a millisecond may fire before its time.
+    const delayMs = Math.ceil(this.tickAt - now);
+    this.timer = setTimeout(() => this.tick(), delayMs);
   }
 
-  /** Posts an event; the first call or attempt ends the idle interval. */
+  private tick(): void {
+    try {
+      const {receivedBytes: received, sentBytes: sent} = this.links.traffic;
+      this.loop.post({kind: 'tick', linkBytes: {received, sent}});
+      this.links.checkIfDue();
+    } finally {
+      this.scheduleTick();
+    }
+  }
+
+  /** Posts an event, after which the next tick may have to come earlier. */
   private post(event: MeshEventBody): void {
     this.loop.post(event);
-    if (this.ticksIdly && ENDS_IDLE_TICKS.has(event.kind)) {
-      clearTimeout(this.timer);
+    if (this.timer === undefined || !ADDS_DUE_TIMES.has(event.kind)) {
+      return;
+    }
+    const now = this.clock.now();
+    if (
+      this.tickAt - now > SHORT_TICK_MS &&
+      getNextDueAt(this.loop.state, now) < this.tickAt
+    ) {
       this.scheduleTick();
     }
   }
@@ -264,6 +268,7 @@
   /** Closes all sockets and timers, after the last responses are written. */
   async close(): Promise<void> {
     clearTimeout(this.timer);
+    this.timer = undefined;
     await new Promise(resolve => setTimeout(resolve, FINAL_WRITES_MS));
     this.links.close();
     for (const {server} of this.listeners) {
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -20,6 +20,9 @@
 /** More than the buffers of the sockets take, so that a part remains unsent. */
 const LARGE_UPLOAD = Buffer.alloc(32 * 1_048_576, 7);
 
+/** Interval of the liveness checks; ticks are at most this far apart. */
+const LINK_CHECK_MS = 120;
+
 /** The links of one proxy, with a record of the events posted to its core. */
 class TestProxy {
   readonly events: MeshEventBody[] = [];
@@ -44,6 +47,8 @@
       new MessageCodec([]),
       () => performance.now(),
     );
+    // In a proxy, ticks do this.
+    setInterval(() => this.links.checkIfDue(), LINK_CHECK_MS).unref();
     this.attempts = new AttemptTransport(this.links, event => {
       this.events.push(event);
       this.notifyWaiter();
