Write collected log lines and answers to one read together

With five calls a second each log line was a write of its own; lines are collected for 400 ms, and warnings and errors for 20 ms. What is pending at the end of the process is written before it exits. What a link answers at once to messages that arrive in one read is one write.

--- a/src/mesh/bounded_log.ts
+++ b/src/mesh/bounded_log.ts
@@ -1,9 +1,10 @@
 /**
  * Structured JSON log on standard output. Writes are asynchronous and collect
  * the lines of a short time, so that logging never delays a request; when the
- * buffer is full, lines are dropped and counted.
+ * buffer is full, lines are dropped and counted. At the end of the process the
+ * rest is written before it exits.
  */
-import {write} from 'node:fs';
+import {write, writeSync} from 'node:fs';
 import {ILogObj, Logger} from 'tslog';
 import {LogFields, MeshLogPart} from '../core/mesh/mesh_types.js';
 import {LEVELS, LogLevel} from '../proxy/log.js';
@@ -21,8 +22,14 @@
 const MAX_LINES_PER_SECOND = 100;
 const SECOND_MS = 1_000;
 
-/** Time for which lines are collected before they are written. */
-const WRITE_DELAY_MS = 100;
+/**
+ * Time for which lines are collected before they are written. With five calls a second
+ * and 100 ms, each line was a write of its own.
+ */
+const WRITE_DELAY_MS = 400;
+
+/** The same for warnings and errors, which may precede the end of the process. */
+const URGENT_WRITE_DELAY_MS = 20;
 
 /** Parts that log every request; only these are rate-limited. */
 const PER_REQUEST_PARTS: ReadonlySet<MeshLogPart> = new Set(['entry', 'owner']);
@@ -36,6 +43,8 @@
   private pendingText = '';
   private writing = false;
   private writeTimer?: NodeJS.Timeout;
+  /** The pending write is an urgent one. */
+  private writesSoon = false;
   private dropped = 0;
   private linesThisSecond = 0;
   private secondStartedAt = 0;
@@ -111,12 +120,34 @@
     const time = new Date().toISOString();
     const text = JSON.stringify({time, level, name, ...record, dropped});
     this.pendingText += `${text}\n`;
-    this.writeTimer ??= setTimeout(() => this.flush(), WRITE_DELAY_MS).unref();
+    if (level !== 'info' && !this.writesSoon) {
+      clearTimeout(this.writeTimer);
+      this.writeTimer = undefined;
+      this.writesSoon = true;
+    }
+    const delayMs = this.writesSoon ? URGENT_WRITE_DELAY_MS : WRITE_DELAY_MS;
+    this.writeTimer ??= setTimeout(() => this.flush(), delayMs).unref();
+  }
+
+  /** Writes what is pending before it returns; for the end of the process. */
+  writePending(): void {
+    const text = this.pendingText;
+    this.pendingText = '';
+    if (text === '') {
+      return;
+    }
+    try {
+      writeSync(STDOUT_FD, text);
+    } catch {
+      // The log itself cannot report this, so only the counter does.
+      this.onDropped(text.split('\n').length - 1);
+    }
   }
 
   private flush(): void {
     clearTimeout(this.writeTimer);
     this.writeTimer = undefined;
+    this.writesSoon = false;
     if (this.writing) {
       return;
     }
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -190,10 +190,19 @@
     const messages: ReceivedMessage[] = [];
     let frame = this.reader.read();
     while (frame !== undefined && !('error' in frame)) {
-      messages.push(...this.decode(frame));
+      const message = this.decode(frame);
+      if (message !== undefined) {
+        messages.push(message);
+      }
       frame = this.reader.read();
     }
-    this.handleMessages(messages);
+    // What these messages are answered with at once is written together.
+    this.socket.cork();
+    try {
+      this.handleMessages(messages);
+    } finally {
+      this.socket.uncork();
+    }
     if (frame !== undefined && !this.closed) {
       this.handlers.onBadFrame(frame.error);
       this.close();
@@ -201,18 +210,18 @@
   }
 
   /** Decodes the message that a frame completes, if it does and is valid. */
-  private decode(frame: Frame): ReceivedMessage[] {
+  private decode(frame: Frame): ReceivedMessage | undefined {
     const whole =
       frame.kind === 'whole' ? frame : this.transfers.receive(frame);
     if (whole === undefined) {
-      return [];
+      return undefined;
     }
     const decoded = this.codec.decode(whole.message);
     if (decoded.isErr()) {
       this.handlers.onBadFrame(decoded.error);
-      return [];
+      return undefined;
     }
-    return [{message: decoded.value, body: whole.body}];
+    return {message: decoded.value, body: whole.body};
   }
 
   /**
@@ -222,10 +231,13 @@
   private handleMessages(messages: readonly ReceivedMessage[]): void {
     const isCancellation = ({message}: ReceivedMessage) =>
       message.kind === 'cancel';
-    const ordered = [
-      ...messages.filter(isCancellation),
-      ...messages.filter(received => !isCancellation(received)),
-    ];
+    const ordered =
+      messages.length > 1 && messages.some(isCancellation)
+        ? [
+            ...messages.filter(isCancellation),
+            ...messages.filter(received => !isCancellation(received)),
+          ]
+        : messages;
     for (const {message, body} of ordered) {
       if (this.closed) {
         return;
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -280,6 +280,11 @@
     await this.log.drain();
   }
 
+  /** Writes the pending log lines before it returns. */
+  writePendingLog(): void {
+    this.log.writePending();
+  }
+
   /**
    * Applies changed settings. Changed addresses take effect after a restart.
    * @param settings - The validated settings.
--- a/src/mesh/run_daemon.ts
+++ b/src/mesh/run_daemon.ts
@@ -46,6 +46,7 @@
   for (const origin of ['uncaughtException', 'unhandledRejection'] as const) {
     process.on(origin, (error: unknown) => proxy.reportError(origin, error));
   }
+  process.on('exit', () => proxy.writePendingLog());
   process.on('SIGTERM', () => proxy.requestStop());
   process.on('SIGINT', () => proxy.requestStop());
   try {
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -15,6 +15,8 @@
   peer?: SlowConnection;
   /** Whether written bytes are held until {@link passHeld}. */
   holds = false;
+  /** Number of frames in each piece that is written to the socket. */
+  readonly pieces: number[] = [];
   private readonly held: Buffer[] = [];
   private readonly waiting: Array<{
     readonly bytes: Buffer;
@@ -33,6 +35,7 @@
 
   override _write(bytes: Buffer, _encoding: string, done: () => void): void {
     if (this.holds) {
+      this.pieces.push(1);
       this.held.push(bytes);
       done();
       return;
@@ -40,6 +43,18 @@
     this.waiting.push({bytes, done});
   }
 
+  /** Takes what was written while the socket was corked. */
+  override _writev(
+    chunks: ReadonlyArray<{readonly chunk: Buffer}>,
+    done: () => void,
+  ): void {
+    const bytes = Buffer.concat(chunks.map(({chunk}) => chunk));
+    this._write(bytes, 'buffer', done);
+    if (this.holds) {
+      this.pieces[this.pieces.length - 1] = chunks.length;
+    }
+  }
+
   /** Passes what was held on in one piece, as to a process that stood still. */
   async passHeld(): Promise<void> {
     this.peer?.push(Buffer.concat(this.held));
@@ -140,6 +155,17 @@
     expect(received.map(({kind}) => kind)).to.deep.equal(['cancel', 'attempt']);
   });
 
+  // Guards against a system call for each of the answers to what arrives together.
+  it('writes what it answers at once to several messages in one piece', async () => {
+    const answering = connection.peer as SlowConnection;
+    answering.holds = true;
+    connection.holds = true;
+    sender.send({kind: 'ping', id: 1});
+    sender.send({kind: 'ping', id: 2});
+    await connection.passHeld();
+    expect(answering.pieces).to.deep.equal([2]);
+  });
+
   it('sends two large bodies in turn', async () => {
     sendUpload('a-1');
     sendUpload('a-2');
