--- a/src/mesh/bounded_log.ts
+++ b/src/mesh/bounded_log.ts
@@ -31,6 +31,9 @@
 /** The same for warnings and errors, which may precede the end of the process. */
 const URGENT_WRITE_DELAY_MS = 20;
 
+/** Name of the level `info` in records. */
+const INFO = 'INFO';
+
 /** Parts that log every request; only these are rate-limited. */
 const PER_REQUEST_PARTS: ReadonlySet<MeshLogPart> = new Set(['entry', 'owner']);
 
@@ -120,7 +123,7 @@
     const time = new Date().toISOString();
     const text = JSON.stringify({time, level, name, ...record, dropped});
     this.pendingText += `${text}\n`;
-    if (level !== 'info' && !this.writesSoon) {
+    if (level !== INFO && !this.writesSoon) {
       clearTimeout(this.writeTimer);
       this.writeTimer = undefined;
       this.writesSoon = true;
