Observe histograms at scrapes, and iterate calls without copies

Each call makes three observations, for each of which the library builds a key of its labels. They are kept until a scrape, at most 1,000 of each. Ticks copied the list of calls, and each answer the list of attempts.

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -212,7 +212,7 @@
   call: MeshCall,
   emit: MeshEmit,
 ): void {
-  for (const attemptId of [...call.inFlight.keys()]) {
+  for (const attemptId of call.inFlight.keys()) {
     detachAttempt(state, attemptId);
     emit({kind: 'cancelAttempt', attemptId});
   }
--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -255,7 +255,8 @@
   stamp: EventStamp,
   emit: MeshEmit,
 ): void {
-  for (const call of [...state.calls.values()]) {
+  // Removes no other call than the present one, so it needs no copy.
+  for (const call of state.calls.values()) {
     if (stamp.at >= call.deadlineAt) {
       endExpiredCall(state, stamp, call, emit);
     } else {
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -46,6 +46,9 @@
 /** Upper bounds of histogram buckets; route aims range from 0.1 to 2 s. */
 const BUCKETS_SECONDS = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
 
+/** Observations that are kept until a scrape; more are passed on at once. */
+const MAX_PENDING_OBSERVATIONS = 1_000;
+
 /** Gauge values, read on each collection; the keys are label values. */
 export interface GaugeValues {
   readonly version: number;
@@ -67,15 +70,22 @@
   readonly peak_resident_bytes: number;
 }
 
+/** Observations since the last scrape, and what passes them on. */
+interface PendingHistogram {
+  readonly values: number[];
+  readonly flush: () => void;
+}
+
 /**
- * Registers all metrics under the prefix `fireflysill_`. Counts are kept in
- * plain maps until a scrape collects them: each call increments about ten.
+ * Registers all metrics under the prefix `fireflysill_`. Counts and observations
+ * are kept in plain collections until a scrape collects them: each call makes
+ * about ten.
  */
 export class MeshMetrics {
   readonly registry = new Registry();
   /** Counts since the last scrape, by counter and reason. */
   private readonly pending = new Map<CounterName, Map<string, number>>();
-  private readonly histograms = new Map<HistogramName, Histogram>();
+  private readonly histograms = new Map<HistogramName, PendingHistogram>();
 
   constructor(getGaugeValues: () => GaugeValues) {
     const registers = [this.registry];
@@ -97,13 +107,17 @@
       this.count('call_refused', reason, 0);
     }
     for (const [name, help] of Object.entries(HISTOGRAM_HELP)) {
-      const histogram = new Histogram({
+      const values: number[] = [];
+      const flush = () =>
+        values.splice(0).forEach(seconds => histogram.observe(seconds));
+      const histogram: Histogram = new Histogram({
         name: `fireflysill_${name}`,
         help,
         buckets: BUCKETS_SECONDS,
         registers,
+        collect: flush,
       });
-      this.histograms.set(name as HistogramName, histogram);
+      this.histograms.set(name as HistogramName, {values, flush});
     }
     const gauge: Gauge<'level'> = new Gauge({
       name: 'fireflysill_level',
@@ -124,6 +138,10 @@
   }
 
   observe(histogram: HistogramName, seconds: number): void {
-    this.histograms.get(histogram)?.observe(seconds);
+    const pending = this.histograms.get(histogram);
+    pending?.values.push(seconds);
+    if ((pending?.values.length ?? 0) >= MAX_PENDING_OBSERVATIONS) {
+      pending?.flush();
+    }
   }
 }
