--- a/test/mesh/next_due.test.ts
+++ b/test/mesh/next_due.test.ts
@@ -97,6 +97,20 @@
     expect(effects[0]).to.match(/^sendAttempt b\.2 /);
   });
 
+  // Guards against ticks at a short interval while calls are in progress: with 40 ms
+  // these five seconds had 125.
+  it('comes seldom while calls are answered in time', () => {
+    const entry = createEntry();
+    let ticks = 0;
+    for (let n = 0; n < 25; n += 1) {
+      entry.call(`c-${n}`);
+      ticks += runTicks(entry, 150).length;
+      entry.answer(`c-${n}.1`);
+      ticks += runTicks(entry, 50).length;
+    }
+    expect(ticks).to.be.at.most(45);
+  });
+
   // Guards against a timer that fires without a pause.
   it('repeats at the short interval what was due and not done', () => {
     const entry = createEntry();
