--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -173,6 +173,7 @@
     callerService: state.settings.service,
     idempotent: route.idempotent,
     ...(call.nested ? {nested: true} : {}),
+    ...(call.nested && state.work.queue.length > 0 ? {slotWanted: true} : {}),
     ...(isRepeated ? {repeated: true} : {}),
     priority: route.priority,
     // The work of a run is wasted if a call that it made is refused, so such
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -10,6 +10,12 @@
   getRateDelayMs,
   spendRateToken,
 } from './rate_limit.js';
+import {
+  NestedRoom,
+  createNestedRoom,
+  getUsableSlots,
+  recordFullSlots,
+} from './nested_room.js';
 import {ServiceClaim, compareClaims} from './service_order.js';
 import {
   RunEstimates,
@@ -39,6 +45,7 @@
   readonly finishErrors: FinishErrors;
   /** Rate at which the upstream lets runs start. */
   readonly limit: RateLimit;
+  readonly nestedRoom: NestedRoom;
 }
 
 export function createWorkQueue(): WorkQueue {
@@ -47,6 +54,7 @@
     queue: [],
     finishErrors: createFinishErrors(),
     limit: createRateLimit(),
+    nestedRoom: createNestedRoom(),
   };
 }
 
@@ -157,11 +165,16 @@
     other =>
       other !== arriving && !hasPrecedence(arriving, other, estimates, at),
   );
+  const {attempt} = arriving;
   const used = countUsedSlots(work, estimates, at);
-  if (used + ahead.length < slots) {
+  if (used >= slots) {
+    recordFullSlots(work.nestedRoom, attempt, at);
+  }
+  const usable = getUsableSlots(work.nestedRoom, attempt, slots, at);
+  if (used + ahead.length < usable) {
     return 0;
   }
-  return estimateTurnMs(work, ahead, estimates, slots);
+  return estimateTurnMs(work, ahead, estimates, usable);
 }
 
 /** Estimates the time until all waiting attempts have started. */
@@ -217,7 +230,8 @@
   at: number,
 ): RunningAttempt | undefined {
   const isHeldByLimit = getRateDelayMs(work.limit, 0, at) > 0;
-  if (isHeldByLimit || countUsedSlots(work, estimates, at) >= slots) {
+  const used = countUsedSlots(work, estimates, at);
+  if (isHeldByLimit || used >= slots) {
     return undefined;
   }
   const suspectIsRunning = [...work.running.values()].some(
@@ -225,7 +239,8 @@
   );
   let next: QueuedAttempt | undefined;
   for (const other of work.queue) {
-    const blocked = other.suspect && suspectIsRunning;
+    const usable = getUsableSlots(work.nestedRoom, other.attempt, slots, at);
+    const blocked = (other.suspect && suspectIsRunning) || used >= usable;
     if (
       !blocked &&
       (next === undefined || hasPrecedence(other, next, estimates, at))
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -134,6 +134,8 @@
   idempotent: z.boolean(),
   /** A request that runs at another upstream made the call and waits for it. */
   nested: z.boolean().optional(),
+  /** Other requests wait for the slot that the run that made the call holds. */
+  slotWanted: z.boolean().optional(),
   /**
    * An upstream has received the request before, or a repeated run made the call.
    * The calls that its run makes use the retry budget of the services called.
--- a/test/mesh/scarcity_replay.ts
+++ b/test/mesh/scarcity_replay.ts
@@ -64,6 +64,8 @@
 
 export class ScarcityReplay {
   private readonly random: SeededRandom;
+  /** The same callers arrive whatever the cores decide. */
+  private readonly arrivals: SeededRandom;
   private readonly events = new EventQueue();
   private readonly vms: Vm[] = [];
   private readonly vmByAddress = new Map<string, Vm>();
@@ -81,6 +83,7 @@
     seed: number,
   ) {
     this.random = new SeededRandom(seed);
+    this.arrivals = new SeededRandom(seed + 1_000);
     this.createFleet();
   }
 
@@ -88,7 +91,7 @@
     const endAt = WARM_UP_MS + COUNTED_MS;
     for (const kind of CALLER_KINDS) {
       this.results.set(kind.name, createResult());
-      this.scheduleArrival(kind, 0, endAt);
+      this.scheduleArrivals(kind, endAt);
     }
     this.scheduleTick(endAt + DRAIN_MS);
     this.events.runAll();
@@ -139,31 +142,31 @@
     }
   }
 
-  private scheduleArrival(
-    kind: CallerKind,
-    startAt: number,
-    endAt: number,
-  ): void {
-    const isWarmUp = startAt < WARM_UP_MS;
-    const factor = isWarmUp
-      ? WARM_UP_FACTOR
-      : this.pattern.getFactor(kind.name, startAt - WARM_UP_MS);
-    const gapMs = this.random.getExponential(1_000 / (kind.perSecond * factor));
-    const at = startAt + gapMs;
-    if (at >= endAt) {
-      return;
-    }
-    this.events.at(at, () => {
-      const counted = at >= WARM_UP_MS;
-      const tries = this.pattern.tries;
-      const caller = {kind, firstAt: at, counted, tries, held: false};
-      if (counted) {
-        this.getResult(caller).callers += 1;
-        this.possibleUtility += kind.utility;
+  private scheduleArrivals(kind: CallerKind, endAt: number): void {
+    const {perSecond, name} = kind;
+    for (let at = 0; ;) {
+      const factor =
+        at < WARM_UP_MS
+          ? WARM_UP_FACTOR
+          : this.pattern.getFactor(name, at - WARM_UP_MS);
+      at += this.arrivals.getExponential(1_000 / (perSecond * factor));
+      if (at >= endAt) {
+        return;
       }
-      this.ask(caller);
-      this.scheduleArrival(kind, at, endAt);
-    });
+      const firstAt = at;
+      this.events.at(at, () => this.addCaller(kind, firstAt));
+    }
+  }
+
+  private addCaller(kind: CallerKind, firstAt: number): void {
+    const counted = firstAt >= WARM_UP_MS;
+    const {tries} = this.pattern;
+    const caller = {kind, firstAt, counted, tries, held: false};
+    if (counted) {
+      this.getResult(caller).callers += 1;
+      this.possibleUtility += kind.utility;
+    }
+    this.ask(caller);
   }
 
   private getResult({kind}: Caller): KindResult {
