--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -6,12 +6,12 @@
 import {getOrCreateLoad} from '../entry/load_view.js';
 import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
 import {Answer} from '../types.js';
-import {chooseInstance, getShortestLimitDelayMs} from './choose_instance.js';
+import {chooseInstance} from './choose_instance.js';
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 import {MeshCallInfo, MeshEmit, MeshEvent} from './mesh_types.js';
 import {tryCreateCall} from './create_call.js';
-import {clampRetryAfterMs} from './overload_admission.js';
+import {createNoUpstreamRefusal} from './service_delays.js';
 import {creditRetryTokens, spendRetryToken} from './retry_tokens.js';
 import {getKnowledgeAgeMs} from './known_state.js';
 
@@ -24,9 +24,6 @@
 /** No attempt is sent with less time than this to the deadline. */
 const MIN_ATTEMPT_MS = 4;
 
-/** Retry delay that callers are advised where no upstream accepts work. */
-const NO_UPSTREAM_RETRY_AFTER_MS = 400;
-
 /** Random part of a retry delay, so that callers do not retry in step. */
 const RETRY_AFTER_JITTER = 0.5;
 
@@ -58,23 +55,11 @@
     spendRetryToken(retries, settings, proxies, call.service, at);
   }
   if (!trySendAttempt(state, stamp, call, emit)) {
-    const refusal = createNoUpstreamRefusal(state, call.service, at);
+    const refusal = createNoUpstreamRefusal(state, call, at);
     refuseCall(state, call, refusal, stamp, emit);
   }
 }
 
-/** Creates the refusal of a call for which no upstream could be chosen. */
-function createNoUpstreamRefusal(
-  state: MeshState,
-  service: string,
-  at: number,
-): Refusal {
-  const limitDelayMs = getShortestLimitDelayMs(state, service, at);
-  return limitDelayMs > 0
-    ? createRefusal('rate_limited', clampRetryAfterMs(limitDelayMs))
-    : createRefusal('no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
-}
-
 /** Refuses a call of which no state was created. */
 function refuseUnaccepted(
   state: MeshState,
@@ -118,7 +103,11 @@
   const lastReason = call.lastRefusal?.reason;
   const wasTurnedAway =
     lastReason === 'queue_full' || lastReason === 'rate_limited';
-  const usefulMs = wasTurnedAway ? getUsefulMs(call, at) : undefined;
+  // The first owner is not asked either where recent reports show that none of the
+  // service has room. A refused nested call would waste a run, so it is always sent.
+  const mayRefuseUnasked = call.asked === 0 && !call.nested;
+  const usefulMs =
+    wasTurnedAway || mayRefuseUnasked ? getUsefulMs(call, at) : undefined;
   const timeLeftMs = call.deadlineAt - at;
   const query = {service, route, tried, bodyBytes, timeLeftMs, usefulMs};
   const instance = chooseInstance(state, query, at, entropy);
--- a/src/core/mesh/choose_instance.ts
+++ b/src/core/mesh/choose_instance.ts
@@ -165,9 +165,11 @@
   query: InstanceQuery,
   at: number,
 ): boolean {
-  const {usefulMs, timeLeftMs, route} = query;
+  const {usefulMs, timeLeftMs, route, tried} = query;
   const load = getOrCreateLoad(state.loads, instance.id);
-  if (estimateLimitDelayMs(load, at) > (usefulMs ?? timeLeftMs)) {
+  const isFirst = tried.size === 0;
+  const heldMs = isFirst ? timeLeftMs : (usefulMs ?? timeLeftMs);
+  if (estimateLimitDelayMs(load, at) > heldMs) {
     return false;
   }
   if (usefulMs === undefined) {
@@ -176,26 +178,13 @@
   if (at - load.reportedAt > ROOM_REPORT_AGE_MS) {
     return true;
   }
-  const answerMs = estimateLoadedMs(state, instance, query, at);
+  // Since the report, the owner has worked off a part of its queue. Without this,
+  // slots would be idle while all entries refuse by the same reports.
+  const workedOffMs = isFirst ? at - load.reportedAt : 0;
+  const answerMs = estimateLoadedMs(state, instance, query, at) - workedOffMs;
   return answerMs <= usefulMs - route.aimMs * ROOM_MARGIN_SHARE;
 }
 
-/**
- * Gets the shortest wait that rate limits cause at the upstreams of a service.
- * @returns Milliseconds; 0 if one has no limit, or there is no upstream.
- */
-export function getShortestLimitDelayMs(
-  {fleet, loads}: MeshState,
-  service: string,
-  at: number,
-): number {
-  const instances = fleet.acceptingByService.get(service) ?? [];
-  const delays = instances.map(({id}) =>
-    estimateLimitDelayMs(getOrCreateLoad(loads, id), at),
-  );
-  return delays.length === 0 ? 0 : Math.min(...delays);
-}
-
 /** For a small share of calls, picks an upstream without a recent report. */
 function chooseForExploration(
   state: MeshState,
@@ -314,7 +303,8 @@
   return Math.min(MAX_CROSS_ZONE_PENALTY, penalty);
 }
 
-function getSlowness(load: UpstreamLoad, instance: Instance): number {
+/** Gets the run times of an upstream as a multiple of the prior ones. */
+export function getSlowness(load: UpstreamLoad, instance: Instance): number {
   const assumed = instance.coldMs > 0 ? COLD_SLOWNESS : 1;
   return load.report?.slowness ?? assumed;
 }
--- a/test/mesh/scarcity_patterns.ts
+++ b/test/mesh/scarcity_patterns.ts
@@ -108,6 +108,8 @@
   readonly name: string;
   /** Run times of the fastest and the slowest upstream, relative to the mean. */
   readonly speeds: {readonly min: number; readonly max: number};
+  /** Demand before the counted time; by default nearly the usual one. */
+  readonly warmUpFactor?: number;
   /** Times that a caller asks at most. */
   readonly tries: number;
   /** Callers return after this time whatever is advised, in milliseconds. */
@@ -134,6 +136,13 @@
   },
   {name: 'burst of all', speeds: EVEN, tries: 3, getFactor: () => 2.6},
   {name: 'uneven speeds', speeds: UNEVEN, tries: 3, getFactor: () => 1.8},
+  {
+    name: 'uneven speeds after a restart',
+    speeds: {min: 0.5, max: 2},
+    warmUpFactor: 0.01,
+    tries: 3,
+    getFactor: () => 1.5,
+  },
   {
     name: 'demand that swings',
     speeds: UNEVEN,
