--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -5,7 +5,7 @@
 import {MeshAttempt} from '../../model/mesh.js';
 import {getOrCreateLoad} from '../entry/load_view.js';
 import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
-import {Answer} from '../types.js';
+import {Answer, isServerError} from '../types.js';
 import {chooseInstance} from './choose_instance.js';
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
@@ -226,6 +226,8 @@
     counter: 'call_answered',
     reason: `${Math.floor(answer.status / 100)}xx`,
   });
+  const outcome = at <= call.aimAt ? 'in_time' : 'late';
+  countCall(call, isServerError(answer) ? 'failed' : outcome, emit);
   const tookMs = at - call.arrivedAt;
   emit({kind: 'observe', histogram: 'call_seconds', seconds: tookMs / 1_000});
   logCall(state, call, 'Call answered.', at, emit, {
@@ -249,6 +251,7 @@
   const result = addRetryAfterJitter(reported, entropy);
   emit({kind: 'answerCall', callId: call.callId, result});
   emit({kind: 'count', counter: 'call_refused', reason: result.reason});
+  countCall(call, result.reason, emit);
   logCall(state, call, 'Call refused.', at, emit, {
     reason: result.reason,
     outcome: result.outcome,
@@ -256,6 +259,11 @@
   });
 }
 
+function countCall({route}: MeshCall, outcome: string, emit: MeshEmit): void {
+  const {name} = route;
+  emit({kind: 'countRoute', counter: 'route_calls', route: name, outcome});
+}
+
 /** Replaces a refusal that promises `not-run`, for a call that may have run. */
 function toUnknownOutcome(refusal: Refusal): Refusal {
   if (refusal.outcome === 'unknown') {
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -206,6 +206,9 @@
   | 'upstream_report'
   | 'link_changed';
 
+/** Counters by route and outcome. */
+export type RouteCounter = 'route_calls' | 'route_refusals';
+
 export type LogFields = Readonly<
   Record<string, string | number | boolean | undefined>
 >;
@@ -256,6 +259,13 @@
       readonly counter: MeshCounter;
       readonly reason: string;
     }
+  | {
+      readonly kind: 'countRoute';
+      readonly counter: RouteCounter;
+      readonly route: string;
+      /** Whether it was in time, or why it was refused. */
+      readonly outcome: string;
+    }
   | {
       readonly kind: 'observe';
       readonly histogram:
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -210,7 +210,10 @@
   refusal: Refusal,
   emit: MeshEmit,
 ): void {
-  emit({kind: 'count', counter: 'attempt_refused', reason: refusal.reason});
+  const {reason} = refusal;
+  const {route} = attempt;
+  emit({kind: 'count', counter: 'attempt_refused', reason});
+  emit({kind: 'countRoute', counter: 'route_refusals', route, outcome: reason});
   emit({
     kind: 'log',
     level: 'info',
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -34,6 +34,7 @@
 import {LinkManager} from './link_manager.js';
 import {MeshCallerHandler} from './mesh_caller_handler.js';
 import {GaugeValues, MeshMetrics} from './mesh_metrics.js';
+import {RouteMetrics} from './route_metrics.js';
 import {
   handleOperatorRequest,
   handleReadinessRequest,
@@ -103,6 +104,9 @@
 export class MeshRuntime {
   private readonly clock: Clock = new SystemClock();
   private readonly metrics = new MeshMetrics(() => this.getGaugeValues());
+  private readonly routeMetrics = new RouteMetrics(this.metrics.registry, () =>
+    this.loop.state.work.queue.map(({attempt}) => attempt.route),
+  );
   private readonly log: BoundedLog;
   private readonly links: LinkManager;
   private readonly attempts: AttemptTransport;
@@ -420,6 +424,10 @@
         return this.resolveStopped();
       case 'count':
         return this.metrics.count(effect.counter, effect.reason);
+      case 'countRoute': {
+        const {counter, route, outcome} = effect;
+        return this.routeMetrics.count(counter, route, outcome);
+      }
       case 'observe':
         return this.metrics.observe(effect.histogram, effect.seconds);
       case 'log': {
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -269,6 +269,7 @@
   return effects.flatMap(effect => {
     switch (effect.kind) {
       case 'count':
+      case 'countRoute':
       case 'observe':
       case 'log':
         return [];
