--- a/src/core/mesh/overload_admission.ts
+++ b/src/core/mesh/overload_admission.ts
@@ -7,6 +7,7 @@
  */
 import {getFinishMarginMs} from './finish_errors.js';
 import {RunEstimates, estimateRunMs} from './run_estimates.js';
+import {isStarved, recordAsked} from './served_shares.js';
 import {
   QueuedAttempt,
   WorkQueue,
@@ -77,7 +78,11 @@
   arriving: QueuedAttempt,
   at: number,
 ): QueueRefusal | undefined {
-  const {routeAimMs} = arriving.attempt;
+  const {routeAimMs, priority, nested} = arriving.attempt;
+  if (nested !== true) {
+    recordAsked(work.servedShares, priority);
+    arriving.starved = isStarved(work.servedShares, priority);
+  }
   const slotWaitMs = estimateWaitMs(work, estimates, slots, arriving, at);
   const rateDelayMs = estimateRateDelayMs(work, estimates, arriving, at);
   const isRateLimited = rateDelayMs > slotWaitMs;
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -17,6 +17,7 @@
   recordFullSlots,
 } from './nested_room.js';
 import {ServiceClaim, compareClaims} from './service_order.js';
+import {ServedShares, recordServed} from './served_shares.js';
 import {
   RunEstimates,
   estimateRunMs,
@@ -30,6 +31,8 @@
   readonly deadlineAt: number;
   /** This request was running at a crash; only one suspect runs at a time. */
   readonly suspect: boolean;
+  /** Its route is served so rarely that it counts as one of the most urgent. */
+  starved?: boolean;
   /** When it was expected to end, on arrival. */
   expectedEndAt?: number;
 }
@@ -46,6 +49,7 @@
   /** Rate at which the upstream lets runs start. */
   readonly limit: RateLimit;
   readonly nestedRoom: NestedRoom;
+  readonly servedShares: ServedShares;
 }
 
 export function createWorkQueue(): WorkQueue {
@@ -55,6 +59,7 @@
     finishErrors: createFinishErrors(),
     limit: createRateLimit(),
     nestedRoom: createNestedRoom(),
+    servedShares: new Map(),
   };
 }
 
@@ -79,7 +84,7 @@
   at: number,
 ): ServiceClaim {
   return {
-    priority: queued.attempt.priority,
+    priority: queued.starved === true ? 0 : queued.attempt.priority,
     nested: queued.attempt.nested === true,
     missesAim: willMissAim(queued, estimates, at),
     turnAt: getTurnTime(queued),
@@ -255,6 +260,9 @@
   const running = {...next, startedAt: at};
   work.running.set(next.attempt.attemptId, running);
   spendRateToken(work.limit);
+  if (next.attempt.nested !== true) {
+    recordServed(work.servedShares, next.attempt.priority);
+  }
   return running;
 }
 
--- a/test/mesh/overload.test.ts
+++ b/test/mesh/overload.test.ts
@@ -41,6 +41,12 @@
   {name: 'lookup', perSecond: 60, aimMs: 120, priority: 2, nested: true},
 ];
 
+/** The urgent route alone asks for a third more than the slots can run. */
+const URGENT_ROUTES: readonly Route[] = [
+  {name: 'charge', perSecond: 140, aimMs: 250, priority: 0},
+  {name: 'view', perSecond: 30, aimMs: 400, priority: 2},
+];
+
 interface RouteCounts {
   offered: number;
   withinAim: number;
@@ -157,6 +163,18 @@
     }
   });
 
+  it('serves the least urgent route a quarter as often as all', () => {
+    const counts = [...simulate(URGENT_ROUTES).values()];
+    const offered = counts.reduce((sum, route) => sum + route.offered, 0);
+    const served = counts.reduce((sum, c) => sum + c.withinAim + c.late, 0);
+    const view = simulate(URGENT_ROUTES).get('view')!;
+    const viewShare = (view.withinAim + view.late) / view.offered;
+    expect(viewShare).to.be.within(
+      (served / offered) * 0.25,
+      (served / offered) * 0.5,
+    );
+  });
+
   it('refuses no attempt that a run at another upstream waits for', () => {
     const {withinAim, late, offered} = simulate(NESTED_ROUTES).get('lookup')!;
     expect((withinAim + late) / offered).to.be.above(0.99);
