--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -5,13 +5,13 @@
 import {MeshAttempt} from '../../model/mesh.js';
 import {getOrCreateLoad} from '../entry/load_view.js';
 import {Refusal, createRefusal, weakenToUnknown} from '../refusals.js';
-import {Answer} from '../types.js';
-import {chooseInstance, getShortestLimitDelayMs} from './choose_instance.js';
+import {Answer, isServerError} from '../types.js';
+import {chooseInstance} from './choose_instance.js';
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
 import {MeshCallInfo, MeshEmit, MeshEvent} from './mesh_types.js';
 import {tryCreateCall} from './create_call.js';
-import {clampRetryAfterMs} from './overload_admission.js';
+import {createNoUpstreamRefusal} from './service_delays.js';
 import {creditRetryTokens, spendRetryToken} from './retry_tokens.js';
 import {getKnowledgeAgeMs} from './known_state.js';
 
@@ -24,9 +24,6 @@
 /** No attempt is sent with less time than this to the deadline. */
 const MIN_ATTEMPT_MS = 4;
 
-/** Retry delay that callers are advised where no upstream accepts work. */
-const NO_UPSTREAM_RETRY_AFTER_MS = 400;
-
 /** Random part of a retry delay, so that callers do not retry in step. */
 const RETRY_AFTER_JITTER = 0.5;
 
@@ -58,23 +55,11 @@
     spendRetryToken(retries, settings, proxies, call.service, at);
   }
   if (!trySendAttempt(state, stamp, call, emit)) {
-    const refusal = createNoUpstreamRefusal(state, call.service, at);
+    const refusal = createNoUpstreamRefusal(state, call, at);
     refuseCall(state, call, refusal, stamp, emit);
   }
 }
 
-/** Creates the refusal of a call for which no upstream could be chosen. */
-function createNoUpstreamRefusal(
-  state: MeshState,
-  service: string,
-  at: number,
-): Refusal {
-  const limitDelayMs = getShortestLimitDelayMs(state, service, at);
-  return limitDelayMs > 0
-    ? createRefusal('rate_limited', clampRetryAfterMs(limitDelayMs))
-    : createRefusal('no_upstream', NO_UPSTREAM_RETRY_AFTER_MS);
-}
-
 /** Refuses a call of which no state was created. */
 function refuseUnaccepted(
   state: MeshState,
@@ -120,7 +105,12 @@
     lastReason === 'queue_full' ||
     lastReason === 'rate_limited' ||
     lastReason === 'link_saturated';
-  const usefulMs = wasTurnedAway ? getUsefulMs(call, at) : undefined;
+  // Where slots are scarce, the first owner is not asked either if recent reports show
+  // that none of the service has room. A refused nested call would waste a run.
+  const mayRefuseUnasked =
+    state.settings.scarceSlots && call.asked === 0 && !call.nested;
+  const usefulMs =
+    wasTurnedAway || mayRefuseUnasked ? getUsefulMs(call, at) : undefined;
   const timeLeftMs = call.deadlineAt - at;
   const query = {service, route, tried, bodyBytes, timeLeftMs, usefulMs};
   const instance = chooseInstance(state, query, at, entropy);
@@ -151,6 +141,11 @@
   return endsAt - at;
 }
 
+/** Reports whether requests wait for the slot of the run that made a call. */
+function isSlotWanted({settings, work}: MeshState, {nested}: MeshCall) {
+  return settings.scarceSlots && nested && work.queue.length > 0;
+}
+
 function createAttempt(
   state: MeshState,
   call: MeshCall,
@@ -175,6 +170,7 @@
     callerService: state.settings.service,
     idempotent: route.idempotent,
     ...(call.nested ? {nested: true} : {}),
+    ...(isSlotWanted(state, call) ? {slotWanted: true} : {}),
     ...(isRepeated ? {repeated: true} : {}),
     priority: route.priority,
     // The work of a run is wasted if a call that it made is refused, so such
@@ -238,6 +234,8 @@
     counter: 'call_answered',
     reason: `${Math.floor(answer.status / 100)}xx`,
   });
+  const outcome = at <= call.aimAt ? 'in_time' : 'late';
+  countCall(call, isServerError(answer) ? 'failed' : outcome, emit);
   const tookMs = at - call.arrivedAt;
   emit({kind: 'observe', histogram: 'call_seconds', seconds: tookMs / 1_000});
   logCall(state, call, 'Call answered.', at, emit, {
@@ -261,6 +259,7 @@
   const result = addRetryAfterJitter(reported, entropy);
   emit({kind: 'answerCall', callId: call.callId, result});
   emit({kind: 'count', counter: 'call_refused', reason: result.reason});
+  countCall(call, result.reason, emit);
   logCall(state, call, 'Call refused.', at, emit, {
     reason: result.reason,
     outcome: result.outcome,
@@ -268,6 +267,11 @@
   });
 }
 
+function countCall({route}: MeshCall, outcome: string, emit: MeshEmit): void {
+  const {name} = route;
+  emit({kind: 'countRoute', counter: 'route_calls', route: name, outcome});
+}
+
 /** Replaces a refusal that promises `not-run`, for a call that may have run. */
 function toUnknownOutcome(refusal: Refusal): Refusal {
   if (refusal.outcome === 'unknown') {
--- a/src/core/mesh/mesh_settings.ts
+++ b/src/core/mesh/mesh_settings.ts
@@ -22,6 +22,8 @@
   readonly retryWindowMs: number;
   /** Bound on requests to a cold upstream in one second; undefined: none. */
   readonly coldLimit?: {readonly excess: number; readonly slack: number};
+  /** Demand is above the slots at times; see `MeshSettingsSchema`. */
+  readonly scarceSlots: boolean;
   /** Time from the signal of a planned stop to the end of the process. */
   readonly graceMs: number;
   /** Bandwidth of this VM's connection to the network. */
--- a/src/core/mesh/mesh_state.ts
+++ b/src/core/mesh/mesh_state.ts
@@ -112,7 +112,7 @@
     callerBudgets: new Map(),
     answerMsByRoute: new Map(),
     answerBytesByRoute: new Map(),
-    work: createWorkQueue(),
+    work: createWorkQueue(settings.scarceSlots),
     linkLoad: createLinkLoad(),
     linkBacklog: createLinkBacklog(),
     estimates: createRunEstimates(),
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -212,6 +212,9 @@
   | 'cold_limit'
   | 'link_changed';
 
+/** Counters by route and outcome. */
+export type RouteCounter = 'route_calls' | 'route_refusals';
+
 export type LogFields = Readonly<
   Record<string, string | number | boolean | undefined>
 >;
@@ -262,6 +265,13 @@
       readonly counter: MeshCounter;
       readonly reason: string;
     }
+  | {
+      readonly kind: 'countRoute';
+      readonly counter: RouteCounter;
+      readonly route: string;
+      /** Whether it was in time, or why it was refused. */
+      readonly outcome: string;
+    }
   | {
       readonly kind: 'observe';
       readonly histogram:
--- a/src/core/mesh/overload_admission.ts
+++ b/src/core/mesh/overload_admission.ts
@@ -6,10 +6,13 @@
  * answered in time come first; one that has returned gets what they leave.
  */
 import {getFinishMarginMs} from './finish_errors.js';
+import {keepSlot} from './nested_room.js';
 import {RunEstimates, estimateRunMs} from './run_estimates.js';
+import {isStarved, recordAsked} from './served_shares.js';
 import {
   QueuedAttempt,
   WorkQueue,
+  countUsedSlots,
   estimateDrainMs,
   estimateRateDelayMs,
   estimateWaitMs,
@@ -77,7 +80,15 @@
   arriving: QueuedAttempt,
   at: number,
 ): QueueRefusal | undefined {
-  const {routeAimMs} = arriving.attempt;
+  const {routeAimMs, priority, nested, slotWanted} = arriving.attempt;
+  const {nestedRoom, servedShares} = work;
+  if (nested !== true && servedShares !== undefined) {
+    recordAsked(servedShares, priority);
+    arriving.starved = isStarved(servedShares, priority);
+  }
+  if (slotWanted === true && countUsedSlots(work, estimates, at) >= slots) {
+    keepSlot(nestedRoom, at);
+  }
   const slotWaitMs = estimateWaitMs(work, estimates, slots, arriving, at);
   const rateDelayMs = estimateRateDelayMs(work, estimates, arriving, at);
   const isRateLimited = rateDelayMs > slotWaitMs;
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -16,7 +16,9 @@
   getRateDelayMs,
   spendRateToken,
 } from './rate_limit.js';
+import {NestedRoom, createNestedRoom, getUsableSlots} from './nested_room.js';
 import {ServiceClaim, compareClaims} from './service_order.js';
+import {ServedShares, recordServed} from './served_shares.js';
 import {
   RunEstimates,
   estimateRunMs,
@@ -30,6 +32,8 @@
   readonly deadlineAt: number;
   /** This request was running at a crash; only one suspect runs at a time. */
   readonly suspect: boolean;
+  /** Its route is served so rarely that it counts as one of the most urgent. */
+  starved?: boolean;
   /** When it was expected to end, on arrival. */
   expectedEndAt?: number;
 }
@@ -47,15 +51,24 @@
   readonly limit: RateLimit;
   /** Bound on its requests while it is cold. */
   readonly cold: ColdLimit;
+  readonly nestedRoom: NestedRoom;
+  /** Undefined: the least urgent route is guaranteed nothing. */
+  readonly servedShares?: ServedShares;
 }
 
-export function createWorkQueue(): WorkQueue {
+/**
+ * Creates an empty queue.
+ * @param guaranteesShare - The least urgent route is served a part of what it asks.
+ */
+export function createWorkQueue(guaranteesShare = false): WorkQueue {
   return {
     running: new Map(),
     queue: [],
     finishErrors: createFinishErrors(),
     limit: createRateLimit(),
     cold: createColdLimit(),
+    nestedRoom: createNestedRoom(),
+    servedShares: guaranteesShare ? new Map() : undefined,
   };
 }
 
@@ -80,7 +93,7 @@
   at: number,
 ): ServiceClaim {
   return {
-    priority: queued.attempt.priority,
+    priority: queued.starved === true ? 0 : queued.attempt.priority,
     nested: queued.attempt.nested === true,
     missesAim: willMissAim(queued, estimates, at),
     turnAt: getTurnTime(queued),
@@ -185,11 +198,13 @@
     other =>
       other !== arriving && !hasPrecedence(arriving, other, estimates, at),
   );
+  const {attempt} = arriving;
   const used = countUsedSlots(work, estimates, at);
-  if (used + ahead.length < slots) {
+  const usable = getUsableSlots(work.nestedRoom, attempt, slots, at);
+  if (used + ahead.length < usable) {
     return 0;
   }
-  return estimateTurnMs(work, ahead, estimates, slots);
+  return estimateTurnMs(work, ahead, estimates, usable);
 }
 
 /** Estimates the time until all waiting attempts have started. */
@@ -245,7 +260,8 @@
   at: number,
 ): RunningAttempt | undefined {
   const isHeldByLimit = getStartDelayMs(work, 0, at) > 0;
-  if (isHeldByLimit || countUsedSlots(work, estimates, at) >= slots) {
+  const used = countUsedSlots(work, estimates, at);
+  if (isHeldByLimit || used >= slots) {
     return undefined;
   }
   const suspectIsRunning = [...work.running.values()].some(
@@ -253,7 +269,8 @@
   );
   let next: QueuedAttempt | undefined;
   for (const other of work.queue) {
-    const blocked = other.suspect && suspectIsRunning;
+    const usable = getUsableSlots(work.nestedRoom, other.attempt, slots, at);
+    const blocked = (other.suspect && suspectIsRunning) || used >= usable;
     if (
       !blocked &&
       (next === undefined || hasPrecedence(other, next, estimates, at))
@@ -269,6 +286,9 @@
   work.running.set(next.attempt.attemptId, running);
   spendRateToken(work.limit);
   recordColdStart(work.cold, at);
+  if (next.attempt.nested !== true && work.servedShares !== undefined) {
+    recordServed(work.servedShares, next.attempt.priority);
+  }
   return running;
 }
 
--- a/src/mesh/call_message_check.ts
+++ b/src/mesh/call_message_check.ts
@@ -102,6 +102,7 @@
   callerService: isString,
   idempotent: isBoolean,
   nested: {optional: isBoolean},
+  slotWanted: {optional: isBoolean},
   repeated: {optional: isBoolean},
   priority: isCount,
   aimMs: isNumber,
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -38,6 +38,7 @@
 import {LinkManager} from './link_manager.js';
 import {MeshCallerHandler} from './mesh_caller_handler.js';
 import {GaugeValues, MeshMetrics} from './mesh_metrics.js';
+import {RouteMetrics} from './route_metrics.js';
 import {
   handleOperatorRequest,
   handleReadinessRequest,
@@ -102,6 +103,9 @@
 export class MeshRuntime {
   private readonly clock: Clock = new SystemClock();
   private readonly metrics = new MeshMetrics(() => this.getGaugeValues());
+  private readonly routeMetrics = new RouteMetrics(this.metrics.registry, () =>
+    this.loop.state.work.queue.map(({attempt}) => attempt.route),
+  );
   private readonly log: BoundedLog;
   private readonly pacer = new BodyPacer(
     () => this.settings.linkMbps,
@@ -445,6 +449,10 @@
         return this.resolveStopped();
       case 'count':
         return this.metrics.count(effect.counter, effect.reason);
+      case 'countRoute': {
+        const {counter, route, outcome} = effect;
+        return this.routeMetrics.count(counter, route, outcome);
+      }
       case 'observe':
         return this.metrics.observe(effect.histogram, effect.seconds);
       case 'log': {
@@ -578,6 +586,7 @@
     retryExtra: retries.extra,
     retryWindowMs: retries.windowMs,
     coldLimit: settings.coldLimit,
+    scarceSlots: settings.scarceSlots,
     graceMs: settings.graceMs,
     linkMbps: settings.linkMbps,
     readIntervalMs:
--- a/src/model/mesh_settings.ts
+++ b/src/model/mesh_settings.ts
@@ -58,6 +58,12 @@
   coldLimit: z
     .strictObject({excess: z.number().min(0), slack: z.number().min(0)})
     .optional(),
+  /**
+   * Callers compete for too few slots at times: calls are refused without asking an
+   * owner where all are full, one slot is kept for nested calls, and the least urgent
+   * route is guaranteed a share.
+   */
+  scarceSlots: z.boolean().default(false),
   /** Time from the signal of a planned stop to the end of the process. */
   graceMs: MillisSchema.min(500).default(6_000),
   /** Time for which requests that crash upstreams are refused. */
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -129,6 +129,7 @@
   retryShare: 0.2,
   retryExtra: 60,
   retryWindowMs: 10_000,
+  scarceSlots: false,
   graceMs: 6_000,
   linkMbps: 1_000,
   readIntervalMs: 600,
@@ -269,6 +270,7 @@
   return effects.flatMap(effect => {
     switch (effect.kind) {
       case 'count':
+      case 'countRoute':
       case 'observe':
       case 'log':
         return [];
