Finish a planned stop only after waiting answers are sent

Paced answers can wait longer for the bandwidth than the quiet time before the exit. The process then ended with them, although they were ready.

--- a/src/core/mesh/graceful_shutdown.ts
+++ b/src/core/mesh/graceful_shutdown.ts
@@ -74,7 +74,7 @@
   event: Pick<MeshEvent, 'at' | 'entropy'>,
   emit: MeshEmit,
 ): void {
-  const {stopRequestedAt, work, calls, settings} = state;
+  const {stopRequestedAt, work, calls, linkBacklog, settings} = state;
   const deadlineAt = getStopDeadline(state);
   if (
     stopRequestedAt === undefined ||
@@ -84,8 +84,12 @@
     return;
   }
   const {at} = event;
+  // Answers that are ready can wait for the bandwidth long after their runs.
   const idle =
-    calls.size === 0 && work.running.size === 0 && work.queue.length === 0;
+    calls.size === 0 &&
+    work.running.size === 0 &&
+    work.queue.length === 0 &&
+    linkBacklog.waiting.length === 0;
   const quiet = at - state.lastWorkAt >= QUIET_BEFORE_EXIT_MS;
   const served = at - stopRequestedAt >= ACCEPT_CALLS_MS;
   const isOver = at >= deadlineAt;
--- a/test/mesh/planned_stop.test.ts
+++ b/test/mesh/planned_stop.test.ts
@@ -82,6 +82,22 @@
     expect(endStop(proxy)).to.include('stopped');
   });
 
+  it('does not end while an answer waits for the bandwidth of its VM', () => {
+    const proxy = createStopping();
+    const group = {priority: 2, nested: false, missesAim: true, bytes: 90_000};
+    const tick = (waiting: readonly (typeof group)[]) => {
+      proxy.at += 25;
+      const linkBytes = {received: 0, sent: 0, waiting};
+      proxy.post({kind: 'tick', linkBytes});
+    };
+    for (let ms = 0; ms < 4_000; ms += 25) {
+      tick([group]);
+    }
+    expect(proxy.state.stopped).to.equal(false);
+    tick([]);
+    expect(proxy.state.stopped).to.equal(true);
+  });
+
   it('refuses what still waits when the grace period is nearly over', () => {
     const proxy = createStopping();
     // The runs never end; the last two attempts wait for a slot.
