Wake large bodies when small messages have left a link

Only chunks reported that the socket has room again. A large body behind a few small messages that filled the socket was not sent until another body was, on any link.

--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -145,6 +145,8 @@
     return this.transfers.hasUnsent(key);
   }
 
+  private readonly wakePacer = () => this.pacer.writeChunks();
+
   private write(frame: Frame, onFlushed?: () => void): void {
     if (this.closed) {
       return;
@@ -152,7 +154,8 @@
     const bytes = encodeFrame(frame);
     this.traffic.sentBytes += bytes.length;
     this.pacer.countWritten(bytes.length);
-    this.socket.write(bytes, onFlushed);
+    // Whole messages, too, can fill the socket so that a large body has to wait.
+    this.socket.write(bytes, onFlushed ?? this.wakePacer);
     if (this.socket.writableLength > MAX_UNSENT_BYTES) {
       this.close();
     }
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -133,6 +133,12 @@
     sender.send(message, Buffer.alloc(UPLOAD_BYTES, 7), attemptId);
   }
 
+  function createSmallAnswer(): {answer: LinkMessage; body: Buffer} {
+    const load = {running: 0, queued: 0, slots: 1, leaving: false};
+    const message = {kind: 'answer', attemptId: 'b', status: 200} as const;
+    return {answer: {...message, headers: {}, load}, body: Buffer.alloc(8_000)};
+  }
+
   async function passAll(): Promise<void> {
     while (await connection.pass()) {
       // Each write is passed on before the next.
@@ -171,6 +177,21 @@
     expect(answering.pieces).to.deep.equal([2]);
   });
 
+  // Guards against a body that no timer or write wakes: only chunks reported that
+  // the socket has room again.
+  it('sends a large body once small messages ahead of it have left', async () => {
+    const {answer, body} = createSmallAnswer();
+    for (let n = 0; n < 3; n += 1) {
+      sender.send(answer, body);
+    }
+    sendUpload('a-1');
+    await passAll();
+    expect(received.map(({bodyBytes}) => bodyBytes)).to.deep.equal([
+      ...[8_000, 8_000, 8_000],
+      UPLOAD_BYTES,
+    ]);
+  });
+
   it('sends two large bodies that are sent at the same time in turn', async () => {
     sendUpload('a-1');
     sendUpload('a-2');
