Limit an upstream as cold after all its runs were reset at once

An upstream that restarts before the owner tries to connect refuses no connection attempt, so the owner noticed the restart only with the next registration and sent it the load of a warm one until then. A reset of a single run stays without effect, since it may concern one request.

--- a/src/core/mesh/crash_detection.ts
+++ b/src/core/mesh/crash_detection.ts
@@ -52,6 +52,9 @@
   health.probing = false;
   const lostRuns = [...health.lost];
   if (accepted) {
+    if (!health.down && hasLostAllRuns(state)) {
+      markAcceptingAgain(state, at);
+    }
     health.lost = [];
     markUpstreamUp(state, at, emit);
   } else {
@@ -68,6 +71,23 @@
   dispatchWaiting(state, at, emit);
 }
 
+/**
+ * Reports whether several runs, and no others that ran beside them, were reset: the
+ * upstream has probably restarted before the connection attempt. A single reset may
+ * concern one request only.
+ */
+function hasLostAllRuns({health, work}: MeshState): boolean {
+  const {lost} = health;
+  const lostIds = new Set(lost.map(({attemptId}) => attemptId));
+  const firstLostAt = Math.min(...lost.map(({lostAt}) => lostAt));
+  return (
+    lost.length > 1 &&
+    [...work.running].every(
+      ([id, {startedAt}]) => lostIds.has(id) || startedAt >= firstLostAt,
+    )
+  );
+}
+
 /** Marks the upstream as up and notifies peers, if it was down. */
 export function markUpstreamUp(
   state: MeshState,
--- a/test/mesh/cold_limit.test.ts
+++ b/test/mesh/cold_limit.test.ts
@@ -237,6 +237,29 @@
 }
 
 describe('the limit for a cold upstream', () => {
+  // Guards against a restart that is over before the owner tries to connect, such as
+  // one beside a process that stood still: no connection attempt is refused.
+  for (const {resets, cause} of [
+    {resets: 3, cause: 'accepts_again'},
+    {resets: 1, cause: undefined},
+  ]) {
+    const begins = cause === undefined ? 'does not begin' : 'begins';
+    it(`${begins} after ${resets} of 3 runs were reset at once`, () => {
+      const {owner} = new Burst(0);
+      const ids = ['a', 'b', 'c'];
+      for (const attemptId of ids) {
+        const attempt = createAttempt({attemptId, instanceId: 'i-1'});
+        owner.post({kind: 'attemptArrived', attempt});
+      }
+      owner.advance(25);
+      for (const attemptId of ids.slice(0, resets)) {
+        owner.post({kind: 'upstreamFailed', attemptId, failure: 'reset'});
+      }
+      owner.post({kind: 'connectProbed', accepted: true});
+      expect(owner.state.work.cold.bound?.cause).to.equal(cause);
+    });
+  }
+
   it('does not hold for a warm upstream, another zone, or without a setting', () => {
     const counts = [
       new Burst(30),
