Rename what covers more than its name says; keep the pacer usable if a write throws

From the review of the merged parts. estimateStartDelayMs covers the cold limit, too; recordDispatch counts every dispatch; the owner's averages of answer bytes differ in name from the entry's. The hold for an earlier owner is released beside the search for the bound, not in it. No other behaviour changes.

--- a/src/core/mesh/cold_detection.ts
+++ b/src/core/mesh/cold_detection.ts
@@ -24,6 +24,12 @@
  */
 const READS_AFTER_SIGN = 2;
 
+/**
+ * Least time from the end of a proxy's process to the start of its successor's core,
+ * in which the runtime starts: about 0.3 s of a whole core.
+ */
+const MIN_RESTART_MS = 300;
+
 /** What a cold upstream of a service may get. */
 interface ServiceLimit {
   readonly allowance: number;
@@ -52,18 +58,14 @@
   state.work.cold.heldUntil = at + Math.max(0, COLD_WINDOW_MS - bootMs);
 }
 
-/**
- * Time from the end of a proxy to the start of its successor's core, at least: the
- * successor's runtime starts in between.
- */
-const MIN_RESTART_MS = 300;
-
 /**
  * Ends the hold after the start of this process if its upstream has started since the
  * predecessor ended, which therefore has dispatched nothing to it.
  */
-function releaseIfUpstreamIsNewer({settings, work}: MeshState, own: Instance) {
-  if (own.incarnation >= settings.startedAt - MIN_RESTART_MS) {
+function releaseIfUpstreamIsNewer(state: MeshState): void {
+  const {settings, work} = state;
+  const startedAt = getOwnInstance(state)?.incarnation ?? 0;
+  if (startedAt >= settings.startedAt - MIN_RESTART_MS) {
     work.cold.heldUntil = -Infinity;
   }
 }
@@ -178,9 +180,6 @@
   if (limit === undefined) {
     return undefined;
   }
-  if (own !== undefined) {
-    releaseIfUpstreamIsNewer(state, own);
-  }
   const {allowance, coldStartMs} = limit;
   const signUntil = sign === undefined ? -Infinity : sign.at + coldStartMs;
   const until = Math.max(signUntil, listedUntil);
@@ -203,6 +202,7 @@
   emit: MeshEmit,
 ): void {
   const {cold} = state.work;
+  releaseIfUpstreamIsNewer(state);
   const before = cold.bound;
   const bound = findBound(state, at);
   cold.bound = bound;
--- a/src/core/mesh/cold_limit.ts
+++ b/src/core/mesh/cold_limit.ts
@@ -69,7 +69,7 @@
 }
 
 /** Counts a request that is dispatched now; it may turn out to be cold already. */
-export function recordColdStart(limit: ColdLimit, at: number): void {
+export function recordDispatch(limit: ColdLimit, at: number): void {
   removeExpiredStarts(limit, at);
   limit.starts.push(at);
 }
--- a/src/core/mesh/link_backlog.ts
+++ b/src/core/mesh/link_backlog.ts
@@ -35,11 +35,11 @@
   waiting: readonly WaitingBytes[];
   updatedAt: number;
   /** Moving average of the bytes of an answer of this owner's upstream. */
-  readonly answerBytesByRoute: Map<string, number>;
+  readonly averageBytesByRoute: Map<string, number>;
 }
 
 export function createLinkBacklog(): LinkBacklog {
-  return {waiting: [], updatedAt: 0, answerBytesByRoute: new Map()};
+  return {waiting: [], updatedAt: 0, averageBytesByRoute: new Map()};
 }
 
 /**
@@ -75,7 +75,7 @@
   const {linkBacklog} = state;
   const {route, priority, nested = false} = run.attempt;
   if (!failed) {
-    updateAverage(linkBacklog.answerBytesByRoute, route, bytes);
+    updateAverage(linkBacklog.averageBytesByRoute, route, bytes);
   }
   if (bytes > MAX_WHOLE_BODY_BYTES && !isLocal(state, run.attempt)) {
     removeSentBytes(state, at);
@@ -182,7 +182,7 @@
 /** Returns the expected bytes of an answer; 0 if few, unknown or sent over no link. */
 function getLargeAnswerBytes(state: MeshState, attempt: MeshAttempt): number {
   const {linkBacklog, settings} = state;
-  const bytes = linkBacklog.answerBytesByRoute.get(attempt.route) ?? 0;
+  const bytes = linkBacklog.averageBytesByRoute.get(attempt.route) ?? 0;
   const isLarge =
     bytes > MAX_WHOLE_BODY_BYTES &&
     getPacedMs(bytes, settings.linkMbps) >
--- a/src/core/mesh/overload_admission.ts
+++ b/src/core/mesh/overload_admission.ts
@@ -14,7 +14,7 @@
   WorkQueue,
   countUsedSlots,
   estimateDrainMs,
-  estimateRateDelayMs,
+  estimateStartDelayMs,
   estimateWaitMs,
   willMissAim,
 } from './work_queue.js';
@@ -90,7 +90,7 @@
     keepSlot(nestedRoom, at);
   }
   const slotWaitMs = estimateWaitMs(work, estimates, slots, arriving, at);
-  const rateDelayMs = estimateRateDelayMs(work, estimates, arriving, at);
+  const rateDelayMs = estimateStartDelayMs(work, estimates, arriving, at);
   const isRateLimited = rateDelayMs > slotWaitMs;
   const waitMs = Math.max(slotWaitMs, rateDelayMs);
   const runMs = estimateRunMs(estimates, arriving.attempt);
@@ -202,7 +202,7 @@
   queued: QueuedAttempt,
   at: number,
 ): boolean {
-  const delayMs = estimateRateDelayMs(work, estimates, queued, at);
+  const delayMs = estimateStartDelayMs(work, estimates, queued, at);
   if (delayMs === 0) {
     return false;
   }
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -7,7 +7,7 @@
   ColdLimit,
   createColdLimit,
   getColdDelayMs,
-  recordColdStart,
+  recordDispatch,
 } from './cold_limit.js';
 import {FinishErrors, createFinishErrors} from './finish_errors.js';
 import {
@@ -163,7 +163,7 @@
  * Estimates how long the upstream's limits make an attempt wait, which is in the
  * queue or is about to be added to it.
  */
-export function estimateRateDelayMs(
+export function estimateStartDelayMs(
   work: WorkQueue,
   estimates: RunEstimates,
   attempt: QueuedAttempt,
@@ -285,7 +285,7 @@
   const running = {...next, startedAt: at};
   work.running.set(next.attempt.attemptId, running);
   spendRateToken(work.limit);
-  recordColdStart(work.cold, at);
+  recordDispatch(work.cold, at);
   if (next.attempt.nested !== true && work.servedShares !== undefined) {
     recordServed(work.servedShares, next.attempt.priority);
   }
--- a/src/mesh/body_pacer.ts
+++ b/src/mesh/body_pacer.ts
@@ -130,12 +130,16 @@
       return;
     }
     this.writing = true;
-    let next = this.findNext();
-    while (next !== undefined && this.getDelayMs() <= 0) {
-      this.writeChunk(next);
+    let next: Candidate | undefined;
+    try {
       next = this.findNext();
+      while (next !== undefined && this.getDelayMs() <= 0) {
+        this.writeChunk(next);
+        next = this.findNext();
+      }
+    } finally {
+      this.writing = false;
     }
-    this.writing = false;
     if (next !== undefined) {
       this.startTimer();
     }
--- a/test/mesh/cold_limit.test.ts
+++ b/test/mesh/cold_limit.test.ts
@@ -5,7 +5,7 @@
   COLD_WINDOW_MS,
   createColdLimit,
   getColdDelayMs,
-  recordColdStart,
+  recordDispatch,
 } from '../../src/core/mesh/cold_limit.js';
 import {MeshSettings} from '../../src/core/mesh/mesh_settings.js';
 import {MeshEffect} from '../../src/core/mesh/mesh_types.js';
@@ -378,9 +378,9 @@
   it('predicts starts that keep to it, for any number of requests ahead', () => {
     const limit = createColdLimit();
     limit.bound = {cause: 'registered', allowance: 2, until: 1e6};
-    recordColdStart(limit, 0);
-    recordColdStart(limit, 300);
-    recordColdStart(limit, 400);
+    recordDispatch(limit, 0);
+    recordDispatch(limit, 300);
+    recordDispatch(limit, 400);
     const delays = [0, 1, 2, 3, 4].map(n => getColdDelayMs(limit, n, 500));
     expect(delays).to.deep.equal([1_000, 1_100, 2_200, 2_300, 3_400]);
     limit.heldUntil = 2_000;
