--- a/test/platform/documents.test.ts
+++ b/test/platform/documents.test.ts
@@ -134,6 +134,12 @@
         parseSettings(JSON.stringify({...settings, upstream: 'vm-1'})),
       ),
       formatResult(parseSettings(JSON.stringify({...settings, bounds: {}}))),
+      // Deployments differ in their contracts, or state none.
+      ...[['base'], ['base', 'pressure'], null].map(contracts =>
+        parseSettings(JSON.stringify({...settings, contracts}))
+          .map(({scarceSlots}) => scarceSlots)
+          ._unsafeUnwrap(),
+      ),
     ];
     expect(shown).toMatchSnapshot();
   });
--- a/test/platform/process_machine.ts
+++ b/test/platform/process_machine.ts
@@ -63,6 +63,7 @@
       platform: {address: this.storeAddress},
       limits: {'link-mbps': 1000},
       heartbeat: '870ms',
+      contracts: ['base', 'retry', 'platform'],
       bounds: {
         grace: '6s',
         'retry-budget': 0.2,
