Share the moving average of answer bytes; skip the cold limit where none is set

The entry's and the owner's averages by route were computed by two copies of one function, and every attempt and tick looked up the own upstream and a bound for cold upstreams also in deployments without that setting.

Change: one updateAverage (moving_average.ts); updateColdLimit returns at once without the setting, unless a bound has to be ended after a reload. No behaviour changes.

--- a/src/core/mesh/call_results.ts
+++ b/src/core/mesh/call_results.ts
@@ -23,14 +23,12 @@
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState} from './mesh_state.js';
 import {AttemptOutcome, MeshEmit, MeshEvent} from './mesh_types.js';
+import {updateAverage} from './moving_average.js';
 import {canRetry, spendRetryToken} from './retry_tokens.js';
 
 /** Time and randomness of the event that is handled. */
 type EventStamp = Pick<MeshEvent, 'at' | 'entropy'>;
 
-/** Weight of a new sample in the moving averages of a route. */
-const NEW_SAMPLE_WEIGHT = 0.1;
-
 /**
  * Hedging sends an idempotent call to a second upstream once the first attempt
  * has taken this multiple of the route's average time, because its answer may
@@ -114,16 +112,6 @@
   answerMeshCall(state, call, answer, sent, at, emit);
 }
 
-/** Updates an exponentially weighted moving average. */
-function updateAverage(
-  averages: Map<string, number>,
-  route: string,
-  sample: number,
-) {
-  const average = averages.get(route) ?? sample;
-  averages.set(route, average + NEW_SAMPLE_WEIGHT * (sample - average));
-}
-
 /**
  * Refuses the call or sends it again. A call that may have run is sent again
  * only if it is idempotent.
--- a/src/core/mesh/cold_detection.ts
+++ b/src/core/mesh/cold_detection.ts
@@ -202,6 +202,9 @@
   emit: MeshEmit,
 ): void {
   const {cold} = state.work;
+  if (state.settings.coldLimit === undefined && cold.bound === undefined) {
+    return;
+  }
   releaseIfUpstreamIsNewer(state);
   const before = cold.bound;
   const bound = findBound(state, at);
--- a/src/core/mesh/link_backlog.ts
+++ b/src/core/mesh/link_backlog.ts
@@ -5,6 +5,7 @@
  */
 import {MeshAttempt} from '../../model/mesh.js';
 import {MAX_WHOLE_BODY_BYTES, getPacedBytes, getPacedMs} from './link_rate.js';
+import {updateAverage} from './moving_average.js';
 import type {MeshState} from './mesh_state.js';
 import {estimateRunMs, getStuckThresholdMs} from './run_estimates.js';
 import {ServiceClaim, compareClaims} from './service_order.js';
@@ -16,9 +17,6 @@
  */
 const MIN_SHARE_OF_AIM = 0.02;
 
-/** Weight of one answer in the moving average of a route's answers. */
-const SAMPLE_WEIGHT = 0.1;
-
 /** Largest number of routes whose answers are known; a service has fewer. */
 const MAX_ROUTES = 256;
 
@@ -76,6 +74,7 @@
   const {route, priority, nested = false} = run.attempt;
   if (!failed) {
     updateAverage(linkBacklog.averageBytesByRoute, route, bytes);
+    limitRoutes(linkBacklog.averageBytesByRoute);
   }
   if (bytes > MAX_WHOLE_BODY_BYTES && !isLocal(state, run.attempt)) {
     removeSentBytes(state, at);
@@ -84,13 +83,8 @@
   }
 }
 
-function updateAverage(
-  averages: Map<string, number>,
-  route: string,
-  bytes: number,
-): void {
-  const average = averages.get(route) ?? bytes;
-  averages.set(route, average + SAMPLE_WEIGHT * (bytes - average));
+/** Forgets the route that was added first, where there are too many. */
+function limitRoutes(averages: Map<string, number>): void {
   if (averages.size > MAX_ROUTES) {
     const [oldest] = averages.keys();
     averages.delete(oldest);
