--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -231,7 +231,11 @@
 
   async readStatus(machine: Machine): Promise<{
     readonly version: number;
-    readonly instances: ReadonlyArray<{id: string; state: string}>;
+    readonly instances: ReadonlyArray<{
+      id: string;
+      state: string;
+      slots: number;
+    }>;
     readonly peers: readonly unknown[];
   }> {
     return JSON.parse((await machine.getInternal('/v1/status', 2)).body);
