Cancel every call of a connection that its caller has closed

Callers that send several requests on one connection and leave: the first was cancelled, those behind it ran, were retried and hedged. Node closes only the response that holds the socket; the others never emit 'close', on which the cancellation waited.

--- a/src/proxy/pending_calls.ts
+++ b/src/proxy/pending_calls.ts
@@ -1,5 +1,6 @@
 /** Tracks the calls whose callers are waiting for an answer. */
 import {ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
 import {HeaderRecord} from './headers.js';
 
 /** A caller's request, as it is forwarded. */
@@ -17,17 +18,40 @@
 
 export class PendingCalls {
   private readonly calls = new Map<string, PendingCall>();
+  private readonly callIdsBySocket = new WeakMap<Socket, Set<string>>();
 
   /** @param onCallerDisconnect - Called if a caller disconnects unanswered. */
   constructor(private readonly onCallerDisconnect: (callId: string) => void) {}
 
   add(callId: string, res: ServerResponse, outbound: OutboundRequest): void {
     this.calls.set(callId, {res, outbound});
-    res.once('close', () => {
-      if (this.calls.delete(callId)) {
-        this.onCallerDisconnect(callId);
+    this.getCallIds(res.req.socket).add(callId);
+  }
+
+  /**
+   * Gets the calls that are pending on a connection. Its end is the end of all of
+   * them: the response to a request that was sent behind another one is not closed
+   * with the connection.
+   */
+  private getCallIds(socket: Socket): Set<string> {
+    const known = this.callIdsBySocket.get(socket);
+    if (known !== undefined) {
+      return known;
+    }
+    const callIds = new Set<string>();
+    this.callIdsBySocket.set(socket, callIds);
+    const handleEnd = () => {
+      for (const callId of callIds) {
+        callIds.delete(callId);
+        if (this.calls.delete(callId)) {
+          this.onCallerDisconnect(callId);
+        }
       }
-    });
+    };
+    // The HTTP server ends its side, too, once a caller has ended its own.
+    socket.once('end', handleEnd);
+    socket.once('close', handleEnd);
+    return callIds;
   }
 
   /**
@@ -47,7 +71,11 @@
    */
   removeAndGetResponse(callId: string): ServerResponse | undefined {
     const call = this.calls.get(callId);
+    if (call === undefined) {
+      return undefined;
+    }
     this.calls.delete(callId);
-    return call?.res;
+    this.callIdsBySocket.get(call.res.req.socket)?.delete(callId);
+    return call.res;
   }
 }
