Start nothing whose caller may have left unnoticed

What callers' upstreams saw (GONE): requests that reached them 0.7 s after the caller had closed its connection, 1.2 s after they were sent with a budget of half a second.

Cause: a start depended on a cancellation being read first, and no hop counted time in which something lay unread. Found on the way: Node accepts one connection in each turn of its loop, so requests wait long after a late turn.

Change: frames carry the sender's time and how far behind it reads. Deadlines count the time that is known to have passed. Log line, counter late_read.

The fix works because the bound needs no message: it holds if a cancellation is late, lost, or on another link.

--- a/src/core/mesh/call_lifecycle.ts
+++ b/src/core/mesh/call_lifecycle.ts
@@ -9,7 +9,12 @@
 import {chooseInstance} from './choose_instance.js';
 import {MeshCall, SentAttempt} from './mesh_calls.js';
 import {MeshState, getLinkAddress} from './mesh_state.js';
-import {MeshCallInfo, MeshEmit, MeshEvent} from './mesh_types.js';
+import {
+  MeshCallInfo,
+  MeshEmit,
+  MeshEvent,
+  MeshEventBody,
+} from './mesh_types.js';
 import {tryCreateCall} from './create_call.js';
 import {createNoUpstreamRefusal} from './service_delays.js';
 import {creditRetryTokens, spendRetryToken} from './retry_tokens.js';
@@ -34,13 +39,13 @@
 export function acceptMeshCall(
   state: MeshState,
   stamp: EventStamp,
-  callId: string,
-  info: MeshCallInfo,
+  arrival: Extract<MeshEventBody, {kind: 'callArrived'}>,
   emit: MeshEmit,
 ): void {
   const {at} = stamp;
+  const {callId, call: info} = arrival;
   state.lastWorkAt = at;
-  const call = tryCreateCall(state, stamp, callId, info);
+  const call = tryCreateCall(state, stamp, arrival);
   if ('reason' in call) {
     refuseUnaccepted(state, callId, info, call, at, emit);
     return;
@@ -312,6 +317,7 @@
       reached: call.reached,
       timeoutMs: call.info.timeoutMs,
       aimLeftMs: Math.round(call.aimAt - call.arrivedAt),
+      unreadMs: Math.round(call.unreadMs) || undefined,
       tookMs: Math.round(at - call.arrivedAt),
       knowledgeAgeMs: getKnowledgeAgeMs(state, at),
       ...fields,
--- a/src/core/mesh/create_call.ts
+++ b/src/core/mesh/create_call.ts
@@ -4,7 +4,7 @@
 import {recordCallerBudget} from './caller_budgets.js';
 import {MeshCall} from './mesh_calls.js';
 import {MeshState} from './mesh_state.js';
-import {MeshCallInfo, MeshEvent} from './mesh_types.js';
+import {MeshCallInfo, MeshEvent, MeshEventBody} from './mesh_types.js';
 import {chooseBackend, findMeshRoute} from './route_table.js';
 import {getPriorRunMs} from './run_estimates.js';
 import {finishesBeforeStop} from './stop_deadline.js';
@@ -23,9 +23,9 @@
 export function tryCreateCall(
   state: MeshState,
   {at, entropy}: Pick<MeshEvent, 'at' | 'entropy'>,
-  callId: string,
-  info: MeshCallInfo,
+  arrival: Extract<MeshEventBody, {kind: 'callArrived'}>,
 ): MeshCall | Refusal {
+  const {callId, call: info, unreadMs = 0} = arrival;
   const {routeTable} = state;
   if (state.stopped) {
     return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
@@ -60,8 +60,9 @@
     nested,
     repeated: parent?.attempt.repeated === true,
     arrivedAt: at,
-    aimAt: at + route.aimMs - spentMs,
-    deadlineAt: at + timeoutMs,
+    unreadMs,
+    aimAt: at - unreadMs + route.aimMs - spentMs,
+    deadlineAt: at - unreadMs + timeoutMs,
     tried: new Set(),
     inFlight: new Map(),
     asked: 0,
--- a/src/core/mesh/mesh_calls.ts
+++ b/src/core/mesh/mesh_calls.ts
@@ -26,6 +26,8 @@
   /** That run repeats an earlier one, so the call counts as a retry. */
   readonly repeated: boolean;
   readonly arrivedAt: number;
+  /** Time for which the request lay unread, at least, in milliseconds. */
+  readonly unreadMs: number;
   /** Until then, counted from the caller's first try, an answer is in time. */
   readonly aimAt: number;
   readonly deadlineAt: number;
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -17,6 +17,7 @@
   handleAttemptOutcome,
   tickCalls,
 } from './call_results.js';
+import {confirmCallers} from './caller_presence.js';
 import {markProxyStarted} from './cold_detection.js';
 import {logUnconfirmedConfig} from './config_freshness.js';
 import {MeshState} from './mesh_state.js';
@@ -24,6 +25,7 @@
 import {
   admitMeshAttempt,
   cancelMeshAttempt,
+  dispatchWaiting,
   tickMeshOwner,
 } from './owner_attempts.js';
 import {
@@ -97,7 +99,7 @@
     case 'messageReceived':
       return reduceMessage(state, event, emit);
     case 'callArrived':
-      return acceptMeshCall(state, event, event.callId, event.call, emit);
+      return acceptMeshCall(state, event, event, emit);
     case 'callerGone':
       return cancelMeshCall(state, event.callId, at, emit);
     case 'attemptEnded':
@@ -111,7 +113,10 @@
     case 'attemptLost':
       return handleAttemptLoss(state, event, event.attemptId, event.sent, emit);
     case 'attemptArrived':
-      return admitMeshAttempt(state, at, event.attempt, emit);
+      return admitMeshAttempt(state, at, event, emit);
+    case 'callersConfirmed':
+      confirmCallers(state.work, event.unconfirmedMs, at);
+      return dispatchWaiting(state, at, emit);
     case 'attemptCancelled':
       return cancelMeshAttempt(state, at, event.attemptId, emit);
     case 'upstreamAnswered':
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -13,6 +13,7 @@
 import {LoadReport} from '../../model/peer.js';
 import {Refusal} from '../refusals.js';
 import {Answer, FailureKind} from '../types.js';
+import {UnconfirmedTimes} from './caller_presence.js';
 import {LinkBytes} from './link_load.js';
 
 /** The parts of a caller's request that the core decides by. */
@@ -145,6 +146,8 @@
       readonly kind: 'callArrived';
       readonly callId: string;
       readonly call: MeshCallInfo;
+      /** Time for which it is known to have lain unread; absent: none. */
+      readonly unreadMs?: number;
     }
   | {readonly kind: 'callerGone'; readonly callId: string}
   | {
@@ -165,7 +168,22 @@
        */
       readonly sent: boolean;
     }
-  | {readonly kind: 'attemptArrived'; readonly attempt: MeshAttempt}
+  | {
+      readonly kind: 'attemptArrived';
+      readonly attempt: MeshAttempt;
+      /** Time since it was sent, at least; absent: none. */
+      readonly ageMs?: number;
+      /**
+       * Longest time for which its caller may have left unnoticed; absent: whoever
+       * posts this reports each departure without delay.
+       */
+      readonly unconfirmedMs?: number;
+    }
+  | {
+      /** Entries have confirmed the callers of waiting attempts. */
+      readonly kind: 'callersConfirmed';
+      readonly unconfirmedMs: UnconfirmedTimes;
+    }
   | {readonly kind: 'attemptCancelled'; readonly attemptId: string}
   | {
       readonly kind: 'upstreamAnswered';
@@ -199,6 +217,7 @@
   | 'call_retried'
   | 'call_answered'
   | 'attempt_refused'
+  | 'late_read'
   | 'source_call'
   | 'version_adopted'
   | 'update_ignored'
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -8,12 +8,18 @@
 import {Refusal, createRefusal} from '../refusals.js';
 import {Answer} from '../types.js';
 import {isOwnZoneEvacuated} from './evacuation_updates.js';
+import {isCallerPresent} from './caller_presence.js';
 import {updateColdLimit} from './cold_detection.js';
 import {getColdDelayMs, getColdRate} from './cold_limit.js';
 import {isLeaving} from './fleet_view.js';
 import {findLinkSaturation, getLinkDelayMs} from './link_backlog.js';
 import {MeshState, getOwnInstance, isUpstreamLeaving} from './mesh_state.js';
-import {AttemptOutcome, LogFields, MeshEmit} from './mesh_types.js';
+import {
+  AttemptOutcome,
+  LogFields,
+  MeshEmit,
+  MeshEventBody,
+} from './mesh_types.js';
 import {adoptRateLimitHint, getRateDelayMs} from './rate_limit.js';
 import {roundToHundredths} from './rounding.js';
 import {estimateRunMs} from './run_estimates.js';
@@ -43,9 +49,10 @@
 export function admitMeshAttempt(
   state: MeshState,
   at: number,
-  attempt: MeshAttempt,
+  arrival: Extract<MeshEventBody, {kind: 'attemptArrived'}>,
   emit: MeshEmit,
 ): void {
+  const {attempt, ageMs = 0, unconfirmedMs = -Infinity} = arrival;
   state.lastWorkAt = at;
   const refusal = getAdmissionRefusal(state, at, attempt);
   if (refusal !== undefined) {
@@ -55,10 +62,12 @@
   const arriving: QueuedAttempt = {
     attempt,
     arrivedAt: at,
-    aimAt: at + attempt.aimMs,
-    deadlineAt: at + attempt.timeoutMs,
+    aimAt: at - ageMs + attempt.aimMs,
+    deadlineAt: at - ageMs + attempt.timeoutMs,
+    callerSeenAt: at - unconfirmedMs,
     suspect: isSuspect(state.suspects, attempt.fingerprint),
   };
+  logIfUnconfirmed(arriving, at, emit);
   const {work, estimates} = state;
   updateColdLimit(state, at, emit);
   adoptRateLimitHint(work.limit, attempt.limitPerSecond, at);
@@ -76,6 +85,32 @@
   dispatchWaiting(state, at, emit);
 }
 
+/** Logs that an attempt must wait for news of its caller. */
+function logIfUnconfirmed(
+  queued: QueuedAttempt,
+  at: number,
+  emit: MeshEmit,
+): void {
+  if (isCallerPresent(queued, at)) {
+    return;
+  }
+  const {attempt, callerSeenAt, deadlineAt} = queued;
+  emit({kind: 'count', counter: 'late_read', reason: 'attempt_unconfirmed'});
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'owner',
+    message: 'Attempt waits until its entry confirms the caller.',
+    fields: {
+      requestId: attempt.requestId,
+      attemptId: attempt.attemptId,
+      // Null in the log where the entry's clock is not known yet.
+      unconfirmedMs: Math.round(at - callerSeenAt),
+      deadlineLeftMs: Math.round(deadlineAt - at),
+    },
+  });
+}
+
 /**
  * Refuses an attempt whose answer would arrive too late because of other bytes.
  * @returns Whether it was refused.
--- a/src/core/mesh/work_queue.ts
+++ b/src/core/mesh/work_queue.ts
@@ -3,6 +3,7 @@
  * and, among equals, to an attempt that can still meet its aim (target latency).
  */
 import {MeshAttempt} from '../../model/mesh.js';
+import {isCallerPresent} from './caller_presence.js';
 import {
   ColdLimit,
   createColdLimit,
@@ -30,6 +31,8 @@
   readonly arrivedAt: number;
   readonly aimAt: number;
   readonly deadlineAt: number;
+  /** When its caller was last known to be there; `Infinity`: it still is. */
+  callerSeenAt: number;
   /** This request was running at a crash; only one suspect runs at a time. */
   readonly suspect: boolean;
   /** Its route is served so rarely that it counts as one of the most urgent. */
@@ -270,7 +273,10 @@
   let next: QueuedAttempt | undefined;
   for (const other of work.queue) {
     const usable = getUsableSlots(work.nestedRoom, other.attempt, slots, at);
-    const blocked = (other.suspect && suspectIsRunning) || used >= usable;
+    const blocked =
+      (other.suspect && suspectIsRunning) ||
+      used >= usable ||
+      !isCallerPresent(other, at);
     if (
       !blocked &&
       (next === undefined || hasPrecedence(other, next, estimates, at))
--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -5,6 +5,7 @@
  * answer is lost with the link.
  */
 import {createRefusal, isRefusalReason} from '../core/refusals.js';
+import {ASK_AFTER_MS} from '../core/mesh/caller_presence.js';
 import {AttemptOutcome, MeshEventBody} from '../core/mesh/mesh_types.js';
 import {roundToHundredths} from '../core/mesh/rounding.js';
 import {LinkMessage, MeshAttempt} from '../model/mesh.js';
@@ -12,6 +13,7 @@
 import {BodyClaim} from './body_pacer.js';
 import {Link} from './link.js';
 import {LinkManager} from './link_manager.js';
+import {ReadDelays} from './turn_clock.js';
 
 /**
  * Time after a link closes in which the entry may resume its attempts before
@@ -72,6 +74,7 @@
   constructor(
     private readonly links: LinkManager,
     private readonly post: (event: MeshEventBody) => void,
+    private readonly delays: ReadDelays,
   ) {}
 
   /** Returns a received attempt that has not ended. */
@@ -83,7 +86,30 @@
   receiveLocal(attempt: MeshAttempt, outbound: OutboundRequest): void {
     const claim = createClaim(attempt);
     this.received.set(attempt.attemptId, {attempt, claim, outbound});
-    this.post({kind: 'attemptArrived', attempt});
+    const unconfirmedMs = this.delays.getBehindMs();
+    this.post({kind: 'attemptArrived', attempt, unconfirmedMs});
+  }
+
+  /**
+   * Gets the longest time for which the callers of received attempts may have left
+   * unnoticed, and asks their entries for more recent news.
+   * @param attemptIds - The attempts.
+   */
+  confirmCallers(attemptIds: readonly string[]): Map<string, number> {
+    const times = new Map<string, number>();
+    for (const attemptId of attemptIds) {
+      const receivedAttempt = this.received.get(attemptId);
+      if (receivedAttempt !== undefined) {
+        const {link} = receivedAttempt;
+        const unconfirmedMs =
+          link?.getUnconfirmedMs() ?? this.delays.getBehindMs();
+        times.set(attemptId, unconfirmedMs);
+        if (unconfirmedMs > ASK_AFTER_MS) {
+          link?.askForCallers();
+        }
+      }
+    }
+    return times;
   }
 
   /**
@@ -197,10 +223,15 @@
   }
 
   /** Handles a message about an attempt; ignores messages of other kinds. */
-  handleMessage(link: Link, message: LinkMessage, body: Uint8Array): void {
+  handleMessage(
+    link: Link,
+    message: LinkMessage,
+    body: Uint8Array,
+    ageMs: number,
+  ): void {
     switch (message.kind) {
       case 'attempt':
-        return this.handleAttempt(link, message, body);
+        return this.handleAttempt(link, message, body, ageMs);
       case 'cancel':
         return this.handleCancel(link, message.attemptId);
       case 'resume':
@@ -217,6 +248,7 @@
     link: Link,
     message: AttemptMessage,
     body: Uint8Array,
+    ageMs: number,
   ): void {
     const {attempt, method, path, headers} = message;
     const {attemptId} = attempt;
@@ -227,7 +259,11 @@
     const outbound = {method, path, headers, body};
     const claim = createClaim(attempt);
     this.received.set(attemptId, {attempt, claim, outbound, link});
-    this.post({kind: 'attemptArrived', attempt});
+    const unconfirmedMs = link.getUnconfirmedMs();
+    if (unconfirmedMs > ASK_AFTER_MS) {
+      link.askForCallers();
+    }
+    this.post({kind: 'attemptArrived', attempt, ageMs, unconfirmedMs});
   }
 
   private handleCancel(link: Link, attemptId: string): void {
--- a/src/mesh/body_transfers.ts
+++ b/src/mesh/body_transfers.ts
@@ -5,7 +5,7 @@
  */
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
 import {BodyClaim, BodyPacer, BodySource, WaitingBody} from './body_pacer.js';
-import {Frame, TransferFrame, WholeFrame} from './frames.js';
+import {Frame, FrameStamp, ReceivedFrame, WholeFrame} from './frames.js';
 
 const CHUNK_BYTES = MAX_WHOLE_BODY_BYTES;
 
@@ -41,6 +41,8 @@
 }
 
 interface Incoming {
+  /** Of its first chunk. */
+  readonly stamp: FrameStamp;
   readonly message: Uint8Array;
   readonly chunks: Uint8Array[];
 }
@@ -133,23 +135,27 @@
 
   /**
    * Handles a received part of a message.
-   * @returns The whole message, once its last chunk has arrived.
+   * @returns The whole message with the stamp of its first chunk, once its last chunk
+   *     has arrived.
    */
-  receive(frame: TransferFrame): WholeFrame | undefined {
+  receive(
+    frame: Exclude<ReceivedFrame, WholeFrame>,
+  ): (WholeFrame & {readonly stamp: FrameStamp}) | undefined {
     if (frame.kind === 'discarded') {
       this.incoming.delete(frame.transfer);
       return undefined;
     }
-    const {transfer, body, last} = frame;
+    const {transfer, body, last, stamp} = frame;
     const known = this.incoming.get(transfer);
-    const incoming = known ?? {message: frame.message, chunks: []};
+    const incoming = known ?? {stamp, message: frame.message, chunks: []};
     incoming.chunks.push(body);
     if (!last) {
       this.incoming.set(transfer, incoming);
       return undefined;
     }
     this.incoming.delete(transfer);
-    const whole = Buffer.concat(incoming.chunks);
-    return {kind: 'whole', message: incoming.message, body: whole};
+    const {message, chunks} = incoming;
+    const whole = Buffer.concat(chunks);
+    return {kind: 'whole', stamp: incoming.stamp, message, body: whole};
   }
 }
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -7,8 +7,10 @@
 import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
 import {BodyClaim, BodyPacer, CONTROL_CLAIM} from './body_pacer.js';
 import {BodyTransfers} from './body_transfers.js';
-import {Frame, FrameReader, encodeFrame} from './frames.js';
+import {Frame, FrameReader, ReceivedFrame, encodeFrame} from './frames.js';
 import {MessageCodec} from './message_codec.js';
+import {PeerClock} from './peer_clock.js';
+import {ReadDelays} from './turn_clock.js';
 
 /**
  * Bytes in the send buffer, or of waiting bodies, above which the link is closed: its
@@ -32,12 +34,23 @@
 const UPDATE_PING_AFTER_MS = 500;
 const UPDATE_PONG_TIMEOUT_MS = 1_000;
 
+/** Least time between two questions to a peer for its callers. */
+const MIN_CONFIRMATION_GAP_MS = 60;
+
 const EMPTY_BODY = new Uint8Array(0);
 
 const CALL_KINDS: ReadonlySet<string> = new Set(CALL_MESSAGE_KINDS);
 
 export interface LinkHandlers {
-  onMessage(link: Link, message: LinkMessage, body: Uint8Array): void;
+  /** @param ageMs - Time since the message was sent, at least, in milliseconds. */
+  onMessage(
+    link: Link,
+    message: LinkMessage,
+    body: Uint8Array,
+    ageMs: number,
+  ): void;
+  /** The peer has replied to {@link Link.askForCallers}. */
+  onConfirmed(link: Link): void;
   onClose(link: Link): void;
   onBadFrame(detail: string): void;
 }
@@ -51,6 +64,8 @@
 interface ReceivedMessage {
   readonly message: LinkMessage;
   readonly body: Uint8Array;
+  /** When it was sent, on the peer's clock. */
+  readonly sentAt: number;
 }
 
 /** A connection that carries messages in both directions. */
@@ -73,6 +88,14 @@
   private unconfirmedSince?: number;
   private pingSentAt?: number;
   private pingId = 0;
+  private readonly peerClock = new PeerClock();
+  /** When the latest message was sent that the peer's next `pong` or `hello` follows. */
+  private askedAt?: number;
+  /**
+   * Until then, on its own clock, the peer had read its callers' sockets when it sent
+   * the latest message.
+   */
+  private peerReadUntil = -Infinity;
 
   constructor(
     private readonly socket: Socket,
@@ -81,6 +104,7 @@
     private readonly traffic: LinkTraffic,
     private readonly now: () => number,
     private readonly pacer: BodyPacer,
+    private readonly delays: ReadDelays,
   ) {
     this.lastReceivedAt = now();
     this.transfers = new BodyTransfers(
@@ -151,7 +175,8 @@
     if (this.closed) {
       return;
     }
-    const bytes = encodeFrame(frame);
+    const behindMs = this.delays.getBehindMs();
+    const bytes = encodeFrame(frame, {sentAt: this.now(), behindMs});
     this.traffic.sentBytes += bytes.length;
     this.pacer.countWritten(bytes.length);
     // Whole messages, too, can fill the socket so that a large body has to wait.
@@ -192,12 +217,40 @@
       now - unconfirmedSince > UPDATE_PING_AFTER_MS;
     if (isSilent) {
       this.pingSentAt = now;
-      this.pingId += 1;
-      this.send({kind: 'ping', id: this.pingId});
+      this.ping(now);
+    }
+  }
+
+  private ping(now: number): void {
+    this.pingId += 1;
+    this.askedAt = now;
+    this.send({kind: 'ping', id: this.pingId});
+  }
+
+  /** Marks a link that this proxy opens: the peer's `hello` is sent after that. */
+  markDialed(): void {
+    this.askedAt = this.now();
+  }
+
+  /** Asks the peer until when it has read its callers' sockets. */
+  askForCallers(): void {
+    const now = this.now();
+    if (now - (this.askedAt ?? -Infinity) >= MIN_CONFIRMATION_GAP_MS) {
+      this.ping(now);
     }
   }
 
+  /**
+   * Gets the longest time for which a caller of the peer may have left without a
+   * cancellation that was read here.
+   * @returns Milliseconds; `Infinity` while that is not known.
+   */
+  getUnconfirmedMs(): number {
+    return this.peerClock.getGreatestAgeMs(this.peerReadUntil, this.now());
+  }
+
   private receive(chunk: Buffer): void {
+    this.delays.enter();
     this.lastReceivedAt = this.now();
     this.pingSentAt = undefined;
     this.unconfirmedSince = undefined;
@@ -206,6 +259,7 @@
     const messages: ReceivedMessage[] = [];
     let frame = this.reader.read();
     while (frame !== undefined && !('error' in frame)) {
+      this.recordStamp(frame);
       const message = this.decode(frame);
       if (message !== undefined) {
         messages.push(message);
@@ -225,8 +279,17 @@
     }
   }
 
+  private recordStamp({stamp: {sentAt, behindMs}}: ReceivedFrame): void {
+    const {lastReceivedAt: readAt} = this;
+    this.peerClock.recordMessage(sentAt, readAt);
+    if (this.peer === undefined && this.askedAt !== undefined) {
+      this.peerClock.recordReply(this.askedAt, sentAt, readAt);
+    }
+    this.peerReadUntil = Math.max(this.peerReadUntil, sentAt - behindMs);
+  }
+
   /** Decodes the message that a frame completes, if it does and is valid. */
-  private decode(frame: Frame): ReceivedMessage | undefined {
+  private decode(frame: ReceivedFrame): ReceivedMessage | undefined {
     const whole =
       frame.kind === 'whole' ? frame : this.transfers.receive(frame);
     if (whole === undefined) {
@@ -237,7 +300,8 @@
       this.handlers.onBadFrame(decoded.error);
       return undefined;
     }
-    return {message: decoded.value, body: whole.body};
+    const {body, stamp} = whole;
+    return {message: decoded.value, body, sentAt: stamp.sentAt};
   }
 
   /**
@@ -254,15 +318,26 @@
             ...messages.filter(received => !isCancellation(received)),
           ]
         : messages;
-    for (const {message, body} of ordered) {
+    for (const {message, body, sentAt} of ordered) {
       if (this.closed) {
         return;
       }
       if (message.kind === 'ping') {
         this.send({kind: 'pong', id: message.id});
-      } else if (message.kind !== 'pong') {
-        this.handlers.onMessage(this, message, body);
+      } else if (message.kind === 'pong') {
+        this.handlePong(message.id, sentAt);
+      } else {
+        const ageMs = this.peerClock.getLeastAgeMs(sentAt, this.now());
+        this.handlers.onMessage(this, message, body, ageMs);
       }
     }
   }
+
+  private handlePong(id: number, sentAt: number): void {
+    if (id === this.pingId && this.askedAt !== undefined) {
+      const readAt = this.lastReceivedAt;
+      this.peerClock.recordReply(this.askedAt, sentAt, readAt);
+      this.handlers.onConfirmed(this);
+    }
+  }
 }
--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -5,6 +5,7 @@
 import {BodyPacer} from './body_pacer.js';
 import {MessageCodec} from './message_codec.js';
 import {Link, LinkHandlers, LinkTraffic} from './link.js';
+import {ReadDelays} from './turn_clock.js';
 
 /** Time within which a peer must accept a link and send its `hello`. */
 const OPEN_TIMEOUT_MS = 600;
@@ -19,7 +20,14 @@
   /** Creates the first message on each link, which identifies this proxy. */
   createHello(): Hello;
   onClose(address: string, link: Link): void;
-  onMessage(link: Link, message: LinkMessage, body: Uint8Array): void;
+  /** See {@link LinkHandlers}. */
+  onMessage(
+    link: Link,
+    message: LinkMessage,
+    body: Uint8Array,
+    ageMs: number,
+  ): void;
+  onConfirmed(): void;
   onBadFrame(detail: string): void;
 }
 
@@ -47,10 +55,12 @@
     private readonly codec: MessageCodec,
     private readonly now: () => number,
     private readonly pacer: BodyPacer,
+    private readonly delays: ReadDelays,
   ) {
     this.linkHandlers = {
-      onMessage: (link, message, body) =>
-        this.handleMessage(link, message, body),
+      onMessage: (link, message, body, ageMs) =>
+        this.handleMessage(link, message, body, ageMs),
+      onConfirmed: () => handlers.onConfirmed(),
       onClose: link => this.handleClose(link),
       onBadFrame: detail => handlers.onBadFrame(detail),
     };
@@ -62,7 +72,7 @@
    */
   async listen(address: string): Promise<void> {
     const {host, port} = parseAddress(address);
-    this.server = createServer(socket => this.addLink(socket));
+    this.server = createServer(socket => this.accept(socket));
     const {server} = this;
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -121,6 +131,7 @@
   private dial(address: string): Promise<Link | undefined> {
     const {host, port} = parseAddress(address);
     const link = this.addLink(connect({host, port}));
+    link.markDialed();
     return new Promise(resolve => {
       const timer = setTimeout(() => link.close(), OPEN_TIMEOUT_MS);
       this.pendingOpens.set(link, opened => {
@@ -130,6 +141,13 @@
     });
   }
 
+  /** Adds a link that a peer opens, and asks for what bounds its messages' age. */
+  private accept(socket: Socket): void {
+    socket.cork();
+    this.addLink(socket).askForCallers();
+    socket.uncork();
+  }
+
   private addLink(socket: Socket): Link {
     const link = new Link(
       socket,
@@ -138,6 +156,7 @@
       this.traffic,
       this.now,
       this.pacer,
+      this.delays,
     );
     this.allLinks.add(link);
     link.send(this.handlers.createHello());
@@ -148,6 +167,7 @@
     link: Link,
     message: LinkMessage,
     body: Uint8Array,
+    ageMs: number,
   ): void {
     if (message.kind === 'hello' && link.peer === undefined) {
       const {address, incarnation} = message;
@@ -157,7 +177,7 @@
       // one whose `hello` arrives last is used for sending.
       this.linksByAddress.set(address, link);
     }
-    this.handlers.onMessage(link, message, body);
+    this.handlers.onMessage(link, message, body, ageMs);
     if (message.kind === 'hello') {
       this.pendingOpens.get(link)?.(link);
       this.pendingOpens.delete(link);
--- a/src/mesh/mesh_caller_handler.ts
+++ b/src/mesh/mesh_caller_handler.ts
@@ -15,10 +15,17 @@
 import {OutboundRequest, PendingCalls} from '../proxy/pending_calls.js';
 import {writeCallResult} from '../proxy/http_results.js';
 import {HeaderNames} from './header_names.js';
+import {TurnClock} from './turn_clock.js';
 
 /** Limit on request bodies until a configuration sets one. */
 const DEFAULT_MAX_BODY_BYTES = 1_048_576;
 
+/**
+ * Time for which a request may have lain unread, in milliseconds, above which the end of
+ * its connection is looked for before it is accepted.
+ */
+const MAX_UNREAD_MS = 100;
+
 /** Turns requests into `callArrived` events and writes their responses. */
 export class MeshCallerHandler {
   /** Set while the proxy stops; connections then close after a response. */
@@ -27,6 +34,8 @@
   private readonly pending: PendingCalls;
   /** Number of requests in progress on each connection. */
   private readonly openRequests = new WeakMap<Socket, number>();
+  /** Since when new connections, on which nothing was read yet, may have waited. */
+  private readonly waitingSince = new WeakMap<Socket, number>();
   private nextCallNumber = 1;
 
   /**
@@ -37,6 +46,8 @@
    * @param getService - Returns the service of the upstream on this VM.
    * @param post - Receives events.
    * @param onBadInput - Called with the reason of each refused request.
+   * @param onLateRead - Called with what is done with each request that was read late.
+   * @param turns - Tells how late requests are read.
    */
   constructor(
     private readonly prefix: string,
@@ -45,13 +56,21 @@
     private readonly getService: () => string,
     private readonly post: (event: MeshEventBody) => void,
     private readonly onBadInput: (kind: string) => void,
+    private readonly onLateRead: (what: string) => void,
+    private readonly turns: TurnClock,
   ) {
     this.pending = new PendingCalls(callId =>
       post({kind: 'callerGone', callId}),
     );
   }
 
+  /** Records a connection that was accepted now. */
+  handleConnection(socket: Socket): void {
+    this.waitingSince.set(socket, this.turns.recordConnection());
+  }
+
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.turns.enter();
     this.changeOpenCount(req.socket, 1);
     res.once('close', () => this.changeOpenCount(req.socket, -1));
     const maxBytes = this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
@@ -67,7 +86,20 @@
       this.refuse(res, call, false);
       return;
     }
-    this.accept(req, res, call, body.value);
+    const readAt = performance.now() - this.turns.getTurnMs();
+    if (this.getUnreadMs(req.socket) > MAX_UNREAD_MS) {
+      this.onLateRead('request_deferred');
+      await this.turns.catchUp();
+    }
+    this.accept(req, res, call, body.value, performance.now() - readAt);
+  }
+
+  /** Gets the longest time for which a request may have lain unread. */
+  private getUnreadMs(socket: Socket): number {
+    const since = this.waitingSince.get(socket);
+    this.waitingSince.delete(socket);
+    const waitedMs = since === undefined ? 0 : this.turns.getMsSince(since);
+    return Math.max(waitedMs, this.turns.getBehindMs());
   }
 
   private changeOpenCount(socket: Socket, step: number): void {
@@ -114,8 +146,11 @@
     res: ServerResponse,
     call: MeshCallInfo,
     body: Uint8Array,
+    unreadMs: number,
   ): void {
-    if (res.destroyed || req.socket.destroyed) {
+    const {socket} = req;
+    if (res.destroyed || socket.destroyed || socket.readableEnded) {
+      this.onLateRead('caller_gone');
       return;
     }
     const callId = `${this.prefix}-${this.nextCallNumber++}`;
@@ -126,7 +161,7 @@
     const {path} = call;
     const outbound = {method: req.method ?? 'GET', path, headers, body};
     this.pending.add(callId, res, outbound);
-    this.post({kind: 'callArrived', callId, call});
+    this.post({kind: 'callArrived', callId, call, unreadMs});
   }
 
   private refuse(res: ServerResponse, refusal: Refusal, close: boolean): void {
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -18,6 +18,8 @@
   call_retried: 'Second sends made or denied, by what caused them.',
   call_answered: 'Calls that got an upstream answer, by class of status.',
   attempt_refused: 'Attempts that this owner refused, by reason.',
+  late_read:
+    'Requests and attempts that were read late, by what was done with them.',
   source_call: 'Calls to the source, by kind or failure.',
   version_adopted: 'Versions put in force, by where they came from.',
   update_ignored: 'Updates that changed nothing, by reason.',
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -27,6 +27,7 @@
 } from '../model/mesh.js';
 import {MeshSettingsFile} from '../model/mesh_settings.js';
 import {parseAddress} from '../proxy/addresses.js';
+import {findUnconfirmed} from '../core/mesh/caller_presence.js';
 import {Clock, SystemClock} from '../proxy/clock.js';
 import {CoreLoop} from '../proxy/core_loop.js';
 import {Listener, listen} from '../proxy/listener.js';
@@ -46,6 +47,7 @@
 import {MessageCodec} from './message_codec.js';
 import {MeshUpstreamClient} from './mesh_upstream_client.js';
 import {HeaderNames} from './header_names.js';
+import {TurnClock} from './turn_clock.js';
 
 /** Limits until a configuration sets them. */
 const DEFAULT_RECEIVE_TIMEOUT_MS = 10_000;
@@ -102,6 +104,10 @@
 /** A running proxy: performs the effects of its core and posts events to it. */
 export class MeshRuntime {
   private readonly clock: Clock = new SystemClock();
+  private readonly turns = new TurnClock(
+    () => this.clock.now(),
+    () => this.tickAt,
+  );
   private readonly metrics = new MeshMetrics(() => this.getGaugeValues());
   private readonly routeMetrics = new RouteMetrics(this.metrics.registry, () =>
     this.loop.state.work.queue.map(({attempt}) => attempt.route),
@@ -147,8 +153,9 @@
       {
         createHello: () => this.createHello(startedAt),
         onClose: (address, link) => this.handleLinkClosed(address, link),
-        onMessage: (link, message, body) =>
-          this.handleMessage(link, message, body),
+        onMessage: (link, message, body, ageMs) =>
+          this.handleMessage(link, message, body, ageMs),
+        onConfirmed: () => this.confirmCallers(),
         onBadFrame: detail => this.reportBadInput('peer_frame', detail),
       },
       new MessageCodec([
@@ -157,8 +164,9 @@
       ]),
       () => performance.now(),
       this.pacer,
+      this.turns,
     );
-    this.attempts = new AttemptTransport(this.links, post);
+    this.attempts = new AttemptTransport(this.links, post, this.turns);
     this.callers = new MeshCallerHandler(
       `${addresses.peers}-${startedAt.toString(36)}`,
       adapter.headerNames,
@@ -166,6 +174,8 @@
       () => this.settings.service,
       post,
       kind => this.metrics.count('bad_input', kind),
+      what => this.metrics.count('late_read', what),
+      this.turns,
     );
     this.upstream = new MeshUpstreamClient(
       settings.upstream,
@@ -219,6 +229,8 @@
           ),
       ),
     );
+    const [{server}] = this.listeners;
+    server.on('connection', socket => this.callers.handleConnection(socket));
     this.scheduleTick();
     this.log.write('daemon', 'info', 'Proxy started.', {
       ...addresses,
@@ -238,7 +250,9 @@
   }
 
   private tick(): void {
+    this.turns.enter();
     try {
+      this.confirmCallers();
       const {receivedBytes: received, sentBytes: sent} = this.links.traffic;
       const waiting = this.pacer.getWaiting();
       this.loop.post({kind: 'tick', linkBytes: {received, sent, waiting}});
@@ -248,8 +262,19 @@
     }
   }
 
+  /** Learns until when the callers of waiting attempts were there. */
+  private confirmCallers(): void {
+    const {work} = this.loop.state;
+    const attemptIds = findUnconfirmed(work, this.clock.now());
+    if (attemptIds.length > 0) {
+      const unconfirmedMs = this.attempts.confirmCallers(attemptIds);
+      this.loop.post({kind: 'callersConfirmed', unconfirmedMs});
+    }
+  }
+
   /** Posts an event, after which the next tick may have to come earlier. */
   private post(event: MeshEventBody): void {
+    this.turns.enter();
     this.loop.post(event);
     if (this.timer === undefined || !ADDS_DUE_TIMES.has(event.kind)) {
       return;
@@ -384,6 +409,7 @@
     link: Link,
     message: LinkMessage,
     body: Uint8Array,
+    ageMs: number,
   ): void {
     switch (message.kind) {
       case 'attempt':
@@ -391,7 +417,7 @@
       case 'resume':
       case 'answer':
       case 'refusal':
-        return this.attempts.handleMessage(link, message, body);
+        return this.attempts.handleMessage(link, message, body, ageMs);
       case 'ping':
       case 'pong':
         return;
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -9,7 +9,7 @@
 import {LinkManager} from '../../src/mesh/link_manager.js';
 import {MessageCodec} from '../../src/mesh/message_codec.js';
 import {expect} from '../support/chai_setup.js';
-import {createAttempt, createHello} from './mesh_fixture.js';
+import {NO_DELAYS, createAttempt, createHello} from './mesh_fixture.js';
 
 const OUTBOUND = {
   method: 'POST',
@@ -42,8 +42,9 @@
       {
         createHello: () => createHello({address: this.address, incarnation}),
         onClose: (_address, link) => this.attempts.handleLinkClosed(link),
-        onMessage: (link, message: LinkMessage, body) =>
-          this.attempts.handleMessage(link, message, body),
+        onMessage: (link, message: LinkMessage, body, ageMs) =>
+          this.attempts.handleMessage(link, message, body, ageMs),
+        onConfirmed: () => undefined,
         onBadFrame: detail => {
           throw new Error(detail);
         },
@@ -51,13 +52,18 @@
       new MessageCodec([]),
       () => performance.now(),
       this.pacer,
+      NO_DELAYS,
     );
     // In a proxy, ticks do this.
     setInterval(() => this.links.checkIfDue(), LINK_CHECK_MS).unref();
-    this.attempts = new AttemptTransport(this.links, event => {
-      this.events.push(event);
-      this.notifyWaiter();
-    });
+    this.attempts = new AttemptTransport(
+      this.links,
+      event => {
+        this.events.push(event);
+        this.notifyWaiter();
+      },
+      NO_DELAYS,
+    );
   }
 
   async waitForEvent(kind: MeshEventBody['kind']): Promise<MeshEventBody> {
@@ -178,8 +184,10 @@
     const other = createAttempt({attemptId: 'a-2'});
     link?.send({kind: 'attempt', attempt: other, method, path, headers});
     await owner.waitForEvent('attemptArrived');
-    const arrived = owner.events.filter(e => e.kind === 'attemptArrived');
-    expect(arrived).to.deep.equal([{kind: 'attemptArrived', attempt: other}]);
+    const arrived = owner.events.flatMap(e =>
+      e.kind === 'attemptArrived' ? [e.attempt] : [],
+    );
+    expect(arrived).to.deep.equal([other]);
   });
 
   it('reports an attempt as lost after the owner restarts', async () => {
--- a/test/mesh/frames.test.ts
+++ b/test/mesh/frames.test.ts
@@ -2,6 +2,8 @@
 import {Frame, FrameReader, encodeFrame} from '../../src/mesh/frames.js';
 import {expect} from '../support/chai_setup.js';
 
+const STAMP = {sentAt: 2 ** 33, behindMs: 700};
+
 const FRAMES: readonly Frame[] = [
   {kind: 'whole', message: Buffer.from('hello'), body: Buffer.alloc(0)},
   {
@@ -42,7 +44,7 @@
 }
 
 describe('frames', () => {
-  const bytes = Buffer.concat(FRAMES.map(encodeFrame));
+  const bytes = Buffer.concat(FRAMES.map(frame => encodeFrame(frame, STAMP)));
 
   for (const size of [1, 5, 1_000]) {
     it(`are read from pieces of ${size} bytes`, () => {
@@ -50,15 +52,17 @@
       for (let at = 0; at < bytes.length; at += size) {
         pieces.push(bytes.subarray(at, at + size));
       }
-      expect(read(pieces)).to.deep.equal(FRAMES);
+      expect(read(pieces)).to.deep.equal(
+        FRAMES.map(frame => ({...frame, stamp: STAMP})),
+      );
     });
   }
 
   it('name the remedy where bytes are no frame', () => {
-    const unknownType = Buffer.from(encodeFrame(FRAMES[0]));
+    const unknownType = Buffer.from(encodeFrame(FRAMES[0], STAMP));
     unknownType.writeUInt8(77, 0);
-    const tooLarge = Buffer.from(encodeFrame(FRAMES[0]));
-    tooLarge.writeUInt32BE(2 ** 31, 5);
+    const tooLarge = Buffer.from(encodeFrame(FRAMES[0], STAMP));
+    tooLarge.writeUInt32BE(2 ** 31, 13);
     const errors = [unknownType, tooLarge].flatMap(piece => read([piece]));
     expect(errors).toMatchSnapshot();
   });
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -6,7 +6,7 @@
 import {MessageCodec} from '../../src/mesh/message_codec.js';
 import {LinkMessage} from '../../src/model/mesh.js';
 import {expect} from '../support/chai_setup.js';
-import {createAttempt} from './mesh_fixture.js';
+import {NO_DELAYS, createAttempt} from './mesh_fixture.js';
 
 const UPLOAD_BYTES = 360_000;
 
@@ -94,6 +94,7 @@
       socket as unknown as Socket,
       {
         onMessage: (_link, message, body) => onMessage(message, body),
+        onConfirmed: () => undefined,
         onClose: () => undefined,
         onBadFrame: detail => {
           throw new Error(detail);
@@ -106,6 +107,7 @@
         now: () => now,
         setTimer: () => () => undefined,
       }),
+      NO_DELAYS,
     );
   }
 
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -8,6 +8,7 @@
   MeshEventBody,
 } from '../../src/core/mesh/mesh_types.js';
 import {DEFAULT_POLICY} from '../../src/core/policy.js';
+import {ReadDelays} from '../../src/mesh/turn_clock.js';
 import {createRefusal, RefusalReason} from '../../src/core/refusals.js';
 import {
   Hello,
@@ -22,6 +23,12 @@
 
 export const NO_BYTES = {received: 0, sent: 0};
 
+/** Of a process that reads its sockets at once. */
+export const NO_DELAYS: ReadDelays = {
+  enter: () => undefined,
+  getBehindMs: () => 0,
+};
+
 /** Entropy with which no call explores an upstream. */
 export const DEFAULT_ENTROPY = 2 ** 31;
 
--- a/test/mesh/overload.test.ts
+++ b/test/mesh/overload.test.ts
@@ -127,6 +127,7 @@
           arrivedAt: at,
           aimAt: at + attemptAimMs,
           deadlineAt: at + timeoutMs,
+          callerSeenAt: Infinity,
           suspect: false,
         };
         const refusal = tryEnqueue(work, estimates, SLOTS, queued, at);
--- a/test/mesh/returning_callers.test.ts
+++ b/test/mesh/returning_callers.test.ts
@@ -121,6 +121,7 @@
       arrivedAt: now,
       aimAt: now + aimMs,
       deadlineAt: now + timeoutMs,
+      callerSeenAt: Infinity,
       suspect: false,
     };
     const refusal = tryEnqueue(work, estimates, SLOTS, queued, now);
