Start no waiting attempt whose run the end of a stop would cut

A stopping owner asked at arrival whether a run would finish before its stop deadline, but not again when a slot became free.

The test failed before with "dispatch waits". Waiting attempts are now refused as proxy_stopping, not run, by the same estimate as arriving ones.

--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -158,13 +158,22 @@
   if (health.down) {
     return createRefusal('upstream_down', UNAVAILABLE_RETRY_AFTER_MS);
   }
-  const runMs = estimateRunMs(state.estimates, attempt);
-  if (!finishesBeforeStop(state, runMs, at)) {
+  if (isCutByStop(state, attempt, at)) {
     return createRefusal('proxy_stopping', UNAVAILABLE_RETRY_AFTER_MS);
   }
   return undefined;
 }
 
+/** Reports whether a run that starts now may still be under way at the stop deadline. */
+function isCutByStop(
+  state: MeshState,
+  attempt: MeshAttempt,
+  at: number,
+): boolean {
+  const runMs = estimateRunMs(state.estimates, attempt);
+  return !finishesBeforeStop(state, runMs, at);
+}
+
 /**
  * Returns why the upstream that an attempt is addressed to can no longer be
  * reached through this proxy, or undefined if it can.
@@ -367,13 +376,17 @@
   }
 }
 
-/** Refuses waiting attempts whose upstream is down, evacuated, leaving or replaced. */
+/**
+ * Refuses waiting attempts whose upstream is down, evacuated, leaving or replaced, or
+ * whose run the end of this proxy's stop would cut.
+ */
 function refuseUnreachable(state: MeshState, at: number, emit: MeshEmit): void {
   const {work, health} = state;
   for (const {attempt} of [...work.queue]) {
     const reason =
       getUnavailableReason(state, attempt) ??
-      (health.down ? 'upstream_down' : undefined);
+      (health.down ? 'upstream_down' : undefined) ??
+      (isCutByStop(state, attempt, at) ? 'proxy_stopping' : undefined);
     if (reason !== undefined) {
       removeWaiting(work, attempt.attemptId);
       const refusal = createRefusal(reason, UNAVAILABLE_RETRY_AFTER_MS);
--- a/test/mesh/planned_stop.test.ts
+++ b/test/mesh/planned_stop.test.ts
@@ -115,6 +115,29 @@
     ]);
   });
 
+  it('starts no waiting attempt whose run the end would cut', () => {
+    const proxy = createStopping();
+    const accept = (attemptId: string) => {
+      const timeoutMs = 60_000;
+      const attempt = createAttempt({attemptId, timeoutMs, aimMs: timeoutMs});
+      proxy.post({kind: 'attemptArrived', attempt});
+    };
+    accept('endless');
+    proxy.advance(3_500);
+    ['run-1', 'run-2', 'waits'].forEach(accept);
+    // Runs turn out to take twice as long as expected.
+    proxy.state.estimates.byRoute.set('read', 2);
+    proxy.drainEffects();
+    proxy.advance(1_000);
+    const failure = 'timeout';
+    proxy.post({kind: 'upstreamFailed', attemptId: 'run-1', failure});
+    proxy.advance(25);
+    expect(proxy.drainEffects().filter(isRelevant)).to.deep.equal([
+      'finishAttempt waits proxy_stopping reached=false',
+      'finishAttempt run-1 attempt_timeout reached=true',
+    ]);
+  });
+
   it('does not end while its own callers wait for other owners', () => {
     const proxy = createStopping();
     proxy.advance(2_500);
