Soaks: callers that leave; nothing may start half a second later

Core soak: a scenario in which 40 % of the callers leave while processes read late, stand still, end, are partitioned and restart all at once. Inputs wait unread in order; each frame tells how far behind its sender is, as on links. The check holds without excuse for any entry or owner.

Process soak: 30 % of the callers leave; same check.

--- a/test/mesh/soak/invariant_checker.ts
+++ b/test/mesh/soak/invariant_checker.ts
@@ -27,6 +27,9 @@
 /** Time after which a proxy that passed on a limit counts as told. */
 const TOLD_AFTER_MS = 500;
 
+/** The users' bound on the time from a caller's departure to the start of a run. */
+const MAX_START_AFTER_DEPARTURE_MS = 500;
+
 /** Time without disturbance after which a proxy is in touch. */
 const STABLE_MS = 3_000;
 
@@ -51,6 +54,8 @@
   /** The proxy process that accepted it ended before it was answered. */
   lost: boolean;
   runs: number;
+  /** When its caller left before the answer. */
+  leftAt?: number;
 }
 
 export class InvariantChecker {
@@ -82,6 +87,13 @@
     }
   }
 
+  recordDeparture(callId: string, at: number): void {
+    const call = this.calls.get(callId);
+    if (call !== undefined && call.result === undefined) {
+      call.leftAt = at;
+    }
+  }
+
   recordRun(attempt: MeshAttempt, node: Node, at: number): void {
     const {requestId} = attempt;
     const call = this.calls.get(requestId);
@@ -89,6 +101,13 @@
       return;
     }
     call.runs += 1;
+    const {leftAt = Infinity} = call;
+    if (at > leftAt + MAX_START_AFTER_DEPARTURE_MS) {
+      const ms = Math.round(at - leftAt);
+      this.violations.push(
+        `${requestId} started ${ms} ms after its caller had left`,
+      );
+    }
     if (!call.idempotent && call.runs > 1) {
       this.violations.push(
         `${requestId} is not idempotent but ran more than once`,
@@ -325,8 +344,8 @@
         );
       }
     }
-    for (const [callId, {result, lost}] of this.calls) {
-      if (result === undefined && !lost) {
+    for (const [callId, {result, lost, leftAt}] of this.calls) {
+      if (result === undefined && !lost && leftAt === undefined) {
         this.violations.push(`${callId} was never answered`);
       }
     }
@@ -347,7 +366,12 @@
   }
 
   /** Counts how the calls ended, which shows whether there was any load. */
-  summarize(): {answered: number; refused: number; lost: number} {
+  summarize(): {
+    answered: number;
+    refused: number;
+    lost: number;
+    left: number;
+  } {
     const calls = [...this.calls.values()];
     const count = (matches: (call: SoakCall) => boolean) =>
       calls.filter(matches).length;
@@ -355,6 +379,7 @@
       answered: count(({result}) => result?.kind === 'answer'),
       refused: count(({result}) => result?.kind === 'refusal'),
       lost: count(({lost}) => lost),
+      left: count(({leftAt}) => leftAt !== undefined),
     };
   }
 }
--- a/test/mesh/soak/run_soak.ts
+++ b/test/mesh/soak/run_soak.ts
@@ -14,6 +14,7 @@
 const MEAN_FAULT_GAP_MS = 900;
 const MEAN_VERSION_GAP_MS = 700;
 const TIMEOUT_MS = 1_200;
+const MEAN_STAY_MS = 200;
 
 /** Limit of the upstreams while their proxies stop in turn, per second. */
 const LOWEST_LIMIT = 3;
@@ -60,6 +61,7 @@
   partition: (fleet, node, durationMs) => {
     fleet.checker.recordOutage(fleet.clock.now + durationMs + STARTUP_MS);
     node.partitioned = true;
+    node.partitionedAt = fleet.clock.now;
     fleet.disturb(node, durationMs);
     fleet.after(durationMs, () => (node.partitioned = false));
   },
@@ -147,6 +149,38 @@
   },
 };
 
+/** Faults that make processes read late, and lose what links carry. */
+const LATE_READ_FAULTS: Readonly<Record<string, Fault>> = {
+  freeze: UPDATE_FAULTS.freeze,
+  starve: (fleet, node, durationMs) => {
+    node.readDelayMs = durationMs / STARVED_SHARE;
+    fleet.disturb(node, durationMs);
+    fleet.after(durationMs, () => (node.readDelayMs = 0));
+  },
+  restartAll: (fleet, _node, durationMs) => {
+    if (fleet.chance.getFraction() > RESTART_ALL_SHARE) {
+      return;
+    }
+    fleet.checker.recordOutage(fleet.clock.now + durationMs + STARTUP_MS);
+    fleet.nodes
+      .filter(({alive}) => alive)
+      .forEach(node => fleet.kill(node, RESTART_ALL_MS));
+  },
+};
+
+/** A process that stands still cannot stop in time. */
+const stopUnlessFrozen: Fault = (fleet, node, durationMs) => {
+  if (fleet.clock.now >= node.frozenUntil) {
+    FAULTS.stop(fleet, node, durationMs);
+  }
+};
+
+/** Time for which a process reads late, as a multiple of that delay. */
+const STARVED_SHARE = 3;
+/** Share of the faults of that kind that restart all proxies, and how long it takes. */
+const RESTART_ALL_SHARE = 0.2;
+const RESTART_ALL_MS = 1_500;
+
 /** Time for which a zone is evacuated at least; above the users' bound. */
 const EVACUATION_MS = 5_500;
 
@@ -168,6 +202,8 @@
   readonly answered: number;
   readonly refused: number;
   readonly lost: number;
+  /** Calls whose callers left before an answer. */
+  readonly left: number;
 }
 
 /** What happens during a run, and how much load there is. */
@@ -175,6 +211,8 @@
   readonly proxies: number;
   readonly zones?: readonly string[];
   readonly meanCallGapMs: number;
+  /** Share of callers that leave; absent: none. */
+  readonly leavingShare?: number;
   schedule(fleet: SimulatedFleet, until: number, faults: string[]): void;
 }
 
@@ -223,6 +261,20 @@
   schedule: scheduleStops,
 };
 
+/**
+ * Callers leave while processes read late, stand still, end, and restart all at once.
+ */
+export const DEPARTURES: Scenario = {
+  proxies: PROXY_COUNT,
+  meanCallGapMs: 6,
+  leavingShare: 0.4,
+  schedule: (fleet, until, faults) => {
+    const drawn = {...FAULTS, stop: stopUnlessFrozen};
+    scheduleFaults(fleet, until, faults, drawn, MEAN_FAULT_GAP_MS * 2);
+    scheduleFaults(fleet, until, faults, LATE_READ_FAULTS, MEAN_FAULT_GAP_MS);
+  },
+};
+
 /**
  * Runs one seed.
  * @param seed - Determines all random choices.
@@ -240,7 +292,7 @@
   const startAt = fleet.clock.now + STARTUP_MS;
   const recoveryAt = startAt + FAULTS_MS;
   fleet.clock.runUntil(startAt);
-  scheduleCalls(fleet, recoveryAt, scenario.meanCallGapMs);
+  scheduleCalls(fleet, recoveryAt, scenario);
   scenario.schedule(fleet, recoveryAt, faults);
   fleet.clock.runUntil(recoveryAt + RECOVERY_MS);
   fleet.checker.checkFinalState(fleet.nodes, fleet.config.version);
@@ -255,7 +307,7 @@
 function scheduleCalls(
   fleet: SimulatedFleet,
   until: number,
-  meanGapMs: number,
+  {meanCallGapMs, leavingShare = 0}: Scenario,
 ): void {
   const {chance, clock} = fleet;
   let count = 0;
@@ -265,17 +317,27 @@
     }
     const node = pick(chance, fleet.nodes);
     if (node.alive && node.state.config !== undefined) {
-      startCall(fleet, node, (count += 1));
+      count += 1;
+      startCall(fleet, node, count);
+      if (leavingShare > 0 && chance.getFraction() < leavingShare) {
+        const callId = getCallId(count);
+        const stayMs = chance.getExponential(MEAN_STAY_MS);
+        fleet.after(stayMs, () => fleet.leave(node, callId));
+      }
     }
-    fleet.after(chance.getExponential(meanGapMs), next);
+    fleet.after(chance.getExponential(meanCallGapMs), next);
   };
   next();
 }
 
+function getCallId(count: number): string {
+  return `c-${count}`;
+}
+
 function startCall(fleet: SimulatedFleet, node: Node, count: number): void {
   const isCharge = fleet.chance.getFraction() < 0.4;
   const route = isCharge ? CHARGE_ROUTE : createRoute();
-  const requestId = `c-${count}`;
+  const requestId = getCallId(count);
   const [run] = node.state.work.running.values();
   const isNested =
     run !== undefined && fleet.chance.getFraction() < NESTED_SHARE;
@@ -286,18 +348,14 @@
     startedAt: fleet.clock.now,
     dueAt: fleet.clock.now + TIMEOUT_MS,
   });
-  fleet.post(node, {
-    kind: 'callArrived',
-    callId: requestId,
-    call: {
-      requestId,
-      parentId: isNested ? run.attempt.requestId : undefined,
-      host: route.host,
-      path: `${route.pathPrefix}${count}`,
-      timeoutMs: TIMEOUT_MS,
-      bodyBytes: 100,
-      fingerprint: requestId,
-    },
+  fleet.sendCall(node, requestId, {
+    requestId,
+    parentId: isNested ? run.attempt.requestId : undefined,
+    host: route.host,
+    path: `${route.pathPrefix}${count}`,
+    timeoutMs: TIMEOUT_MS,
+    bodyBytes: 100,
+    fingerprint: requestId,
   });
 }
 
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -3,10 +3,12 @@
  * upstreams and callers, whose faults depend on a seed. No decision of a proxy
  * is simulated, so every violated invariant is a fault of the core.
  */
+import {findUnconfirmed} from '../../../src/core/mesh/caller_presence.js';
 import {reduceMesh} from '../../../src/core/mesh/mesh_core.js';
 import {MeshState, createMeshState} from '../../../src/core/mesh/mesh_state.js';
 import {
   EvacuationReading,
+  MeshCallInfo,
   MeshEffect,
   MeshEventBody,
   PeerMessage,
@@ -71,6 +73,9 @@
   /** Start time of the entry's process. */
   readonly startedAt: number;
   readonly owner: Node;
+  readonly sentAt: number;
+  /** How far behind the entry was with reading its callers' sockets. */
+  readonly behindMs: number;
   ended: boolean;
 }
 
@@ -84,6 +89,8 @@
   stopAt?: number;
   /** The proxy can reach neither peers nor the source. */
   partitioned: boolean;
+  /** When its latest partition began. */
+  partitionedAt: number;
   /** The upstream's current registration at the source. */
   instance: Instance;
   /** The source lists the upstream. */
@@ -96,6 +103,12 @@
   readonly runs: Set<string>;
   /** Until then the process stands still; its events wait. */
   frozenUntil: number;
+  /** Time from the arrival of a call or an attempt to its reading. */
+  readDelayMs: number;
+  /** When the latest of them is read; they are read in order. */
+  readUntil: number;
+  /** Those that are not read yet, in order. */
+  unread: UnreadInput[];
   /** When the latest fault of this VM or of its reads ends. */
   disturbedUntil: number;
   /** The source refuses its reads. */
@@ -113,6 +126,12 @@
   sendsUntil: number;
 }
 
+/** A call, an attempt or their end in a socket of a process. */
+interface UnreadInput {
+  readonly arrivedAt: number;
+  create(): MeshEventBody;
+}
+
 /** A long poll that waits for the next configuration. */
 interface PendingPoll {
   readonly node: Node;
@@ -189,12 +208,16 @@
         state: this.createState(host, zone),
         alive: true,
         partitioned: false,
+        partitionedAt: -Infinity,
         instance,
         registered: registration === undefined,
         upstreamDown: false,
         leaving: false,
         runs: new Set(),
         frozenUntil: 0,
+        readDelayMs: 0,
+        readUntil: 0,
+        unread: [],
         disturbedUntil: 0,
         refused: false,
         lastPolledAt: -Infinity,
@@ -235,6 +258,7 @@
     const {state} = node;
     const tick = () => {
       if (node.alive && node.state === state) {
+        this.confirmCallers(node);
         this.post(node, {kind: 'tick', linkBytes: NO_BYTES});
         this.after(Math.max(TICK_MS, node.frozenUntil - this.clock.now), tick);
       }
@@ -313,6 +337,90 @@
     });
   }
 
+  /** Lets a process read a call or an attempt as late as it reads its sockets. */
+  private read(node: Node, ms: number, create: () => MeshEventBody): void {
+    const {state, unread} = node;
+    const {clock} = this;
+    const arrivedAt = clock.now + ms;
+    unread.push({arrivedAt, create});
+    node.readUntil = Math.max(node.readUntil, arrivedAt + node.readDelayMs);
+    const readNext = () => {
+      if (node.state !== state) {
+        return;
+      }
+      if (clock.now < node.frozenUntil) {
+        clock.schedule(node.frozenUntil, readNext);
+        return;
+      }
+      const next = unread.shift();
+      if (next !== undefined) {
+        this.post(node, next.create());
+      }
+    };
+    clock.schedule(node.readUntil, readNext);
+  }
+
+  /** Delivers a call to a process's socket. */
+  sendCall(node: Node, callId: string, call: MeshCallInfo): void {
+    this.read(node, 0, () => ({kind: 'callArrived', callId, call}));
+  }
+
+  /** Closes the connection of a caller. */
+  leave(node: Node, callId: string): void {
+    this.checker.recordDeparture(callId, this.clock.now);
+    this.read(node, 0, () => ({kind: 'callerGone', callId}));
+  }
+
+  /** Gets how far behind a process is with reading. */
+  private getBehindMs({unread: [oldest]}: Node): number {
+    const {arrivedAt = this.clock.now} = oldest ?? {};
+    return Math.max(0, this.clock.now - arrivedAt);
+  }
+
+  /** Asks the entries of waiting attempts for their callers, as the links do. */
+  private confirmCallers(node: Node): void {
+    const {now} = this.clock;
+    if (now < node.frozenUntil) {
+      return;
+    }
+    for (const attemptId of findUnconfirmed(node.state.work, now)) {
+      const sent = this.attempts.get(attemptId);
+      if (sent?.entry === node) {
+        const unconfirmedMs = new Map([[attemptId, this.getBehindMs(node)]]);
+        this.post(node, {kind: 'callersConfirmed', unconfirmedMs});
+      } else if (sent !== undefined) {
+        this.after(LINK_LATENCY_MS, () => this.answerFor(attemptId, sent));
+      }
+    }
+  }
+
+  /** Lets an entry answer for the caller of an attempt. */
+  private answerFor(attemptId: string, sent: SentAttempt): void {
+    const {entry, owner} = sent;
+    if (!this.isAnswering(owner, sent)) {
+      return;
+    }
+    const readUntil = this.clock.now - this.getBehindMs(entry);
+    this.read(owner, LINK_LATENCY_MS, () => ({
+      kind: 'callersConfirmed',
+      unconfirmedMs: new Map([[attemptId, this.clock.now - readUntil]]),
+    }));
+  }
+
+  private isAnswering(
+    owner: Node,
+    {entry, startedAt, sentAt}: SentAttempt,
+  ): boolean {
+    // A partition ends the links, and with them what could still be confirmed.
+    return (
+      entry.alive &&
+      entry.state.settings.startedAt === startedAt &&
+      this.clock.now > entry.frozenUntil &&
+      this.isReachable(entry, owner) &&
+      sentAt > Math.max(entry.partitionedAt, owner.partitionedAt)
+    );
+  }
+
   private isReachable(from: Node, to: Node): boolean {
     return to.alive && (from === to || (!from.partitioned && !to.partitioned));
   }
@@ -357,10 +465,12 @@
         if (sent !== undefined) {
           sent.ended = true;
           const {attemptId} = effect;
-          this.postLater(sent.owner, LINK_LATENCY_MS, {
-            kind: 'attemptCancelled',
-            attemptId,
-          });
+          const cancelled = {kind: 'attemptCancelled', attemptId} as const;
+          if (sent.owner === node) {
+            this.postLater(node, 0, cancelled);
+          } else if (this.isReachable(node, sent.owner)) {
+            this.read(sent.owner, LINK_LATENCY_MS, () => cancelled);
+          }
         }
         return;
       }
@@ -600,10 +710,21 @@
       return this.postLater(entry, LINK_LATENCY_MS, event);
     }
     const {startedAt} = entry.state.settings;
-    this.attempts.set(attemptId, {entry, startedAt, owner, ended: false});
+    const sentAt = this.clock.now;
+    const behindMs = this.getBehindMs(entry);
+    const sent = {entry, startedAt, owner, sentAt, behindMs, ended: false};
+    this.attempts.set(attemptId, sent);
     this.requests.set(attemptId, attempt);
-    if (this.isReachable(entry, owner)) {
-      this.postLater(owner, LINK_LATENCY_MS, {kind: 'attemptArrived', attempt});
+    if (entry === owner) {
+      const unconfirmedMs = behindMs;
+      const event = {kind: 'attemptArrived', attempt, unconfirmedMs} as const;
+      this.postLater(owner, 0, event);
+    } else if (this.isReachable(entry, owner)) {
+      this.read(owner, LINK_LATENCY_MS, () => {
+        const ageMs = this.clock.now - sentAt;
+        const unconfirmedMs = ageMs + behindMs;
+        return {kind: 'attemptArrived', attempt, ageMs, unconfirmedMs};
+      });
     } else {
       this.reportLost(attemptId, TRANSPORT_TIMEOUT_MS);
     }
@@ -813,6 +934,8 @@
       node.state = this.createState(node.host, node.state.settings.zone);
       node.alive = true;
       node.stopAt = undefined;
+      node.readUntil = 0;
+      node.unread = [];
       this.checker.recordProcessStart(node);
       this.startTicks(node);
     });
--- a/test/mesh/soak/soak.test.ts
+++ b/test/mesh/soak/soak.test.ts
@@ -5,6 +5,7 @@
  */
 import {expect} from '../../support/chai_setup.js';
 import {
+  DEPARTURES,
   EVACUATIONS,
   RELAYED_UPDATES,
   STOPS_IN_TURN,
@@ -41,6 +42,13 @@
       expect(answered).to.be.above(100);
     });
 
+    it(`starts nothing whose caller has left with seed ${seed}`, () => {
+      const {violations, faults, answered, left} = runSoak(seed, DEPARTURES);
+      expect(violations, `after ${faults.join('; ')}`).to.deep.equal([]);
+      expect(answered).to.be.above(500);
+      expect(left).to.be.above(500);
+    });
+
     it(`cuts nothing by stops in turn with seed ${seed}`, () => {
       const {violations, faults, answered} = runSoak(seed, STOPS_IN_TURN);
       expect(violations, `after ${faults.join('; ')}`).to.deep.equal([]);
--- a/test/platform/process_soak.test.ts
+++ b/test/platform/process_soak.test.ts
@@ -1,7 +1,7 @@
 /**
  * Soak of the deployed bundle: 12 proxies of one zone, so that updates pass relays,
  * as processes on loopback. Signals, restarts, store outages and new versions come in
- * series and overlap, while callers keep their connections open. One seed runs by
+ * series and overlap, while callers keep their connections open, or leave. One seed runs by
  * default; `SOAK_SEEDS=1-50` selects a range.
  */
 import {Agent, IncomingMessage, request} from 'node:http';
@@ -23,6 +23,16 @@
 const MAX_VERSION_DELAY_MS = 2_500;
 const STABLE_MS = 3_000;
 
+/** The users' bound on the time from a caller's departure to the start of a run. */
+const MAX_START_AFTER_DEPARTURE_MS = 500;
+
+/** Share of callers that leave early, and the longest time that they stay. */
+const LEAVING_SHARE = 0.3;
+const MAX_STAY_MS = 600;
+
+/** Time for which a run takes, so that some calls wait. */
+const WORK_MS = 40;
+
 const [firstSeed, lastSeed = firstSeed] = (process.env.SOAK_SEEDS ?? '1')
   .split('-')
   .map(Number);
@@ -50,12 +60,16 @@
   private storeDisturbedUntil = 0;
   private isOver = false;
   private readonly notRun = new Set<string>();
+  private readonly leftAt = new Map<string, number>();
   private readonly pending: Array<Promise<void>> = [];
 
   constructor(private readonly chance: SeededRandom) {}
 
   async run(): Promise<void> {
     await this.fleet.start(MACHINES);
+    for (const {upstream} of this.fleet.machines) {
+      upstream.answer = () => sleep(WORK_MS).then(() => 200);
+    }
     this.callers = this.fleet.machines.map(machine => ({
       machine,
       agent: new Agent({keepAlive: true, maxSockets: 4}),
@@ -178,6 +192,15 @@
       },
     });
     req.on('timeout', () => req.destroy());
+    if (this.chance.getFraction() < LEAVING_SHARE) {
+      const leave = () => {
+        if (!req.closed) {
+          this.leftAt.set(path, performance.now());
+          req.destroy();
+        }
+      };
+      setTimeout(leave, this.chance.getFraction() * MAX_STAY_MS);
+    }
     req.end();
     const [res] = (await once(req, 'response')) as [IncomingMessage];
     let body = '';
@@ -215,6 +238,21 @@
     }
   }
 
+  /** Checks, whatever happened to entry and owner, that no run started too late. */
+  private checkStarts(): void {
+    for (const {upstream} of this.fleet.machines) {
+      upstream.receivedPaths.forEach((path, n) => {
+        const leftAt = this.leftAt.get(path) ?? Infinity;
+        const ms = Math.round(upstream.receivedAt[n] - leftAt);
+        if (ms > MAX_START_AFTER_DEPARTURE_MS) {
+          this.violations.push(
+            `${path} started ${ms} ms after its caller left`,
+          );
+        }
+      });
+    }
+  }
+
   private checkRuns(): void {
     const runs = new Map<string, number>();
     for (const {upstream} of this.fleet.machines) {
@@ -222,6 +260,7 @@
         runs.set(path, (runs.get(path) ?? 0) + 1);
       }
     }
+    this.checkStarts();
     for (const [path, count] of runs) {
       if (path.startsWith('/charge') && count > 1) {
         this.violations.push(`${path} ran ${count} times`);
