Take only replies for replies when bounding a peer's clock

On a link that the peer had opened, its first message counted as a reply to this proxy's ping, though it was sent before. The age of its messages was then underestimated by the time that the message took, or counted as unknown for up to 300 ms more.

--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -89,7 +89,9 @@
   private pingSentAt?: number;
   private pingId = 0;
   private readonly peerClock = new PeerClock();
-  /** When the latest message was sent that the peer's next `pong` or `hello` follows. */
+  /** When this proxy began to open the link; undefined: the peer opened it. */
+  private dialedAt?: number;
+  /** When the latest ping was sent. */
   private askedAt?: number;
   /**
    * Until then, on its own clock, the peer had read its callers' sockets when it sent
@@ -227,9 +229,9 @@
     this.send({kind: 'ping', id: this.pingId});
   }
 
-  /** Marks a link that this proxy opens: the peer's `hello` is sent after that. */
+  /** Marks a link that this proxy opens: whatever the peer sends is sent later. */
   markDialed(): void {
-    this.askedAt = this.now();
+    this.dialedAt = this.now();
   }
 
   /** Asks the peer until when it has read its callers' sockets. */
@@ -282,8 +284,8 @@
   private recordStamp({stamp: {sentAt, behindMs}}: ReceivedFrame): void {
     const {lastReceivedAt: readAt} = this;
     this.peerClock.recordMessage(sentAt, readAt);
-    if (this.peer === undefined && this.askedAt !== undefined) {
-      this.peerClock.recordReply(this.askedAt, sentAt, readAt);
+    if (this.peer === undefined && this.dialedAt !== undefined) {
+      this.peerClock.recordReply(this.dialedAt, sentAt, readAt);
     }
     this.peerReadUntil = Math.max(this.peerReadUntil, sentAt - behindMs);
   }
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -1,7 +1,10 @@
 /** Outcomes of attempts whose link breaks. */
 import {connect, createServer, Server, Socket} from 'node:net';
+import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {MAX_UNCONFIRMED_MS} from '../../src/core/mesh/caller_presence.js';
 import {MeshEventBody} from '../../src/core/mesh/mesh_types.js';
 import {LinkMessage} from '../../src/model/mesh.js';
 import {AttemptTransport} from '../../src/mesh/attempt_transport.js';
@@ -21,6 +24,9 @@
 /** More than the buffers of the sockets take, so that a part remains unsent. */
 const LARGE_UPLOAD = Buffer.alloc(32 * 1_048_576, 7);
 
+/** Least time that the test's upload takes. */
+const UPLOAD_MS = 100;
+
 /** Interval of the liveness checks; ticks are at most this far apart. */
 const LINK_CHECK_MS = 120;
 
@@ -66,6 +72,13 @@
     );
   }
 
+  /** Ids of the attempts that have arrived. */
+  get arrivedIds(): string[] {
+    return this.events.flatMap(event =>
+      event.kind === 'attemptArrived' ? [event.attempt.attemptId] : [],
+    );
+  }
+
   async waitForEvent(kind: MeshEventBody['kind']): Promise<MeshEventBody> {
     for (;;) {
       const found = this.events.find(event => event.kind === kind);
@@ -112,6 +125,10 @@
     this.sockets.clear();
   }
 
+  resume(): void {
+    this.sockets.forEach(socket => socket.resume());
+  }
+
   /** Reads nothing more, so that the buffers of the sockets fill. */
   pause(): void {
     this.sockets.forEach(socket => socket.pause());
@@ -246,6 +263,61 @@
     ]);
   });
 
+  it('sends nothing for a caller that leaves while a link is opened', async () => {
+    const sending = entry.attempts.send(address, attempt, OUTBOUND);
+    entry.attempts.cancel(attemptId);
+    await sending;
+    const other = createAttempt({attemptId: 'a-2'});
+    await entry.attempts.send(address, other, OUTBOUND);
+    await owner.waitForEvent('attemptArrived');
+    expect(owner.arrivedIds).to.deep.equal(['a-2']);
+  });
+
+  it('never delivers an upload whose caller leaves before its end', async () => {
+    await entry.links.open(address);
+    relay.pause();
+    const outbound = {...OUTBOUND, body: LARGE_UPLOAD};
+    await entry.attempts.send(address, attempt, outbound);
+    entry.attempts.cancel(attemptId);
+    relay.resume();
+    const other = createAttempt({attemptId: 'a-2'});
+    await entry.attempts.send(address, other, OUTBOUND);
+    await owner.waitForEvent('attemptArrived');
+    expect(owner.arrivedIds).to.deep.equal(['a-2']);
+  });
+
+  it('counts the time that an upload takes, though its caller is there', async () => {
+    entry.links.close();
+    entry = new TestProxy('127.0.0.1:1', 1, 2);
+    const outbound = {...OUTBOUND, body: Buffer.alloc(60_000, 7)};
+    const startedAt = performance.now();
+    void entry.attempts.send(address, attempt, outbound);
+    const event = await owner.waitForEvent('attemptArrived');
+    const tookMs = performance.now() - startedAt;
+    assert(event.kind === 'attemptArrived');
+    const {ageMs = 0, unconfirmedMs = Infinity} = event;
+    // The first chunks leave at once, and the rest at 2 Mbit/s.
+    expect(ageMs).to.be.within(UPLOAD_MS, tookMs);
+    expect(unconfirmedMs).to.be.below(UPLOAD_MS / 2);
+  });
+
+  it('confirms a caller over the new link after a resume, not before', async () => {
+    void entry.attempts.send(address, attempt, OUTBOUND);
+    await owner.waitForEvent('attemptArrived');
+    const getUnconfirmedMs = () =>
+      owner.attempts.confirmCallers([attemptId]).get(attemptId) ?? Infinity;
+    expect(getUnconfirmedMs()).to.be.below(MAX_UNCONFIRMED_MS);
+    relay.discardsRequests = true;
+    await delay(MAX_UNCONFIRMED_MS + 50);
+    expect(getUnconfirmedMs()).to.be.above(MAX_UNCONFIRMED_MS);
+    relay.discardsRequests = false;
+    relay.closeConnections();
+    await delay(100);
+    getUnconfirmedMs();
+    await delay(50);
+    expect(getUnconfirmedMs()).to.be.below(MAX_UNCONFIRMED_MS);
+  });
+
   // It would take the bandwidth of answers that somebody waits for.
   it('drops the rest of an answer whose entry has cancelled', async () => {
     owner.links.close();
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -18,7 +18,7 @@
   holds = false;
   /** Number of frames in each piece that is written to the socket. */
   readonly pieces: number[] = [];
-  private readonly held: Buffer[] = [];
+  readonly held: Buffer[] = [];
   private readonly waiting: Array<{
     readonly bytes: Buffer;
     readonly done: () => void;
@@ -79,6 +79,7 @@
 describe('link between proxies', () => {
   let connection: SlowConnection;
   let sender: Link;
+  let receiver: Link;
   let now: number;
   let received: Array<{
     readonly kind: string;
@@ -118,7 +119,7 @@
     const far = new SlowConnection();
     connection.peer = far;
     sender = createLink(connection, () => undefined);
-    createLink(far, ({kind}, body) => {
+    receiver = createLink(far, ({kind}, body) => {
       const {passedBytes} = connection;
       received.push({kind, bodyBytes: body.length, passedBytes});
     });
@@ -168,6 +169,23 @@
     expect(received.map(({kind}) => kind)).to.deep.equal(['cancel', 'attempt']);
   });
 
+  // Guards against taking what was sent before a question for its answer.
+  it('knows the age of messages only after an answer', async () => {
+    connection.holds = true;
+    sender.send({kind: 'resume', attemptId: 'a-1'});
+    now = 700;
+    receiver.askForCallers();
+    await connection.passHeld();
+    expect(receiver.getUnconfirmedMs()).to.equal(Infinity);
+    const answering = connection.peer as SlowConnection;
+    connection.held.length = 0;
+    now = 720;
+    answering.peer = connection;
+    await answering.pass();
+    await connection.passHeld();
+    expect(receiver.getUnconfirmedMs()).to.be.closeTo(20, 1);
+  });
+
   // Guards against a system call for each of the answers to what arrives together.
   it('writes what it answers at once to several messages in one piece', async () => {
     const answering = connection.peer as SlowConnection;
