--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -16,19 +16,15 @@
  */
 const CHECK_INTERVAL_MS = 80;
 
-export interface LinkManagerHandlers {
+export interface LinkManagerHandlers extends Pick<
+  LinkHandlers,
+  'onMessage' | 'onBadFrame'
+> {
   /** Creates the first message on each link, which identifies this proxy. */
   createHello(): Hello;
   onClose(address: string, link: Link): void;
-  /** See {@link LinkHandlers}. */
-  onMessage(
-    link: Link,
-    message: LinkMessage,
-    body: Uint8Array,
-    ageMs: number,
-  ): void;
+  /** A peer has told until when it has read its callers' sockets. */
   onConfirmed(): void;
-  onBadFrame(detail: string): void;
 }
 
 /** Keeps at most one preferred link per peer address. */
--- a/src/mesh/mesh_caller_handler.ts
+++ b/src/mesh/mesh_caller_handler.ts
@@ -34,8 +34,8 @@
   private readonly pending: PendingCalls;
   /** Number of requests in progress on each connection. */
   private readonly openRequests = new WeakMap<Socket, number>();
-  /** Since when new connections, on which nothing was read yet, may have waited. */
-  private readonly waitingSince = new WeakMap<Socket, number>();
+  /** Connections that were accepted late, until their first request is read. */
+  private readonly lateConnections = new WeakSet<Socket>();
   private nextCallNumber = 1;
 
   /**
@@ -66,7 +66,10 @@
 
   /** Records a connection that was accepted now. */
   handleConnection(socket: Socket): void {
-    this.waitingSince.set(socket, this.turns.recordConnection());
+    const waitedMs = this.turns.getMsSince(this.turns.recordConnection());
+    if (waitedMs > MAX_UNREAD_MS) {
+      this.lateConnections.add(socket);
+    }
   }
 
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -87,19 +90,19 @@
       return;
     }
     const readAt = performance.now() - this.turns.getTurnMs();
-    if (this.getUnreadMs(req.socket) > MAX_UNREAD_MS) {
+    if (this.mayHaveLainUnread(req.socket)) {
       this.onLateRead('request_deferred');
       await this.turns.catchUp();
     }
     this.accept(req, res, call, body.value, performance.now() - readAt);
   }
 
-  /** Gets the longest time for which a request may have lain unread. */
-  private getUnreadMs(socket: Socket): number {
-    const since = this.waitingSince.get(socket);
-    this.waitingSince.delete(socket);
-    const waitedMs = since === undefined ? 0 : this.turns.getMsSince(since);
-    return Math.max(waitedMs, this.turns.getBehindMs());
+  /** Reports whether the present request may have lain unread for long. */
+  private mayHaveLainUnread(socket: Socket): boolean {
+    return (
+      this.lateConnections.delete(socket) ||
+      this.turns.getBehindMs() > MAX_UNREAD_MS
+    );
   }
 
   private changeOpenCount(socket: Socket, step: number): void {
