--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,130 +1,101 @@
-/* global Buffer, clearInterval, performance, setInterval */
+/* global performance */
 /**
- * Large uploads within `max-body-bytes` during bursts: the proxy that takes them exceeds
- * its memory, is killed, and the requests on its kept connections get no answer.
+ * Half of the targets spoil one answer in fifty: the status line says 000 in place of
+ * 200. The proxy beside such a target stands still for seconds, and no request at its
+ * machine is answered.
  */
 import {Agent} from 'node:http';
 import {runCase, sleep} from '../lib/harness.mjs';
 
-/** `memory-mb` of the machines; a process that exceeds it is killed. */
-const MEMORY_MB = 350;
+/** Every fiftieth answer of the faulty targets (x = 0.02). */
+const SPOILED_EVERY = 50;
+const FAULT_MS = 5_500;
 
-const UPLOAD_BYTES = 28 * 1_048_576;
-/** Uploads that begin together; a burst has 1.67 times as many (the limit is 1.7). */
-const USUAL_UPLOADS = 3;
-const BURST_UPLOADS = 5;
-const ROUND_MS = 1_500;
-const BURST_EVERY_MS = 12_000;
-const BURST_MS = 3_000;
-const LENGTH_MS = 60_000;
+const FAULTS = 1;
+const PAUSE_MS = 8_000;
 
-const READERS = 8;
-const STABLE_WINDOW_MS = 3_000;
+const CLIENTS_PER_MACHINE = 8;
+const WORK_MS = 30;
+const ROUTE_TIMEOUT_MS = 1_200;
+const DEADLINE_MS = 2_500;
+/** Fewer unanswered requests are not judged. */
+const MIN_REQUESTS = 8;
 
 await runCase(import.meta.dirname, async ({recorder, trouble, createFleet}) => {
-  const arrived = new Set();
+  const route = {timeout: `${ROUTE_TIMEOUT_MS}ms`, aim: '400ms'};
   const fleet = createFleet({
     slots: 9,
     routes: {
-      'r-history': {
-        prefix: '/history/',
-        kind: 'safe',
-        timeout: '4000ms',
-        aim: '1200ms',
-        service: 'archive',
-      },
-      'r-upload': {
-        prefix: '/upload/',
-        kind: 'upload',
-        timeout: '4000ms',
-        aim: '2000ms',
-        service: 'archive',
-      },
+      'r-view': {...route, prefix: '/view/', kind: 'safe', service: 'desk'},
     },
   });
-  await fleet.start(
-    ['desk', 'archive', 'archive', 'archive'],
-    req => ({ms: req.url.startsWith('/upload/') ? 140 : 480}),
-    (target, req, id, size) => {
-      arrived.add(id);
-      recorder.write(`target ${target.id} runs ${id} (${size} bytes)`);
-    },
-  );
-  const [entry] = fleet.machines;
-  const memoryTimer = setInterval(
-    () => fleet.machines.forEach(machine => machine.enforceMemory(MEMORY_MB)),
-    10,
-  );
-  await sleep(STABLE_WINDOW_MS + 500);
-
-  const endsAt = performance.now() + LENGTH_MS;
-  const isOver = () => performance.now() >= endsAt;
-  const lost = [];
+  let isFaultOn = false;
+  let answers = 0;
+  const spoiled = new Set();
+  await fleet.start(['desk', 'desk', 'desk', 'desk'], (req, _size, target) => {
+    const [first, second] = fleet.machines;
+    const isFaulty = target === first.target || target === second.target;
+    if (!isFaulty || !isFaultOn) {
+      return {ms: WORK_MS};
+    }
+    answers += 1;
+    if (answers % SPOILED_EVERY !== 0) {
+      return {ms: WORK_MS};
+    }
+    const id = req.headers['x-request-id'];
+    spoiled.add(id);
+    recorder.write(`target ${target.id} runs ${id} and spoils its answer`);
+    return {ms: WORK_MS, statusLine: 'HTTP/1.1 000 OK'};
+  });
+  await sleep(3_500);
 
-  /** Sends reads one after the other on one kept connection. */
-  async function read(reader) {
+  const replies = [];
+  let isOver = false;
+  async function runFaults() {
+    for (let n = 0; n < FAULTS; n += 1) {
+      isFaultOn = trouble;
+      recorder.write(trouble ? 'targets begin to spoil answers' : 'no fault');
+      await sleep(FAULT_MS);
+      isFaultOn = false;
+      recorder.write('targets are sound again');
+      await sleep(PAUSE_MS);
+    }
+    isOver = true;
+  }
+  async function run(machine, client) {
     const agent = new Agent({keepAlive: true, maxSockets: 1});
-    for (let n = 0; !isOver(); n += 1) {
-      const id = `read-${reader}-${n}`;
+    for (let n = 0; !isOver; n += 1) {
+      const id = `${machine.host}-${client}-${n}`;
       const sentAt = performance.now();
-      const reply = await entry.call({
-        path: `/history/${id}`,
+      const {status} = await machine.call({
+        path: `/view/${id}`,
         id,
-        deadlineMs: 8_000,
+        deadlineMs: DEADLINE_MS,
         agent,
       });
-      const wasInTouch = sentAt - entry.startedAt > STABLE_WINDOW_MS;
-      if (reply.status !== 200) {
-        recorder.write(`${id}: ${reply.status} ${reply.error ?? ''}`);
-        // The platform starts the process again after a short delay.
-        await sleep(100);
-      }
-      if (n > 0 && reply.status === 0 && arrived.has(id) && wasInTouch) {
-        lost.push(id);
-      }
+      replies.push({id, status, sentAt, tookMs: performance.now() - sentAt});
     }
     agent.destroy();
   }
-
-  async function upload(id) {
-    const body = Buffer.alloc(UPLOAD_BYTES, 'x');
-    const reply = await entry.call({
-      method: 'POST',
-      path: `/upload/${id}`,
-      id,
-      deadlineMs: 8_000,
-      body,
-    });
-    const reason = reply.error ?? reply.headers['fireflysill-reason'] ?? '';
-    recorder.write(`${id}: ${reply.status} ${reason}`);
-  }
-
-  async function sendUploads() {
-    const startedAt = performance.now();
-    for (let round = 0; !isOver(); round += 1) {
-      const phase = (performance.now() - startedAt) % BURST_EVERY_MS;
-      const isBurst = trouble && phase >= BURST_EVERY_MS - BURST_MS;
-      const count = isBurst ? BURST_UPLOADS : USUAL_UPLOADS;
-      recorder.write(
-        `${count} uploads of ${UPLOAD_BYTES} bytes; proxy uses ${Math.round(entry.residentMb)} MB`,
-      );
-      const nextAt = performance.now() + ROUND_MS;
-      await Promise.all(
-        Array.from({length: count}, (_, n) => upload(`upload-${round}-${n}`)),
-      );
-      await sleep(Math.max(0, nextAt - performance.now()));
-    }
-  }
-
   await Promise.all([
-    sendUploads(),
-    ...Array.from({length: READERS}, (_, n) => read(n)),
+    runFaults(),
+    ...fleet.machines.flatMap(machine =>
+      Array.from({length: CLIENTS_PER_MACHINE}, (_, n) => run(machine, n)),
+    ),
   ]);
-  clearInterval(memoryTimer);
-  const peaks = fleet.machines.map(({peakMb}) => Math.round(peakMb));
-  recorder.write(`peak memory of the proxies in MB: ${peaks.join(', ')}`);
+
+  const isUnansweredAt = (reply, ms) => reply.status === 0 || reply.tookMs > ms;
+  const late = replies.filter(r => isUnansweredAt(r, ROUTE_TIMEOUT_MS));
+  const never = replies.filter(r => isUnansweredAt(r, ROUTE_TIMEOUT_MS + 500));
+  for (const {id, status, tookMs, sentAt} of late) {
+    const kind = spoiled.has(id) ? 'answer was spoiled' : 'answer was sound';
+    recorder.write(
+      `sent ${(sentAt / 1000).toFixed(3)} ${id}: ${status === 0 ? 'no answer' : status} after ${Math.round(tookMs)} ms; ${kind}`,
+    );
+  }
   recorder.write(
-    `requests from kept connections that were passed on and got no answer: ${lost.length}`,
+    `${replies.length} requests, ${spoiled.size} answers spoiled; unanswered at the ` +
+      `route's timeout: ${late.length}; half a second later: ${never.length}`,
   );
-  return lost.length <= 3;
+  return never.length < MIN_REQUESTS || never.length <= late.length / 2;
 });
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -149,7 +149,7 @@
   sockets = new Set();
 
   /**
-   * @param work Returns for a run `{ms, body, crash, statusLine}`.
+   * @param work Returns for a run `{ms, body, crash, statusLine, isUnframed}`.
    * @param onRun Called when the target begins to work on a request.
    */
   constructor(fleet, host, service, work, onRun) {
@@ -227,7 +227,7 @@
         ms,
         body = 'ok',
         crash,
-        statusLine,
+        ...form
       } = this.work(call.req, call.size, this);
       this.onRun?.(this, call.req, call.id, call.size);
       if (crash) {
@@ -241,15 +241,27 @@
         }
         this.running -= 1;
         if (!call.res.destroyed) {
-          this.answer(call, body, statusLine);
+          this.answer(call, body, form);
         }
         this.runNext();
       }, ms);
     }
   }
 
-  answer({res, id, echo}, body, statusLine) {
+  answer({res, id, echo}, body, {statusLine, isUnframed}) {
     const signature = `sig.${this.id}.${id}`;
+    if (isUnframed) {
+      // Without a length the end of the connection ends the body.
+      res.useChunkedEncodingByDefault = false;
+      res.removeHeader('transfer-encoding');
+      res.writeHead(200, {
+        ...echo,
+        'x-response-signature': signature,
+        connection: 'close',
+      });
+      res.end(body);
+      return;
+    }
     if (statusLine === undefined) {
       res.writeHead(200, {...echo, 'x-response-signature': signature});
       res.end(body);
@@ -418,6 +430,11 @@
     return send(this.host, this.fleet.ports[0], options);
   }
 
+  /** Sends a request of a client on this machine that reads its answer slowly. */
+  download(options) {
+    return download(this.host, this.fleet.ports[0], options);
+  }
+
   async status() {
     const {body} = await send(this.host, this.fleet.ports[3], {
       path: '/v1/status',
@@ -470,6 +487,43 @@
   });
 }
 
+/**
+ * Downloads with a slow reader.
+ * @returns Status, bytes read, and whether the answer looked complete.
+ */
+export function download(host, port, {path, id, deadlineMs, bytesPerSecond}) {
+  return new Promise(resolve => {
+    const startedAt = performance.now();
+    const reply = {status: 0, bytes: 0, isComplete: false};
+    const headers = {
+      host: HOST,
+      'x-request-id': id,
+      'x-deadline-ms': String(deadlineMs),
+    };
+    const req = request({host, port, path, agent: false, headers});
+    const timer = setTimeout(() => req.destroy(), deadlineMs);
+    const finish = change => {
+      clearTimeout(timer);
+      const tookMs = performance.now() - startedAt;
+      resolve({...reply, ...change, tookMs});
+    };
+    req.on('error', error => finish({error: error.code}));
+    req.on('response', res => {
+      reply.status = res.statusCode;
+      reply.length = res.headers['content-length'];
+      res.on('data', chunk => {
+        reply.bytes += chunk.length;
+        res.pause();
+        const pauseMs = (chunk.length / bytesPerSecond) * 1_000;
+        setTimeout(() => res.resume(), pauseMs);
+      });
+      res.on('error', error => finish({error: error.code}));
+      res.on('close', () => finish({isComplete: res.complete}));
+    });
+    req.end();
+  });
+}
+
 /** Finds ports that are free on all loopback addresses. */
 async function findPorts(count) {
   const ports = [];
@@ -564,7 +618,7 @@
     this.stopping = true;
     clearInterval(this.poller);
     for (const {child, target} of this.machines) {
-      child.kill('SIGKILL');
+      child?.kill('SIGKILL');
       target.stop();
     }
     await Promise.all(this.machines.map(({exited}) => exited));
@@ -587,6 +641,12 @@
   for (const signal of ['SIGINT', 'SIGTERM']) {
     process.on(signal, () => void cleanUp().finally(() => process.exit(2)));
   }
+  for (const event of ['uncaughtException', 'unhandledRejection']) {
+    process.on(event, error => {
+      recorder.write(`could not run: ${error?.stack ?? error}`);
+      void cleanUp().finally(() => process.exit(2));
+    });
+  }
   let code = 2;
   try {
     const held = await run({
