--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,130 +1,93 @@
-/* global Buffer, clearInterval, performance, setInterval */
+/* global performance */
 /**
- * Large uploads within `max-body-bytes` during bursts: the proxy that takes them exceeds
- * its memory, is killed, and the requests on its kept connections get no answer.
+ * Large answers are read slowly while machines are stopped and started in turn. A stopping
+ * proxy exits long before the end of its grace period and cuts the answers off.
  */
-import {Agent} from 'node:http';
-import {runCase, sleep} from '../lib/harness.mjs';
+import {runCase, sleep, waitFor} from '../lib/harness.mjs';
 
-/** `memory-mb` of the machines; a process that exceeds it is killed. */
-const MEMORY_MB = 350;
-
-const UPLOAD_BYTES = 28 * 1_048_576;
-/** Uploads that begin together; a burst has 1.67 times as many (the limit is 1.7). */
-const USUAL_UPLOADS = 3;
-const BURST_UPLOADS = 5;
-const ROUND_MS = 1_500;
-const BURST_EVERY_MS = 12_000;
-const BURST_MS = 3_000;
-const LENGTH_MS = 60_000;
-
-const READERS = 8;
-const STABLE_WINDOW_MS = 3_000;
+const ANSWER = 'x'.repeat(12 * 1_048_576);
+const BYTES_PER_SECOND = 3_800_000;
+const ROUTE_TIMEOUT_MS = 4_000;
+const DEADLINE_MS = 8_000;
+const GRACE_MS = 6_000;
+const CLIENTS_PER_MACHINE = 4;
+const GAP_MS = 6_000;
 
 await runCase(import.meta.dirname, async ({recorder, trouble, createFleet}) => {
-  const arrived = new Set();
+  const ran = new Set();
   const fleet = createFleet({
-    slots: 9,
+    slots: 8,
     routes: {
-      'r-history': {
-        prefix: '/history/',
-        kind: 'safe',
-        timeout: '4000ms',
+      'r-firmware': {
+        prefix: '/firmware/',
+        kind: 'download',
+        timeout: `${ROUTE_TIMEOUT_MS}ms`,
         aim: '1200ms',
-        service: 'archive',
-      },
-      'r-upload': {
-        prefix: '/upload/',
-        kind: 'upload',
-        timeout: '4000ms',
-        aim: '2000ms',
-        service: 'archive',
+        service: 'files',
       },
     },
   });
   await fleet.start(
-    ['desk', 'archive', 'archive', 'archive'],
-    req => ({ms: req.url.startsWith('/upload/') ? 140 : 480}),
-    (target, req, id, size) => {
-      arrived.add(id);
-      recorder.write(`target ${target.id} runs ${id} (${size} bytes)`);
-    },
-  );
-  const [entry] = fleet.machines;
-  const memoryTimer = setInterval(
-    () => fleet.machines.forEach(machine => machine.enforceMemory(MEMORY_MB)),
-    10,
+    ['files', 'files', 'files'],
+    () => ({ms: 124, body: ANSWER}),
+    (target, req, id) => ran.add(id),
   );
-  await sleep(STABLE_WINDOW_MS + 500);
-
-  const endsAt = performance.now() + LENGTH_MS;
-  const isOver = () => performance.now() >= endsAt;
+  await sleep(3_500);
+  let isOver = false;
+  const stoppedAt = new Map();
   const lost = [];
-
-  /** Sends reads one after the other on one kept connection. */
-  async function read(reader) {
-    const agent = new Agent({keepAlive: true, maxSockets: 1});
-    for (let n = 0; !isOver(); n += 1) {
-      const id = `read-${reader}-${n}`;
-      const sentAt = performance.now();
-      const reply = await entry.call({
-        path: `/history/${id}`,
-        id,
-        deadlineMs: 8_000,
-        agent,
-      });
-      const wasInTouch = sentAt - entry.startedAt > STABLE_WINDOW_MS;
-      if (reply.status !== 200) {
-        recorder.write(`${id}: ${reply.status} ${reply.error ?? ''}`);
-        // The platform starts the process again after a short delay.
+  async function read(machine, client) {
+    await sleep(client * 700);
+    for (let n = 0; !isOver; n += 1) {
+      if (!machine.isIn) {
         await sleep(100);
+        continue;
       }
-      if (n > 0 && reply.status === 0 && arrived.has(id) && wasInTouch) {
+      const id = `${machine.host}-${client}-${n}`;
+      const reply = await machine.download({
+        path: `/firmware/${id}`,
+        id,
+        deadlineMs: DEADLINE_MS,
+        bytesPerSecond: BYTES_PER_SECOND,
+      });
+      const {status, bytes, isComplete, error = '', tookMs} = reply;
+      const end = isComplete ? 'whole' : 'cut';
+      const sinceStopMs =
+        performance.now() - (stoppedAt.get(machine) ?? -Infinity);
+      const isStopping = sinceStopMs <= GRACE_MS + 1_000;
+      recorder.write(
+        `${id}: ${status}, ${bytes} of ${ANSWER.length} bytes, ${end} after ${Math.round(tookMs)} ms ${error}` +
+          (isStopping ? `, ${Math.round(sinceStopMs)} ms after SIGTERM` : ''),
+      );
+      const inTime = tookMs < ROUTE_TIMEOUT_MS;
+      if (isStopping && ran.has(id) && !isComplete && inTime) {
         lost.push(id);
       }
     }
-    agent.destroy();
   }
-
-  async function upload(id) {
-    const body = Buffer.alloc(UPLOAD_BYTES, 'x');
-    const reply = await entry.call({
-      method: 'POST',
-      path: `/upload/${id}`,
-      id,
-      deadlineMs: 8_000,
-      body,
-    });
-    const reason = reply.error ?? reply.headers['fireflysill-reason'] ?? '';
-    recorder.write(`${id}: ${reply.status} ${reason}`);
-  }
-
-  async function sendUploads() {
-    const startedAt = performance.now();
-    for (let round = 0; !isOver(); round += 1) {
-      const phase = (performance.now() - startedAt) % BURST_EVERY_MS;
-      const isBurst = trouble && phase >= BURST_EVERY_MS - BURST_MS;
-      const count = isBurst ? BURST_UPLOADS : USUAL_UPLOADS;
-      recorder.write(
-        `${count} uploads of ${UPLOAD_BYTES} bytes; proxy uses ${Math.round(entry.residentMb)} MB`,
-      );
-      const nextAt = performance.now() + ROUND_MS;
-      await Promise.all(
-        Array.from({length: count}, (_, n) => upload(`upload-${round}-${n}`)),
-      );
-      await sleep(Math.max(0, nextAt - performance.now()));
+  async function restartInTurn() {
+    await sleep(GAP_MS);
+    for (const machine of fleet.machines) {
+      await sleep(GAP_MS);
+      if (trouble) {
+        stoppedAt.set(machine, performance.now());
+        const {child} = machine;
+        await machine.restart();
+        await waitFor('a new process', () => machine.child !== child, 5_000);
+        await waitFor('its readiness', () => machine.isReady());
+      }
     }
+    await sleep(GAP_MS);
+    isOver = true;
   }
-
   await Promise.all([
-    sendUploads(),
-    ...Array.from({length: READERS}, (_, n) => read(n)),
+    restartInTurn(),
+    ...fleet.machines.flatMap(machine =>
+      Array.from({length: CLIENTS_PER_MACHINE}, (_, n) => read(machine, n)),
+    ),
   ]);
-  clearInterval(memoryTimer);
-  const peaks = fleet.machines.map(({peakMb}) => Math.round(peakMb));
-  recorder.write(`peak memory of the proxies in MB: ${peaks.join(', ')}`);
   recorder.write(
-    `requests from kept connections that were passed on and got no answer: ${lost.length}`,
+    `requests that a target has run and whose answer the stopping proxy cut off: ${lost.length}`,
   );
-  return lost.length <= 3;
+  return lost.length === 0;
 });
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -421,6 +421,13 @@
     return this.misses < 2;
   }
 
+  /** Whether clients send new work: not if it is out, unless most of its zone is. */
+  get mayBeUsed() {
+    const {machines} = this.fleet;
+    const inCount = machines.filter(({isIn}) => isIn).length;
+    return this.isIn || inCount < machines.length / 2;
+  }
+
   async pollReadiness() {
     this.misses = (await this.isReady()) ? 0 : this.misses + 1;
   }
