--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -94,12 +94,14 @@
   async function restartInTurn() {
     for (let round = 0; round < ROUNDS; round += 1) {
       const restarts = [];
-      for (const machine of trouble ? fleet.machines : []) {
-        stoppedAt.set(machine, performance.now());
-        restarts.push(machine.restart());
+      for (const machine of fleet.machines) {
+        if (trouble) {
+          stoppedAt.set(machine, performance.now());
+          restarts.push(machine.restart());
+        }
         await sleep(GAP_MS);
       }
-      await Promise.all(restarts);
+      await Promise.all([...restarts, sleep(GRACE_MS)]);
       await sleep(ROUND_PAUSE_MS);
     }
     isOver = true;
