--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -508,11 +508,16 @@
       'x-deadline-ms': String(deadlineMs),
     };
     const req = request({host, port, path, agent: false, headers});
-    const timer = setTimeout(() => req.destroy(), deadlineMs);
-    const finish = change => {
+    let gaveUp = false;
+    const timer = setTimeout(() => {
+      gaveUp = true;
+      req.destroy();
+    }, deadlineMs);
+    const finish = ({isComplete = false, error}) => {
       clearTimeout(timer);
       const tookMs = performance.now() - startedAt;
-      resolve({...reply, ...change, tookMs});
+      const result = {...reply, isComplete: isComplete && !gaveUp, tookMs};
+      resolve({...result, error: gaveUp ? 'the client gave up' : error});
     };
     req.on('error', error => finish({error: error.code}));
     req.on('response', res => {
