--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,120 +1,100 @@
 /* global performance */
 /**
- * The machines of a zone are stopped and started in turn. A stopping proxy takes requests
- * that it cannot finish, and breaks them off while their targets are at work.
+ * The store gives no answers to 35 % of the machines, and serves the others, while the
+ * configuration changes. No machine learns of the new version in time.
  */
-import {Agent} from 'node:http';
 import {runCase, sleep} from '../lib/harness.mjs';
 
-/** One machine after the other gets SIGTERM with this pause; again after a while. */
-const GAP_MS = 1_000;
-const ROUNDS = 7;
-const ROUND_PAUSE_MS = 4_500;
+/** The machines that the store turns away: the first seven of twenty (a share of 0.35). */
+const SILENCED = 7;
+const MACHINES = 20;
+const SILENCE_MS = 9_000;
+const CHANGE_AFTER_MS = 300;
+/** Fast links for the machines that are turned away; the sites have 7 to 140 Mbit/s. */
+const LINKS_MBPS = Array.from({length: MACHINES}, (_, n) =>
+  n < SILENCED ? 140 : 14,
+);
 
-const CLIENTS_PER_MACHINE = 8;
-const PAUSE_MS = 20;
-/** Budgets and times of work as those of `firmware-pull`. */
-const DEADLINE_MS = 2_500;
-const TAIL_EVERY = 33;
+/** `config-apply`, and `outer` in case the store should count as unstable. */
+const CONFIG_APPLY_MS = 2_000;
+const OUTER_MS = 5_000;
+const PROBE_EVERY_MS = 100;
+const ROUNDS = 2;
 
-/** Requests that were sent no later than this after SIGTERM are not counted. */
-const LATE_MS = 3_000;
-const GRACE_MS = 6_000;
-
-/** Mean 130 ms; one in 33 takes 910 to 1,400 ms. */
-function getWorkMs(n) {
-  return n % TAIL_EVERY === 0
-    ? 910 + ((n * 7_919) % 490)
-    : 70 + ((n * 104_729) % 70);
-}
+const ROUTE = {
+  kind: 'safe',
+  timeout: '1200ms',
+  aim: '400ms',
+  service: 'desk',
+};
 
 await runCase(import.meta.dirname, async ({recorder, trouble, createFleet}) => {
   const fleet = createFleet({
-    slots: 8,
-    routes: {
-      'r-pull': {
-        prefix: '/pull/',
-        kind: 'safe',
-        timeout: `${DEADLINE_MS}ms`,
-        aim: '600ms',
-        attempts: 1,
-        service: 'files',
-      },
-    },
+    slots: 9,
+    linksMbps: LINKS_MBPS,
+    routes: {'r-view': {...ROUTE, prefix: '/view/'}},
   });
-  let runs = 0;
-  const ranAt = new Map();
-  await fleet.start(
-    ['files', 'files', 'files'],
-    () => ({ms: getWorkMs(++runs)}),
-    (target, req, id) => ranAt.set(id, performance.now()),
-  );
-  await sleep(3_500);
+  const services = Array.from({length: MACHINES}, () => 'desk');
+  await fleet.start(services, () => ({ms: 20}));
+  await sleep(5_000);
 
-  const stoppedAt = new Map();
-  const lost = [];
-  let requests = 0;
   let isOver = false;
-  async function run(machine, client) {
-    const agent = new Agent({keepAlive: true, maxSockets: 1});
-    while (!isOver) {
-      if (!machine.mayBeUsed) {
-        await sleep(50);
-        continue;
-      }
-      requests += 1;
-      const id = `${machine.host}-${client}-${requests}`;
-      const sentAt = performance.now();
-      const {status, headers, error} = await machine.call({
-        path: `/pull/${id}`,
-        id,
-        deadlineMs: DEADLINE_MS,
-        agent,
-      });
-      const tookMs = performance.now() - sentAt;
-      const sentAfterMs = sentAt - (stoppedAt.get(machine) ?? Infinity);
-      const isStopping = sentAfterMs >= 0 && sentAfterMs <= GRACE_MS;
-      const wasBrokenOff =
-        ranAt.has(id) && status !== 200 && tookMs < DEADLINE_MS - 100;
-      if (isStopping && wasBrokenOff) {
-        const reason = error ?? headers['fireflysill-reason'];
-        recorder.write(
-          `${id}: sent ${Math.round(sentAfterMs)} ms after SIGTERM of its machine, runs ` +
-            `${Math.round(ranAt.get(id) - sentAt)} ms later, ends with ${status} (${reason}) ` +
-            `after ${Math.round(tookMs)} ms`,
-        );
-        if (sentAfterMs > LATE_MS) {
-          lost.push(id);
+  let added = 0;
+  let ackedAt = Infinity;
+  const late = [];
+  /** Asks a machine for the route that was added last. */
+  async function probe(machine) {
+    for (let n = 0; !isOver; n += 1) {
+      if (added > 0) {
+        const id = `${machine.host}-${n}`;
+        const sentAt = performance.now();
+        const version = added;
+        const {status} = await machine.call({path: `/added-${version}/`, id});
+        const sinceAckMs = sentAt - ackedAt;
+        if (
+          status === 404 &&
+          version === added &&
+          sinceAckMs > CONFIG_APPLY_MS + OUTER_MS
+        ) {
+          late.push(id);
+          recorder.write(
+            `${id}: 404 for the route of change ${version}, sent ${Math.round(sinceAckMs)} ms after its ack`,
+          );
         }
       }
-      await sleep(status === 0 ? 100 : PAUSE_MS);
+      await sleep(PROBE_EVERY_MS);
     }
-    agent.destroy();
   }
-  async function restartInTurn() {
-    for (let round = 0; round < ROUNDS; round += 1) {
-      const restarts = [];
-      for (const machine of fleet.machines) {
-        if (trouble) {
-          stoppedAt.set(machine, performance.now());
-          restarts.push(machine.restart());
-        }
-        await sleep(GAP_MS);
-      }
-      await Promise.all([...restarts, sleep(GRACE_MS)]);
-      await sleep(ROUND_PAUSE_MS);
+  async function changeConfigs() {
+    for (let round = 1; round <= ROUNDS; round += 1) {
+      const turnedAway = trouble ? fleet.machines.slice(0, SILENCED) : [];
+      turnedAway.forEach(({door}) => (door.silent = true));
+      const hosts = turnedAway.map(({host}) => host).join(', ');
+      recorder.write(`the store gives no answers to: ${hosts || 'nobody'}`);
+      await sleep(CHANGE_AFTER_MS);
+      const config = fleet.createConfig(services);
+      config['base-version'] = 7 + 3 * (round - 1);
+      config.version = 7 + 3 * round;
+      const route = {...ROUTE, host: 'shop.example', attempts: 2, priority: 1};
+      config.routes['r-added'] = {...route, prefix: `/added-${round}/`};
+      fleet.store.put('op/config', config);
+      ackedAt = performance.now();
+      added = round;
+      recorder.write(`version ${config.version} is acknowledged`);
+      await sleep(SILENCE_MS - CHANGE_AFTER_MS);
+      turnedAway.forEach(({door}) => (door.silent = false));
+      recorder.write('the store serves all machines');
+      await sleep(12_000);
     }
     isOver = true;
   }
   await Promise.all([
-    restartInTurn(),
-    ...fleet.machines.flatMap(machine =>
-      Array.from({length: CLIENTS_PER_MACHINE}, (_, n) => run(machine, n)),
-    ),
+    changeConfigs(),
+    ...fleet.machines.slice(SILENCED).map(machine => probe(machine)),
   ]);
   recorder.write(
-    `${requests} requests; sent more than ${LATE_MS} ms after SIGTERM, passed on and broken ` +
-      `off: ${lost.length}`,
+    'requests at machines that the store serves, handled by an older version more than ' +
+      `${CONFIG_APPLY_MS + OUTER_MS} ms after the ack: ${late.length}`,
   );
-  return lost.length === 0;
+  return late.length === 0;
 });
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -66,12 +66,20 @@
   revision = 100;
   items = new Map();
   changes = [];
+  doors = [];
 
-  async start() {
-    this.server = createServer((req, res) => this.handle(req, res));
-    this.server.listen(0, '127.0.0.1');
-    await once(this.server, 'listening');
-    this.address = `127.0.0.1:${this.server.address().port}`;
+  /**
+   * Opens an address of the store for one machine.
+   * @returns The address, and `silent`: whether the store gives it no answers.
+   */
+  async open() {
+    const door = {silent: false};
+    door.server = createServer((req, res) => this.handle(req, res, door));
+    door.server.listen(0, '127.0.0.1');
+    await once(door.server, 'listening');
+    door.address = `127.0.0.1:${door.server.address().port}`;
+    this.doors.push(door);
+    return door;
   }
 
   put(key, value) {
@@ -93,11 +101,14 @@
     this.changes.push({key, revision: this.revision, removed: true});
   }
 
-  handle(req, res) {
+  handle(req, res, door) {
     const url = new URL(req.url, 'http://store');
     const get = name => url.searchParams.get(name) ?? '';
     const at = {'store-revision': this.revision};
     const reply = (status, value) => {
+      if (door.silent) {
+        return;
+      }
       res.writeHead(status, {'content-type': 'application/json'});
       res.end(JSON.stringify(value));
     };
@@ -135,8 +146,10 @@
   }
 
   stop() {
-    this.server.closeAllConnections();
-    this.server.close();
+    for (const {server} of this.doors) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 }
 
@@ -313,12 +326,12 @@
   misses = 2;
   ends = [];
 
-  constructor(fleet, host, target) {
-    Object.assign(this, {fleet, host, target});
+  constructor(fleet, host, target, door, linkMbps) {
+    Object.assign(this, {fleet, host, target, door, linkMbps});
   }
 
   render() {
-    const {ports, store} = this.fleet;
+    const {ports} = this.fleet;
     const values = {
       'node-name': this.host,
       region: 'west',
@@ -331,8 +344,8 @@
       },
       'internal-ports': [ports[2], ports[3]],
       'app-addr': this.target.address,
-      platform: {address: store.address},
-      limits: {'link-mbps': 1_000},
+      platform: {address: this.door.address},
+      limits: {'link-mbps': this.linkMbps},
       heartbeat: `${HEARTBEAT_MS}ms`,
       contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover'],
       bounds: {
@@ -568,8 +581,8 @@
   machines = [];
   stopping = false;
 
-  constructor(recorder, {slots = 6, routes, logFile} = {}) {
-    Object.assign(this, {recorder, slots, routes, logFile});
+  constructor(recorder, {slots = 6, routes, logFile, linksMbps = []} = {}) {
+    Object.assign(this, {recorder, slots, routes, logFile, linksMbps});
     this.dir = mkdtempSync(join(tmpdir(), 'review-'));
     this.store = new Store();
   }
@@ -579,14 +592,15 @@
   }
 
   async start(services, work, onRun) {
-    await this.store.start();
     this.ports = await findPorts(4);
     this.store.put('op/config', this.createConfig(services));
     for (const [n, service] of services.entries()) {
       const host = `127.0.1.${n + 1}`;
       const target = new Target(this, host, service, work, onRun);
       await target.start();
-      const machine = new Machine(this, host, target);
+      const door = await this.store.open();
+      const linkMbps = this.linksMbps[n] ?? 1_000;
+      const machine = new Machine(this, host, target, door, linkMbps);
       machine.start();
       this.machines.push(machine);
     }
