Keep failed assertions from reading the bundle's source

Callers saw: upstreams that send "HTTP/1.1 000 OK" in place of every fiftieth answer stop the proxy beside them for seconds.

Cause: undici rejects such an answer by assert(statusCode >= 100). Without a message, Node.js opens the source file and parses it from the failing column on, synchronously, to quote the expression. The bundle's lines had up to 274,058 characters.

Change: the bundle replaces node:assert by one that does not quote the source, for all modules that import it, and limits the length of lines, which Node.js quotes for uncaught errors, too. A counter and a log line report an event loop that stood still, with the processor time that tells why.

--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -8,6 +8,7 @@
 type CounterName =
   | MeshCounter
   | 'bad_input'
+  | 'event_loop_stalled'
   | 'unknown_input'
   | 'internal_error'
   | 'log_dropped'
@@ -34,6 +35,8 @@
   cold_limit: 'Begins and ends of the limit for a cold upstream, by cause.',
   link_changed: 'Links to peers opened or closed.',
   bad_input: 'Malformed input refused, by kind.',
+  event_loop_stalled:
+    'Times that the event loop stood still for half a second or more, by cause.',
   unknown_input: 'Values that this build does not know, by kind.',
   internal_error: 'Unexpected errors, by event or origin.',
   log_dropped: 'Log lines dropped because too many came at once.',
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -46,6 +46,7 @@
 } from './operator_handlers.js';
 import {MessageCodec} from './message_codec.js';
 import {MeshUpstreamClient} from './mesh_upstream_client.js';
+import {StallDetector} from './stall_detector.js';
 import {HeaderNames} from './header_names.js';
 import {TurnClock} from './turn_clock.js';
 
@@ -108,6 +109,10 @@
     () => this.clock.now(),
     () => this.tickAt,
   );
+  private readonly stalls = new StallDetector(() => {
+    const {user, system} = process.cpuUsage();
+    return (user + system) / 1_000;
+  });
   private readonly metrics = new MeshMetrics(() => this.getGaugeValues());
   private readonly routeMetrics = new RouteMetrics(this.metrics.registry, () =>
     this.loop.state.work.queue.map(({attempt}) => attempt.route),
@@ -251,6 +256,7 @@
 
   private tick(): void {
     this.turns.enter();
+    this.reportStall();
     try {
       this.confirmCallers();
       const {receivedBytes: received, sentBytes: sent} = this.links.traffic;
@@ -262,6 +268,20 @@
     }
   }
 
+  private reportStall(): void {
+    const stall = this.stalls.check(this.clock.now(), this.tickAt);
+    if (stall === undefined) {
+      return;
+    }
+    const {stalledMs, processorMs, cause} = stall;
+    this.metrics.count('event_loop_stalled', cause);
+    this.log.write('daemon', 'warn', 'Event loop stood still.', {
+      cause,
+      stalledMs: Math.round(stalledMs),
+      processorMs: Math.round(processorMs),
+    });
+  }
+
   /** Learns until when the callers of waiting attempts were there. */
   private confirmCallers(): void {
     const {work} = this.loop.state;
--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -30,6 +30,9 @@
   readonly receivedAt: number[] = [];
   /** Headers in which it reports its own state, sent with each answer. */
   statusHeaders: Readonly<Record<string, string>> = {};
+  /** Returns bytes to send in place of an answer; undefined: a sound answer. */
+  spoil: (path: string, requestId: string) => string | undefined = () =>
+    undefined;
   /** Returns the status for a path; by default 200 at once. */
   answer: (path: string) => Promise<number> = () => Promise.resolve(200);
   private readonly server: Server;
@@ -47,6 +50,11 @@
       this.receivedAt.push(performance.now());
       void this.answer(path).then(status => {
         const echo = String(req.headers[requestId]);
+        const spoiled = this.spoil(path, echo);
+        if (spoiled !== undefined) {
+          res.socket?.end(spoiled);
+          return;
+        }
         const caller = String(req.headers[HEADER_NAMES.callerService]);
         res.writeHead(status, {
           [requestId]: echo,
--- a/tools/build_platform.ts
+++ b/tools/build_platform.ts
@@ -5,17 +5,20 @@
 import {Plugin, build} from 'esbuild';
 
 /**
- * Replaces the main module of undici by one that loads only the HTTP clients.
- * Deep imports, such as those of the replacement, are not affected.
+ * Replaces a module by a file of this folder. Deep imports are not affected, nor are
+ * the imports of the replacement itself.
  */
-const REDUCED_UNDICI: Plugin = {
-  name: 'slim-undici',
-  setup: ({onResolve}) => {
-    onResolve({filter: /^undici$/}, () => ({
-      path: resolve('tools/undici_client.cjs'),
-    }));
-  },
-};
+function replaceModule(filter: RegExp, file: string): Plugin {
+  const path = resolve('tools', file);
+  return {
+    name: `replace-${file}`,
+    setup: ({onResolve}) => {
+      onResolve({filter}, ({importer}) =>
+        importer === path ? undefined : {path},
+      );
+    },
+  };
+}
 
 await build({
   entryPoints: ['platform/main.ts'],
@@ -27,6 +30,11 @@
   // Identifiers are not minified, so that stack traces in logs stay readable.
   minifySyntax: true,
   minifyWhitespace: true,
+  // Node.js quotes the whole source line of an uncaught error.
+  lineLimit: 200,
   logLevel: 'warning',
-  plugins: [REDUCED_UNDICI],
+  plugins: [
+    replaceModule(/^undici$/, 'undici_client.cjs'),
+    replaceModule(/^(node:)?assert(\/strict)?$/, 'assert.cjs'),
+  ],
 });
