Let the reader of the list wait for versions until a poller is answered

Cause: the reader of the list appoints the two proxies with the fastest links to wait for the next version, whether or not the source answers them. The reader itself, which the source answers, did not look.

Change: the reader polls itself until the first poller has reported an answered poll, and again once its next report is overdue. A counter and a log line say which pollers are replaced and why.

--- a/src/core/mesh/config_polling.ts
+++ b/src/core/mesh/config_polling.ts
@@ -4,10 +4,15 @@
  * faster link: a version that one of them does not hear of, or cannot send on,
  * reaches the fleet through the other. Pollers report their answered polls to the
  * proxy that appointed them, which replaces one that falls silent.
+ *
+ * The source may answer the reader and none of the pollers. So the reader, which it has
+ * just answered, waits itself until the first poller has reported an answered poll, and
+ * again once the next report is overdue.
  */
 import {Appointment} from '../../model/mesh.js';
 import {rankByRendezvous} from '../hashing.js';
 import {MeshState, isRunning} from './mesh_state.js';
+import {MeshEmit} from './mesh_types.js';
 
 /** Number of proxies that wait for the next version. */
 const POLLERS = 2;
@@ -36,6 +41,8 @@
   appointedAt: number;
   /** When each poller was appointed by this proxy, or last reported to it. */
   readonly reportedAt: Map<string, number>;
+  /** When each poller last reported an answered poll to this proxy. */
+  readonly answeredAt: Map<string, number>;
   /** Pollers that fell silent, and until when they are excluded. */
   readonly excludedUntil: Map<string, number>;
 }
@@ -44,6 +51,7 @@
   return {
     appointedAt: -Infinity,
     reportedAt: new Map(),
+    answeredAt: new Map(),
     excludedUntil: new Map(),
   };
 }
@@ -63,16 +71,38 @@
  * @returns Milliseconds; undefined if it is not to poll.
  */
 export function getPollWaitMs(
-  {polling, settings}: MeshState,
+  state: MeshState,
   at: number,
 ): number | undefined {
+  const {polling, settings} = state;
   const {appointment, appointedAt} = polling;
   const lifetimeMs = settings.readIntervalMs + APPOINTMENT_MARGIN_MS;
   if (appointment === undefined || at - appointedAt > lifetimeMs) {
     return undefined;
   }
   const position = appointment.pollers.indexOf(settings.address);
-  return position < 0 ? undefined : getWaitMs(position);
+  if (position >= 0) {
+    return getWaitMs(position);
+  }
+  const isReplacing =
+    appointment.by === settings.address &&
+    !isFirstPollerAnswered(polling, appointment, at);
+  return isReplacing ? FIRST_WAIT_MS : undefined;
+}
+
+/** Reports whether the source answers the first poller, as its reports show. */
+function isFirstPollerAnswered(
+  {answeredAt}: PollingState,
+  {pollers: [first]}: Appointment,
+  at: number,
+): boolean {
+  const since = answeredAt.get(first);
+  return since !== undefined && at - since <= getReportTimeoutMs(0);
+}
+
+/** Gets the time within which a poller of a position must report again. */
+function getReportTimeoutMs(position: number): number {
+  return getWaitMs(position) + REPORT_MARGIN_MS;
 }
 
 function getWaitMs(position: number): number {
@@ -86,16 +116,36 @@
   at: number,
 ): void {
   polling.reportedAt.set(address, at);
+  polling.answeredAt.set(address, at);
 }
 
+/** Why a proxy is no longer to poll. */
+type ExclusionReason = 'poll_failed' | 'poll_unreported';
+
 /** Records that a poll of a proxy failed; another one is to take its place. */
 export function excludePoller(
   {polling}: MeshState,
   address: string,
+  reason: ExclusionReason,
   at: number,
+  emit: MeshEmit,
 ): void {
+  emit({kind: 'count', counter: 'poller_excluded', reason});
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'source',
+    message: 'Poller is replaced: the source does not answer it.',
+    fields: {
+      address,
+      reason,
+      reportedAgoMs: Math.round(at - (polling.reportedAt.get(address) ?? at)),
+      first: polling.appointment?.pollers[0],
+    },
+  });
   polling.excludedUntil.set(address, at + EXCLUDED_MS);
   polling.reportedAt.delete(address);
+  polling.answeredAt.delete(address);
 }
 
 /**
@@ -103,9 +153,13 @@
  * long as their polls are answered, and replaces silent ones.
  * @returns The appointment, for the other proxies.
  */
-export function appointPollers(state: MeshState, at: number): Appointment {
+export function appointPollers(
+  state: MeshState,
+  at: number,
+  emit: MeshEmit,
+): Appointment {
   const {polling, settings} = state;
-  excludeSilentPollers(state, at);
+  excludeSilentPollers(state, at, emit);
   const candidates = orderCandidates(state, at);
   const [first = settings.address] = candidates;
   const others = candidates.filter(address => address !== first);
@@ -118,6 +172,7 @@
   for (const address of [...polling.reportedAt.keys()]) {
     if (!appointment.pollers.includes(address)) {
       polling.reportedAt.delete(address);
+      polling.answeredAt.delete(address);
     }
   }
   for (const address of appointment.pollers) {
@@ -129,17 +184,22 @@
   return appointment;
 }
 
-function excludeSilentPollers(state: MeshState, at: number): void {
+function excludeSilentPollers(
+  state: MeshState,
+  at: number,
+  emit: MeshEmit,
+): void {
   const {polling, settings} = state;
-  const {appointment, reportedAt} = polling;
+  const {appointment, reportedAt, answeredAt} = polling;
   if (appointment?.by !== settings.address) {
     reportedAt.clear();
+    answeredAt.clear();
     return;
   }
   for (const [position, address] of appointment.pollers.entries()) {
     const since = reportedAt.get(address) ?? at;
-    if (at - since > getWaitMs(position) + REPORT_MARGIN_MS) {
-      excludePoller(state, address, at);
+    if (at - since > getReportTimeoutMs(position)) {
+      excludePoller(state, address, 'poll_unreported', at, emit);
     }
   }
 }
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -225,6 +225,7 @@
   | 'instance_changed'
   | 'zone_changed'
   | 'peer_message'
+  | 'poller_excluded'
   | 'crash_suspected'
   | 'upstream_failed'
   | 'upstream_report'
--- a/src/core/mesh/peer_updates.ts
+++ b/src/core/mesh/peer_updates.ts
@@ -212,7 +212,7 @@
 ): void {
   applyPeerEvacuations(state, message.evacuations, at, from, emit);
   if (message.failed) {
-    excludePoller(state, from, at);
+    excludePoller(state, from, 'poll_failed', at, emit);
     return;
   }
   recordPoll(state, from, at);
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -215,7 +215,7 @@
   }
   noteCurrentRegistration(state);
   const peerUpdate = createPeerUpdate(knownRevision, revision, changes);
-  const appointment = appointPollers(state, at);
+  const appointment = appointPollers(state, at, emit);
   const update = {fleet: peerUpdate, ageMs: 0, appointment};
   broadcastUpdate(state, update, changes.length > 0, at, emit);
 }
@@ -316,7 +316,11 @@
   const {polling, settings, config, sourceReads} = state;
   const by = polling.appointment?.by;
   if (by === undefined || by === settings.address) {
-    (failed ? excludePoller : recordPoll)(state, settings.address, at);
+    if (failed) {
+      excludePoller(state, settings.address, 'poll_failed', at, emit);
+    } else {
+      recordPoll(state, settings.address, at);
+    }
     return;
   }
   const message = {
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -28,6 +28,8 @@
   instance_changed: 'Changes of registered upstreams, by kind.',
   zone_changed: 'Zones evacuated or taken back.',
   peer_message: 'Messages from peers, by kind.',
+  poller_excluded:
+    'Proxies that no longer wait for the next version, by what showed it.',
   crash_suspected: 'Requests suspected, cleared or quarantined after a crash.',
   upstream_failed: 'Dispatches that got no whole answer, by failure.',
   upstream_report:
--- a/test/mesh/config_polling.test.ts
+++ b/test/mesh/config_polling.test.ts
@@ -82,6 +82,37 @@
     expect(pollers.sort()).to.deep.equal(['10.0.0.3:7000', '10.0.0.4:7000']);
   });
 
+  // Guards against CONFIG: the source may answer the reader and none of the pollers.
+  it('is done by the reader, too, until the first poller reports an answer', () => {
+    const hellos = [{}, {linkMbps: 5_000}, {linkMbps: 5_000}];
+    const reader = createReader(hellos);
+    const [first, second] = getPollers(reader, 11);
+    const isPolling = () => getPollWaitMs(reader.state, reader.at) === 1_000;
+    const report = (from: string) => {
+      const message = {
+        kind: 'polled',
+        failed: false,
+        version: 1,
+        configRevision: 10,
+        configAgeMs: 0,
+        versionAgeMs: 0,
+      } as const;
+      reader.post({kind: 'messageReceived', from, message});
+    };
+    expect([first, second]).not.to.include(OWN);
+    expect(isPolling()).to.equal(true);
+    report(second);
+    expect(isPolling()).to.equal(true);
+    report(first);
+    expect(isPolling()).to.equal(false);
+    reader.at += 500;
+    getPollers(reader, 12);
+    reader.at += 1_000;
+    expect(isPolling()).to.equal(false);
+    reader.at += 101;
+    expect(isPolling()).to.equal(true);
+  });
+
   it('is left to another proxy by one whose poll failed', () => {
     const reader = createReader();
     getPollers(reader, 11);
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -113,6 +113,8 @@
   disturbedUntil: number;
   /** The source refuses its reads. */
   refused: boolean;
+  /** The source gives its reads no answer, those in progress included. */
+  silentSource: boolean;
   /** When it last began to wait for the next configuration. */
   lastPolledAt: number;
   /** Its long polls get no answer. */
@@ -220,6 +222,7 @@
         unread: [],
         disturbedUntil: 0,
         refused: false,
+        silentSource: false,
         lastPolledAt: -Infinity,
         unansweredPolls: false,
         silentPeers: new Set(),
@@ -582,6 +585,12 @@
     if (!this.sourceUp || node.partitioned || node.refused) {
       return this.failRead(node, request, 50);
     }
+    if (node.silentSource) {
+      if (request.kind === 'nextConfig') {
+        node.lastPolledAt = this.clock.now;
+      }
+      return this.failRead(node, request, getTimeoutMs(request));
+    }
     switch (request.kind) {
       case 'fleet': {
         const instances = this.nodes
@@ -631,7 +640,7 @@
     const {node, request} = poll;
     node.lastPolledAt = this.clock.now;
     if (node.unansweredPolls) {
-      return this.failRead(node, request, request.waitMs + SOURCE_TIMEOUT_MS);
+      return this.failRead(node, request, getTimeoutMs(request));
     }
     if (request.after < this.historyStart) {
       const answer = {kind: 'compacted'} as const;
@@ -650,6 +659,18 @@
     });
   }
 
+  /** Lets the source give a proxy no answers, also to what it is asked already. */
+  silenceSource(node: Node, ms: number): void {
+    node.silentSource = true;
+    for (const poll of [...this.pendingPolls]) {
+      if (poll.node === node) {
+        this.pendingPolls.delete(poll);
+        this.failRead(node, poll.request, getTimeoutMs(poll.request));
+      }
+    }
+    this.after(ms, () => (node.silentSource = false));
+  }
+
   /** Answers a poll with all that changed after its position, if anything did. */
   private answerPoll({node, request, state}: PendingPoll): boolean {
     const versions = [...this.published.values()].filter(
@@ -963,6 +984,12 @@
   }
 }
 
+/** Gets the time after which a read without an answer fails. */
+function getTimeoutMs(request: SourceRequest): number {
+  const waitMs = request.kind === 'nextConfig' ? request.waitMs : 0;
+  return waitMs + SOURCE_TIMEOUT_MS;
+}
+
 /** Time that bytes take on a link; 0 where its bandwidth is unlimited. */
 function getSendMs(bytes: number, mbps: number | undefined): number {
   return mbps === undefined ? 0 : (bytes * 8) / (mbps * 1_000);
