Let a proxy that read the list in place of others go on reading

Callers saw: calls to upstreams that drain for up to 1.9 s, while the source gives the proxies that rank first as readers no answers.

The rank of a reader is the age of its upstream. While the first proxies are not answered, every reading waits 250 ms for each of them.

Change: a proxy that has read in place of another one reads on without the delay of its rank, until it learns of a reading by another proxy.

The new test of peer_updates failed before.

--- a/src/core/mesh/source_read_state.ts
+++ b/src/core/mesh/source_read_state.ts
@@ -26,6 +26,8 @@
   /** When this proxy last got a listing of the source that may be stale. */
   staleListedAt: number;
   fleetReadPending: boolean;
+  /** The latest own reading was made in place of a proxy that ranks before this one. */
+  standsIn: boolean;
   /** Reads of the fleet that failed in a row. */
   failedReads: number;
   /** Earliest time of the next read of the fleet, after a failure. */
@@ -57,6 +59,7 @@
     freshAt: -Infinity,
     staleListedAt: -Infinity,
     fleetReadPending: false,
+    standsIn: false,
     failedReads: 0,
     notBefore: 0,
     configRevision: 0,
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -37,7 +37,7 @@
   recordReadFailure,
   recordReadSuccess,
 } from './source_read_state.js';
-import {isReadDue} from './source_schedule.js';
+import {isReadDue, recordReading} from './source_schedule.js';
 import {broadcastUpdate} from './peer_updates.js';
 import {getEra} from './source_position.js';
 
@@ -214,6 +214,7 @@
     return;
   }
   noteCurrentRegistration(state);
+  recordReading(state, knowledgeAgeMs);
   const peerUpdate = createPeerUpdate(knownRevision, revision, changes);
   const appointment = appointPollers(state, at, emit);
   const update = {fleet: peerUpdate, ageMs: 0, appointment};
--- a/src/core/mesh/source_schedule.ts
+++ b/src/core/mesh/source_schedule.ts
@@ -3,7 +3,8 @@
  * elect a reader. Each reads once its knowledge is older than the read interval
  * plus a delay that grows with its rank. Normally the proxy of rank 0 reads and
  * broadcasts an update, which restarts the others' delays. If it cannot read or
- * has gone, the delay of rank 1 ends next.
+ * has gone, the delay of rank 1 ends next. Who has read in place of others goes on
+ * without a delay until another proxy reads: the source may not answer those.
  */
 import {isEarlier} from './fleet_view.js';
 import {MeshState, getLinkAddress, getOwnInstance} from './mesh_state.js';
@@ -15,6 +16,24 @@
 const MAX_RANK = 5;
 const MAX_RANK_JITTER_MS = 600;
 
+/**
+ * Records a reading of the fleet. One that came late enough for the delay of a rank
+ * stands in for a proxy that ranks first and did not read.
+ * @param ageMs - Age of what was known until now, in milliseconds.
+ */
+export function recordReading(state: MeshState, ageMs: number): void {
+  const {sourceReads, settings} = state;
+  const isInPlace =
+    Number.isFinite(ageMs) && ageMs >= settings.readIntervalMs + RANK_DELAY_MS;
+  sourceReads.standsIn =
+    isInPlace || (sourceReads.standsIn && isLatestReader(state));
+}
+
+/** Reports whether this proxy made the latest reading that it knows of. */
+function isLatestReader({polling, settings}: MeshState): boolean {
+  return polling.appointment?.by === settings.address;
+}
+
 /**
  * Gets this proxy's rank as a reader. Older upstreams rank first, because this
  * order changes least.
@@ -24,6 +43,9 @@
   if (own === undefined || state.stopRequestedAt !== undefined) {
     return MAX_RANK;
   }
+  if (state.sourceReads.standsIn && isLatestReader(state)) {
+    return 0;
+  }
   let rank = 0;
   for (const other of state.fleet.instances.values()) {
     const earlier =
--- a/test/mesh/peer_updates.test.ts
+++ b/test/mesh/peer_updates.test.ts
@@ -74,6 +74,41 @@
     expect(second.drainEffects()).to.include('readSource fleet');
   });
 
+  // Guards against a late list: a proxy that the source does not answer stays first.
+  it('lets a proxy that read in place of the first one read on without delay', () => {
+    const second = new MeshFixture({
+      address: '10.0.0.2:7000',
+      upstreamAddress: '10.0.0.2:8000',
+    });
+    second.loadFromSource(FLEET);
+    second.drainEffects();
+    second.advance(850);
+    expect(second.drainEffects()).to.include('readSource fleet');
+    second.readFleet(FLEET, 11);
+    second.drainEffects();
+    second.advance(600);
+    expect(second.drainEffects()).to.include('readSource fleet');
+    second.readFleet(FLEET, 12);
+    second.post({
+      kind: 'messageReceived',
+      from: '10.0.0.1:7000',
+      message: {
+        kind: 'news',
+        ageMs: 0,
+        forwardTo: [],
+        fleet: {base: 12, revision: 13, changed: [], removed: []},
+        version: 1,
+        configRevision: 10,
+        configAgeMs: 0,
+        versionAgeMs: 0,
+        appointment: {by: '10.0.0.1:7000', pollers: ['10.0.0.1:7000']},
+      },
+    });
+    second.drainEffects();
+    second.advance(600);
+    expect(second.drainEffects()).not.to.include('readSource fleet');
+  });
+
   it('backs off while the source does not answer', () => {
     const proxy = new MeshFixture();
     proxy.loadFromSource(FLEET);
