Refuse registered addresses that no connection can be opened to

Callers saw: a call may be sent first towards an entry of the list whose port or address is out of range, and lose a try and time.

Cause: the schema of addresses counted digits: ports up to 99999, port 0 and 999.0.0.1 passed.

--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -5,7 +5,11 @@
  */
 import * as z from 'zod';
 import {LoadReportSchema, SuspectInfoSchema} from './peer.js';
-import {AddressSchema, SequenceSchema} from './primitives.js';
+import {
+  AddressSchema,
+  RemoteAddressSchema,
+  SequenceSchema,
+} from './primitives.js';
 
 const MAX_ID_LENGTH = 256;
 const MAX_ATTEMPT_TARGETS = 16;
@@ -69,7 +73,7 @@
 export const InstanceSchema = z.strictObject({
   id: IdSchema,
   service: IdSchema,
-  address: AddressSchema,
+  address: RemoteAddressSchema,
   zone: IdSchema,
   slots: z.int().min(1),
   state: z.enum(['ready', 'draining']),
--- a/src/model/primitives.ts
+++ b/src/model/primitives.ts
@@ -12,14 +12,25 @@
   )
   .max(MAX_NAME_LENGTH);
 
+const OCTET = '(25[0-5]|2[0-4]\\d|1?\\d{1,2})';
+const HOST = `(${OCTET}(\\.${OCTET}){3}|\\[[0-9a-fA-F:]+\\])`;
+const PORT =
+  '(6553[0-5]|655[0-2]\\d|65[0-4]\\d{2}|6[0-4]\\d{3}|[1-5]?\\d{1,4})';
+
 /** An IP address with a port. Host names are invalid: VMs have no resolver. */
 export const AddressSchema = z
   .string()
   .regex(
-    /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
+    new RegExp(`^${HOST}:${PORT}$`),
     'use an IP number and a port, such as 10.0.0.1:8080',
   );
 
+/** An address to which connections can be opened; port 0 only lets listeners choose. */
+export const RemoteAddressSchema = AddressSchema.regex(
+  /:0*[1-9]\d*$/,
+  'use a port from 1 to 65535',
+);
+
 /** A duration in whole milliseconds. */
 export const MillisSchema = z.int().min(0).max(86_400_000);
 
