Close connections that have carried an answer without an identifier

Cause: refusals of an upstream may come without the request's identifier, and were accepted at any place on a connection. A copy of one counted as the refusal of the next request.

Change: an answer without an identifier ends with its head, and its connection is closed, so no copy of it can lie before a later answer. An anonymous 400 no longer counts as a refusal.

--- a/src/mesh/mesh_upstream_client.ts
+++ b/src/mesh/mesh_upstream_client.ts
@@ -81,6 +81,11 @@
       timeoutMs,
       maxAnswerBytes: MAX_ANSWER_BYTES,
       buffers: this.buffers,
+      // A faulty upstream may write a refusal once more, where a later answer is due.
+      // Without an identifier, only the connection tells to which request it belongs.
+      endsWithHead: (_status, headers) =>
+        outbound.headers[headerNames.requestId] !== undefined &&
+        headers[headerNames.requestId] === undefined,
     });
     this.running.set(attemptId, exchange);
     const result = await exchange.result;
@@ -113,16 +118,18 @@
     const isForeign = sentId !== undefined && echoedId !== sentId;
     const isEncoded = answer.headers['content-encoding'] !== undefined;
     const {status, body} = answer;
-    const claimsNotRun =
-      status === STATUS_MISDIRECTED || answer.headers[notRun] !== undefined;
-    if ((isForeign || isEncoded) && !(claimsNotRun && echoedId === undefined)) {
+    const isRefusal =
+      NOT_RUN_STATUSES.has(status) &&
+      (status === STATUS_MISDIRECTED || answer.headers[notRun] !== undefined);
+    const isAnonymousRefusal = isRefusal && echoedId === undefined;
+    if ((isForeign || isEncoded) && !isAnonymousRefusal) {
       // Later answers on these connections may belong to other requests, too.
       this.replaceConnections();
       this.post({kind: 'upstreamFailed', attemptId, failure: 'foreign-answer'});
       return;
     }
     const facts: AnswerFacts = {
-      notRun: claimsNotRun && NOT_RUN_STATUSES.has(status),
+      notRun: isRefusal,
       retryAfterMs: parseRetryAfterMs(answer.headers['retry-after']),
       otherInstance: status === STATUS_MISDIRECTED,
       report: this.readReport(answer.headers),
--- a/src/proxy/http_exchange.ts
+++ b/src/proxy/http_exchange.ts
@@ -20,6 +20,11 @@
   readonly maxAnswerBytes: number;
   /** Limits the bytes of all answers that share it; undefined: no such limit. */
   readonly buffers?: AnswerBuffers;
+  /**
+   * Reports whether an answer ends with its head, without its body, and its connection
+   * is not used again; undefined: no answer does.
+   */
+  readonly endsWithHead?: (status: number, headers: HeaderRecord) => boolean;
 }
 
 /** A complete HTTP answer. */
@@ -42,6 +47,9 @@
 
 const EMPTY_BODY = new Uint8Array(0);
 
+/** Lower statuses are informational; the answer follows. */
+const FIRST_FINAL_STATUS = 200;
+
 /** An answer of which not all bytes have arrived. */
 export interface IncompleteAnswer {
   readonly receivedBytes: number;
@@ -93,12 +101,14 @@
   headers?: HeaderRecord;
   private readonly chunks: Uint8Array[] = [];
   receivedBytes = 0;
+  private readonly endsWithHead: ExchangeRequest['endsWithHead'];
 
   constructor(
-    {timeoutMs, headTimeoutMs}: ExchangeRequest,
+    {timeoutMs, headTimeoutMs, endsWithHead}: ExchangeRequest,
     private readonly maxAnswerBytes: number,
     private readonly buffers: AnswerBuffers | undefined,
   ) {
+    this.endsWithHead = endsWithHead;
     this.result = new Promise(resolve => {
       this.resolve = resolve;
     });
@@ -150,13 +160,18 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
-    statusCode: number,
+    controller: Dispatcher.DispatchController,
+    status: number,
     headers: HeaderRecord,
   ): void {
     clearTimeout(this.headTimer);
-    this.status = statusCode;
+    this.status = status;
     this.headers = headers;
+    const isFinal = status >= FIRST_FINAL_STATUS;
+    if (isFinal && this.endsWithHead?.(status, headers)) {
+      this.settle(ok({status, headers, body: EMPTY_BODY}));
+      controller.abort(new Error('The connection is not used again.'));
+    }
   }
 
   onResponseData(
--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -1,6 +1,13 @@
 /** A fleet on loopback with real proxies, and stand-ins for all else. */
 import {once} from 'node:events';
-import {Agent, IncomingMessage, Server, createServer, request} from 'node:http';
+import {
+  Agent,
+  IncomingMessage,
+  Server,
+  ServerResponse,
+  createServer,
+  request,
+} from 'node:http';
 import {AddressInfo} from 'node:net';
 import {
   HEADER_NAMES,
@@ -30,9 +37,9 @@
   readonly receivedAt: number[] = [];
   /** Headers in which it reports its own state, sent with each answer. */
   statusHeaders: Readonly<Record<string, string>> = {};
-  /** Returns bytes to send in place of an answer; undefined: a sound answer. */
-  spoil: (path: string, requestId: string) => string | undefined = () =>
-    undefined;
+  /** Answers in place of a sound answer; returns false to leave it to that. */
+  intercept: (path: string, requestId: string, res: ServerResponse) => boolean =
+    () => false;
   /** Returns the status for a path; by default 200 at once. */
   answer: (path: string) => Promise<number> = () => Promise.resolve(200);
   private readonly server: Server;
@@ -50,9 +57,7 @@
       this.receivedAt.push(performance.now());
       void this.answer(path).then(status => {
         const echo = String(req.headers[requestId]);
-        const spoiled = this.spoil(path, echo);
-        if (spoiled !== undefined) {
-          res.socket?.end(spoiled);
+        if (this.intercept(path, echo, res)) {
           return;
         }
         const caller = String(req.headers[HEADER_NAMES.callerService]);
--- a/test/platform/spoiled_answers.test.ts
+++ b/test/platform/spoiled_answers.test.ts
@@ -45,8 +45,13 @@
       const {machines} = fleet;
       const [{pid}] = machines;
       for (const {upstream} of machines) {
-        upstream.spoil = (path, id) =>
-          path.includes('spoiled') ? spoil(id) : undefined;
+        upstream.intercept = (path, id, res) => {
+          const isSpoiled = path.includes('spoiled');
+          if (isSpoiled) {
+            res.socket?.end(spoil(id));
+          }
+          return isSpoiled;
+        };
       }
       const spoiled = machines.map((machine, n) =>
         machine.call('GET', `/read/spoiled-${n}`),
