--- a/src/core/mesh/stop_deadline.ts
+++ b/src/core/mesh/stop_deadline.ts
@@ -49,6 +49,10 @@
 /**
  * Reports whether the end of a planned stop may cut a request that is taken now. One
  * whose deadline is no later cannot be cut, however long it runs.
+ * @param state - This proxy's state.
+ * @param candidate - The request.
+ * @param at - Now, in milliseconds.
+ * @returns False also where no stop was requested.
  */
 export function mayBeCutByStop(
   state: MeshState,
