--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -272,6 +272,17 @@
   return entry;
 }
 
+/** Creates the event of an upstream's empty 200 to an attempt. */
+export function createUpstreamAnswer(attemptId: string): MeshEventBody {
+  const body = new Uint8Array(0);
+  return {
+    kind: 'upstreamAnswered',
+    attemptId,
+    answer: {kind: 'answer', status: 200, headers: {}, body},
+    facts: {notRun: false, otherInstance: false},
+  };
+}
+
 /** Describes effects in one line each, without metrics and logs. */
 export function describeEffects(effects: readonly MeshEffect[]): string[] {
   return effects.flatMap(effect => {
--- a/test/mesh/planned_stop.test.ts
+++ b/test/mesh/planned_stop.test.ts
@@ -7,6 +7,7 @@
   createHello,
   createInstance,
   createRemoteEntry,
+  createUpstreamAnswer,
 } from './mesh_fixture.js';
 
 const PEER = '10.0.0.2:7000';
@@ -66,14 +67,7 @@
     expect(deliver(proxy, 'run')).to.deep.equal(['dispatch run']);
     proxy.advance(1_000);
     expect(proxy.state.stopped).to.equal(false);
-    const answer = {
-      kind: 'answer',
-      status: 200,
-      headers: {},
-      body: new Uint8Array(0),
-    } as const;
-    const facts = {notRun: false, otherInstance: false};
-    proxy.post({kind: 'upstreamAnswered', attemptId: 'run', answer, facts});
+    proxy.post(createUpstreamAnswer('run'));
     // No update arrives here, so the proxy asks its peer for what it missed.
     const pull = `sendMessage pull to ${PEER}`;
     expect(proxy.drainEffects().filter(e => e !== pull)).to.deep.equal([
--- a/test/mesh/stop_overlap.test.ts
+++ b/test/mesh/stop_overlap.test.ts
@@ -10,6 +10,7 @@
   createHello,
   createInstance,
   createRoute,
+  createUpstreamAnswer,
 } from './mesh_fixture.js';
 
 const ENTRY = '10.0.0.1:7000';
@@ -160,18 +161,11 @@
     const result = this.results.get(attemptId.split('.')[0])!;
     result.isRun = true;
     const {workMs} = result;
-    const answer = {
-      kind: 'answer',
-      status: 200,
-      headers: {},
-      body: new Uint8Array(0),
-    } as const;
-    const facts = {notRun: false, otherInstance: false};
     this.after(Math.min(workMs, timeoutMs), () =>
       this.post(
         this.owner,
         workMs < timeoutMs
-          ? {kind: 'upstreamAnswered', attemptId, answer, facts}
+          ? createUpstreamAnswer(attemptId)
           : {kind: 'upstreamFailed', attemptId, failure: 'timeout'},
       ),
     );
