--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -37,6 +37,9 @@
   readonly receivedAt: number[] = [];
   /** Headers in which it reports its own state, sent with each answer. */
   statusHeaders: Readonly<Record<string, string>> = {};
+  /** Handles a request and its body; returns false to leave it to the rest. */
+  takeRequest: (req: IncomingMessage, res: ServerResponse) => boolean = () =>
+    false;
   /** Answers in place of a sound answer; returns false to leave it to that. */
   intercept: (path: string, requestId: string, res: ServerResponse) => boolean =
     () => false;
@@ -46,9 +49,13 @@
 
   constructor(readonly id: string) {
     this.server = createServer((req, res) => {
-      req.resume();
       const {requestId, instance} = HEADER_NAMES;
-      if (req.headers[instance] !== this.id) {
+      const isOwn = req.headers[instance] === this.id;
+      if (isOwn && this.takeRequest(req, res)) {
+        return;
+      }
+      req.resume();
+      if (!isOwn) {
         res.writeHead(421, {'x-instance-id': this.id}).end();
         return;
       }
@@ -215,9 +222,16 @@
     ) => T,
   ) {}
 
-  async start(count: number): Promise<void> {
+  /**
+   * @param count - Number of machines.
+   * @param config - The configuration document.
+   */
+  async start(
+    count: number,
+    config: object = createConfigDocument(1),
+  ): Promise<void> {
     const address = await this.store.start();
-    this.store.put('op/config', createConfigDocument(1));
+    this.store.put('op/config', config);
     const ports = await findPorts();
     for (let n = 1; n <= count; n += 1) {
       const upstream = new UpstreamStandin(`i-${n}`);
--- a/test/platform/process_machine.ts
+++ b/test/platform/process_machine.ts
@@ -5,7 +5,7 @@
 import {Child, ExitStatus} from '../../src/standins/harness/child.js';
 import {Machine} from './fleet_standin.js';
 
-const BUNDLE = 'target/fireflysill_platform.cjs';
+const DEPLOY_FILE = 'deploy/system.toml';
 const TEMPLATE = 'deploy/settings.json.template';
 
 /** Replaces `{{path}}` and `{{path|json}}` in a template, like the platform. */
@@ -24,6 +24,17 @@
   );
 }
 
+/** Reads the arguments with which the deploy file starts Node. */
+async function readNodeArguments(): Promise<string[]> {
+  const run = /^run = "node ([^"]+)"$/m.exec(
+    await readFile(DEPLOY_FILE, 'utf8'),
+  );
+  if (run === null) {
+    throw new Error(`${DEPLOY_FILE} has no run line that starts node.`);
+  }
+  return run[1].split(' ');
+}
+
 /** Runs the proxy as a child process with settings from the template. */
 export class ProcessMachine extends Machine {
   private child?: Child;
@@ -32,7 +43,8 @@
   override async start(): Promise<void> {
     await this.startUpstream();
     const settings = await this.writeSettings();
-    this.child = new Child(`proxy at ${this.host}`, BUNDLE, [], undefined, {
+    const [first, ...others] = await readNodeArguments();
+    this.child = new Child(`proxy at ${this.host}`, first, others, undefined, {
       FIREFLYSILL_SETTINGS: settings,
     });
   }
@@ -78,6 +90,11 @@
     return this.child?.pid;
   }
 
+  /** How the process ended; undefined while it runs. */
+  get exit(): ExitStatus | undefined {
+    return this.child?.exit;
+  }
+
   /** Returns false also while a new process does not accept connections yet. */
   override async isReady(): Promise<boolean> {
     return super.isReady().catch(() => false);
