Do not run a request behind the response that closes its connection

Callers that send a further request before they have read the answer lost it in a planned stop: it was passed on, ran, and its connection closed without an answer. Its caller counts it as unread and sends it again, so one that is not idempotent would have run twice. The same happened behind every other response that closes its connection.

While such a response is being written, Node's server still reads and parses the connection, and hands on requests whose responses it never sends. The proxy counted the requests that were open when it decided to close, not those that came while it wrote.

The head of a closing response marks its connection, and what is read from it afterwards is counted (bad_input, after_close) and dropped. The mark is set in the same turn in which the open requests are counted, so none falls between.

--- a/src/proxy/http_results.ts
+++ b/src/proxy/http_results.ts
@@ -4,6 +4,7 @@
 import {Refusal, REFUSALS, isRefusalReason} from '../core/refusals.js';
 import {Answer} from '../core/types.js';
 import {LoadReport, LoadReportSchema} from '../model/peer.js';
+import {markClosing} from './closing_connections.js';
 import {
   copyEndToEndHeaders,
   HeaderRecord,
@@ -166,6 +167,9 @@
   if (res.headersSent || res.destroyed) {
     return;
   }
+  if (unframed || headers.connection === 'close') {
+    markClosing(res.req.socket);
+  }
   if (unframed) {
     res.useChunkedEncodingByDefault = false;
     res.writeHead(status, {...headers, connection: 'close'} as HeaderRecord);
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -6,6 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Settings} from '../model/settings.js';
 import {formatAddress, parseAddress} from './addresses.js';
+import {isClosing} from './closing_connections.js';
 
 /** Longer than the clients' keep-alive timeout, so clients close first. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
@@ -65,6 +66,11 @@
       noDelay: true,
     },
     (req, res) => {
+      if (isClosing(req.socket)) {
+        onMalformedInput('after_close');
+        req.resume();
+        return;
+      }
       lastResponses.set(req.socket, res);
       handle(req, res);
     },
