Let callers read the response that closes their connection

Callers that sent a further request while a closing response was on its way lost the response: the connection was reset. In a planned stop every response closes its connection, so requests that had run ended with no answer.

Node's server closes the socket as soon as the response is written. Bytes that arrive at a closed socket reset the connection, and a reset discards what the caller has not read yet.

The server now ends its own direction only, and reads and drops what comes until the caller ends the other, or for a second.

--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -6,7 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Settings} from '../model/settings.js';
 import {formatAddress, parseAddress} from './addresses.js';
-import {isClosing} from './closing_connections.js';
+import {closeAfterReading, isClosing} from './closing_connections.js';
 
 /** Longer than the clients' keep-alive timeout, so clients close first. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
@@ -76,6 +76,10 @@
     },
   );
   server.maxConnections = maxConnections;
+  server.on('connection', socket => {
+    // The HTTP server calls it after a response that closes the connection.
+    socket.destroySoon = () => closeAfterReading(socket);
+  });
   server.on('drop', () => onMalformedInput('too_many_connections'));
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     const code = error.code ?? 'unknown';
--- a/test/proxy/closing_connections.test.ts
+++ b/test/proxy/closing_connections.test.ts
@@ -61,4 +61,10 @@
     expect(malformed).to.deep.equal(['after_close']);
     expect(exchanges.map(({status}) => status)).to.deep.equal([200, undefined]);
   });
+
+  // Guards against LOST: bytes that arrive at a closed connection reset it.
+  it('reaches a caller that sends on before it reads', async () => {
+    const exchanges = await sendTwo('/unread');
+    expect(exchanges.map(({status}) => status)).to.deep.equal([200, undefined]);
+  });
 });
