--- a/test/platform/process_machine.ts
+++ b/test/platform/process_machine.ts
@@ -95,6 +95,17 @@
     return this.child?.exit;
   }
 
+  /** Why the proxy has ended, or what it has reported so far. */
+  get errorOutput(): string {
+    return `${JSON.stringify(this.exit)} ${this.child?.errorOutput}`;
+  }
+
+  /** Reads the largest resident memory that the proxy has had, in MiB. */
+  async readPeakMemory(): Promise<number> {
+    const status = await readFile(`/proc/${this.pid}/status`, 'utf8');
+    return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) / 1_024;
+  }
+
   /** Returns false also while a new process does not accept connections yet. */
   override async isReady(): Promise<boolean> {
     return super.isReady().catch(() => false);
