Give up an answer that hides behind informational heads

An upstream that sends informational heads without end kept its caller busy until the limit of a connection: 17 MiB, over half a million heads, each parsed and handed on.

No part limited informational heads; the HTTP client limits the bytes of each.

An answer may have 32 of them; the next one ends the attempt as too large and closes the connection. Upstreams send none to few.

--- a/src/proxy/http_exchange.ts
+++ b/src/proxy/http_exchange.ts
@@ -50,6 +50,9 @@
 /** Lower statuses are informational; the answer follows. */
 const FIRST_FINAL_STATUS = 200;
 
+/** Informational heads that an answer may have; the HTTP client limits each of them. */
+export const MAX_INFORMATIONAL_HEADS = 32;
+
 /** An answer of which not all bytes have arrived. */
 export interface IncompleteAnswer {
   readonly receivedBytes: number;
@@ -98,6 +101,7 @@
   private readonly headTimer?: NodeJS.Timeout;
   private settled = false;
   private status = 0;
+  private informationalHeads = 0;
   headers?: HeaderRecord;
   private readonly chunks: Uint8Array[] = [];
   receivedBytes = 0;
@@ -167,8 +171,12 @@
     clearTimeout(this.headTimer);
     this.status = status;
     this.headers = headers;
-    const isFinal = status >= FIRST_FINAL_STATUS;
-    if (isFinal && this.endsWithHead?.(status, headers)) {
+    if (status < FIRST_FINAL_STATUS) {
+      this.informationalHeads += 1;
+      if (this.informationalHeads > MAX_INFORMATIONAL_HEADS) {
+        this.abortAsTooLarge();
+      }
+    } else if (this.endsWithHead?.(status, headers)) {
       this.settle(ok({status, headers, body: EMPTY_BODY}));
       controller.abort(new Error('The connection is not used again.'));
     }
--- a/test/mesh/endless_answers.test.ts
+++ b/test/mesh/endless_answers.test.ts
@@ -3,7 +3,10 @@
 import {Server, Socket, createServer} from 'node:net';
 import {AddressInfo} from 'node:net';
 import {MeshEventBody} from '../../src/core/mesh/mesh_types.js';
-import {AnswerBuffers} from '../../src/proxy/http_exchange.js';
+import {
+  AnswerBuffers,
+  MAX_INFORMATIONAL_HEADS,
+} from '../../src/proxy/http_exchange.js';
 import {
   MAX_ANSWER_BYTES,
   MAX_HEAD_BYTES,
@@ -22,10 +25,14 @@
   readonly repeated: string;
   /** Whether another answer may look complete, so that it is passed on. */
   readonly completes?: boolean;
+  /** Most bytes that are taken of it; `MAX_BYTES` by default. */
+  readonly maxBytes?: number;
 }
 
 /** Most bytes that the client may take before it closes the connection. */
 const MAX_BYTES = MAX_ANSWER_BYTES + MAX_HEAD_BYTES;
+/** Limit of the HTTP client on each head. */
+const MAX_HEAD_BYTES_EACH = 16_384;
 /** Bytes in the buffers of both sockets, which are taken but not read. */
 const SOCKET_BYTES = 8 * 1_048_576;
 
@@ -41,6 +48,12 @@
   'informational heads': {
     start: '',
     repeated: 'HTTP/1.1 102 Processing\r\n\r\n',
+    maxBytes: MAX_INFORMATIONAL_HEADS * MAX_HEAD_BYTES_EACH,
+  },
+  'informational heads with fields': {
+    start: '',
+    repeated: `HTTP/1.1 103 Early Hints\r\n${'a: b\r\n'.repeat(1_000)}\r\n`,
+    maxBytes: MAX_INFORMATIONAL_HEADS * MAX_HEAD_BYTES_EACH,
   },
   'a body without length': {
     start: `${OK}\r\n`,
@@ -140,7 +153,8 @@
       const {events, writtenBytes} = await ask(endless, 1);
       const kind = endless.completes ? 'upstreamAnswered' : 'upstreamFailed';
       expect(events.map(event => event.kind)).to.deep.equal([kind]);
-      expect(writtenBytes).to.be.at.most(MAX_BYTES + SOCKET_BYTES);
+      const {maxBytes = MAX_BYTES} = endless;
+      expect(writtenBytes).to.be.at.most(maxBytes + SOCKET_BYTES);
     });
   }
 
