Count what callers send and read in the memory budget

Cause: bodies were lists of chunks until their end and then copied; nothing limited them together, nor answers that wait for their readers, nor pipelined requests. The class: what is held isn't counted as held.

Now each connection, request, body and unread answer counts in the budget of the process, which follows the VM's memory (setting memoryMb, 250 by default; from the platform's `limits`, which the template passes on whole). Heads are limited to twice the configured bytes in place of 64 KiB. The refusal is memory_full: 503, not run, with Retry-After. The other daemon's listeners use the same.

--- a/src/core/mesh/create_call.ts
+++ b/src/core/mesh/create_call.ts
@@ -3,6 +3,7 @@
 import {Refusal, createRefusal} from '../refusals.js';
 import {recordCallerBudget} from './caller_budgets.js';
 import {MeshCall} from './mesh_calls.js';
+import {MeshRoute} from '../../model/mesh.js';
 import {MeshState} from './mesh_state.js';
 import {MeshCallInfo, MeshEvent, MeshEventBody} from './mesh_types.js';
 import {chooseBackend, findMeshRoute} from './route_table.js';
@@ -26,17 +27,11 @@
   arrival: Extract<MeshEventBody, {kind: 'callArrived'}>,
 ): MeshCall | Refusal {
   const {callId, call: info, unreadMs = 0} = arrival;
-  const {routeTable} = state;
-  if (state.stopped) {
-    return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
-  }
-  if (routeTable === undefined || state.fleet.revision === 0) {
-    return createRefusal('config_unknown', UNKNOWN_RETRY_AFTER_MS);
-  }
-  const route = findMeshRoute(routeTable, info.host, info.path);
-  if (route === undefined) {
-    return createRefusal('no_route');
+  const found = findRouteOrRefusal(state, info);
+  if ('reason' in found) {
+    return found;
   }
+  const {route, version} = found;
   if (isQuarantined(state.suspects, info.fingerprint, at)) {
     return createRefusal('crash_suspected', state.settings.quarantineMs);
   }
@@ -58,7 +53,7 @@
     info,
     route,
     service: chooseBackend(route, entropy),
-    version: routeTable.version,
+    version,
     nested,
     repeated: parent?.attempt.repeated === true,
     arrivedAt: at,
@@ -73,6 +68,26 @@
   };
 }
 
+/**
+ * Finds the route of a request, which its head determines.
+ * @returns The route with the version that has it, or the refusal where there is none.
+ */
+export function findRouteOrRefusal(
+  {stopped, routeTable, fleet}: MeshState,
+  {host, path}: Pick<MeshCallInfo, 'host' | 'path'>,
+): {readonly route: MeshRoute; readonly version: number} | Refusal {
+  if (stopped) {
+    return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
+  }
+  if (routeTable === undefined || fleet.revision === 0) {
+    return createRefusal('config_unknown', UNKNOWN_RETRY_AFTER_MS);
+  }
+  const route = findMeshRoute(routeTable, host, path);
+  return route === undefined
+    ? createRefusal('no_route')
+    : {route, version: routeTable.version};
+}
+
 /**
  * Finds the run at this proxy's upstream that made a call. Identifiers of other
  * requests don't count, so that a caller cannot gain precedence by the form of its
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -77,6 +77,10 @@
     503,
     'The network connection of the upstream is saturated and the answer would arrive too late; retry after the given time.',
   ),
+  memory_full: notRun(
+    503,
+    'The proxy has no memory for the request; retry after the given time.',
+  ),
   upstream_down: notRun(
     503,
     'The upstream refused the connection; retry after the given time.',
--- a/src/mesh/mesh_caller_handler.ts
+++ b/src/mesh/mesh_caller_handler.ts
@@ -2,18 +2,25 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {MeshCallInfo, MeshEventBody} from '../core/mesh/mesh_types.js';
-import {Refusal, createRefusal} from '../core/refusals.js';
+import {Refusal} from '../core/refusals.js';
 import {Answer} from '../core/types.js';
 import {CallerLimits} from '../model/mesh.js';
-import {readBody} from '../proxy/read_body.js';
 import {
   createBadRequest,
   computeFingerprint,
   parseDurationHeader,
 } from '../proxy/caller_server.js';
 import {HeaderRecord, copyEndToEndHeaders} from '../proxy/headers.js';
+import {
+  createBodyRefusal,
+  createMemoryRefusal,
+  hasBody,
+  readBody,
+} from '../proxy/read_body.js';
 import {OutboundRequest, PendingCalls} from '../proxy/pending_calls.js';
 import {writeCallResult} from '../proxy/http_results.js';
+import {MAX_ORDINARY_BYTES, MemoryBudget} from '../proxy/memory_budget.js';
+import {CallerConnections, OpenRequest} from './caller_connections.js';
 import {HeaderNames} from './header_names.js';
 import {TurnClock} from './turn_clock.js';
 
@@ -26,14 +33,28 @@
  */
 const MAX_UNREAD_MS = 100;
 
+/** What a {@link MeshCallerHandler} needs of its process. */
+export interface CallerHost {
+  /** Returns the service of the upstream on this VM. */
+  getService(): string;
+  /** Finds why a request with this host and path will be refused, if it is known. */
+  findRefusal(host: string, path: string): Refusal | undefined;
+  /** Receives events. */
+  post(event: MeshEventBody): void;
+  /** Called with the reason of each refused request. */
+  onBadInput(kind: string): void;
+  /** Called with what is done with each request that was read late. */
+  onLateRead(what: string): void;
+}
+
 /** Turns requests into `callArrived` events and writes their responses. */
 export class MeshCallerHandler {
   /** Set while the proxy stops; connections then close after a response. */
   stopping = false;
   limits?: CallerLimits;
   private readonly pending: PendingCalls;
-  /** Number of requests in progress on each connection. */
-  private readonly openRequests = new WeakMap<Socket, number>();
+  private readonly connections: CallerConnections;
+  private readonly openRequests = new WeakMap<ServerResponse, OpenRequest>();
   /** Connections that were accepted late, until their first request is read. */
   private readonly lateConnections = new WeakSet<Socket>();
   private nextCallNumber = 1;
@@ -43,29 +64,27 @@
    * @param headerNames - The platform's header names.
    * @param nestedSeparator - Separates the identifier of a parent request from
    *     the rest of a nested request's identifier.
-   * @param getService - Returns the service of the upstream on this VM.
-   * @param post - Receives events.
-   * @param onBadInput - Called with the reason of each refused request.
-   * @param onLateRead - Called with what is done with each request that was read late.
+   * @param host - The process.
    * @param turns - Tells how late requests are read.
+   * @param memory - Counts what is held for callers.
    */
   constructor(
     private readonly prefix: string,
     private readonly headerNames: HeaderNames,
     private readonly nestedSeparator: string,
-    private readonly getService: () => string,
-    private readonly post: (event: MeshEventBody) => void,
-    private readonly onBadInput: (kind: string) => void,
-    private readonly onLateRead: (what: string) => void,
+    private readonly host: CallerHost,
     private readonly turns: TurnClock,
+    private readonly memory: MemoryBudget,
   ) {
     this.pending = new PendingCalls(callId =>
-      post({kind: 'callerGone', callId}),
+      host.post({kind: 'callerGone', callId}),
     );
+    this.connections = new CallerConnections(memory);
   }
 
   /** Records a connection that was accepted now. */
   handleConnection(socket: Socket): void {
+    this.connections.add(socket);
     const waitedMs = this.turns.getMsSince(this.turns.recordConnection());
     if (waitedMs > MAX_UNREAD_MS) {
       this.lateConnections.add(socket);
@@ -74,27 +93,48 @@
 
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     this.turns.enter();
-    this.changeOpenCount(req.socket, 1);
-    res.once('close', () => this.changeOpenCount(req.socket, -1));
-    const maxBytes = this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readBody(req, maxBytes);
-    if (body.isErr()) {
-      if (body.error === 'too-large') {
-        this.refuse(res, createRefusal('body_too_large'), true);
-      }
+    const request = this.connections.open(req, res);
+    if (request === undefined) {
       return;
     }
-    const call = this.parseCall(req, body.value);
-    if ('reason' in call) {
-      this.refuse(res, call, false);
+    this.openRequests.set(res, request);
+    const headRefusal = this.findRefusal(req, request);
+    if (headRefusal !== undefined) {
+      this.refuseUnread(req, res, headRefusal);
+      return;
+    }
+    const maxBytes = this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+    const received = await readBody(req, maxBytes, this.memory);
+    if (received.isErr()) {
+      const refusal = createBodyRefusal(received.error);
+      if (refusal !== undefined) {
+        this.refuseUnread(req, res, refusal);
+      }
       return;
     }
+    const {bytes, release} = received.value;
+    request.onEnd(release);
     const readAt = performance.now() - this.turns.getTurnMs();
     if (this.mayHaveLainUnread(req.socket)) {
-      this.onLateRead('request_deferred');
+      this.host.onLateRead('request_deferred');
       await this.turns.catchUp();
     }
-    this.accept(req, res, call, body.value, performance.now() - readAt);
+    this.accept(req, res, bytes, performance.now() - readAt);
+  }
+
+  /** Finds why a request is refused by its head. */
+  private findRefusal(
+    req: IncomingMessage,
+    request: OpenRequest,
+  ): Refusal | undefined {
+    if (!this.connections.tryHold(request)) {
+      return createMemoryRefusal();
+    }
+    const malformed = this.findMalformedHead(req);
+    if (malformed !== undefined || !hasBody(req)) {
+      return malformed;
+    }
+    return this.host.findRefusal(req.headers.host ?? '', req.url ?? '/');
   }
 
   /** Reports whether the present request may have lain unread for long. */
@@ -105,17 +145,8 @@
     );
   }
 
-  private changeOpenCount(socket: Socket, step: number): void {
-    this.openRequests.set(socket, (this.openRequests.get(socket) ?? 0) + step);
-  }
-
-  private parseCall(
-    req: IncomingMessage,
-    body: Uint8Array,
-  ): MeshCallInfo | Refusal {
-    const path = req.url ?? '/';
-    const {headers} = req;
-    if (!path.startsWith('/')) {
+  private findMalformedHead(req: IncomingMessage): Refusal | undefined {
+    if (!(req.url ?? '/').startsWith('/')) {
       return createBadRequest('Request target; send a path');
     }
     if ((req.headersDistinct.host ?? []).length !== 1) {
@@ -125,20 +156,26 @@
     if (headerBytes > (this.limits?.maxHeaderBytes ?? Infinity)) {
       return createBadRequest('Headers; send fewer bytes');
     }
-    const timeoutMs = parseDurationHeader(headers[this.headerNames.timeoutMs]);
-    if (Number.isNaN(timeoutMs)) {
-      return createBadRequest(
-        `${this.headerNames.timeoutMs}; give remaining milliseconds`,
-      );
-    }
-    const method = req.method ?? 'GET';
+    return Number.isNaN(this.parseTimeoutMs(req))
+      ? createBadRequest(
+          `${this.headerNames.timeoutMs}; give remaining milliseconds`,
+        )
+      : undefined;
+  }
+
+  private parseTimeoutMs({headers}: IncomingMessage): number | undefined {
+    return parseDurationHeader(headers[this.headerNames.timeoutMs]);
+  }
+
+  private createCallInfo(req: IncomingMessage, body: Uint8Array): MeshCallInfo {
+    const {headers, method = 'GET', url: path = '/'} = req;
     const requestId = String(headers[this.headerNames.requestId] ?? '');
     return {
       requestId,
       parentId: parseParentId(requestId, this.nestedSeparator),
       host: headers.host ?? '',
       path,
-      timeoutMs,
+      timeoutMs: this.parseTimeoutMs(req),
       bodyBytes: body.byteLength,
       fingerprint: computeFingerprint(method, path, body),
     };
@@ -147,29 +184,35 @@
   private accept(
     req: IncomingMessage,
     res: ServerResponse,
-    call: MeshCallInfo,
     body: Uint8Array,
     unreadMs: number,
   ): void {
     const {socket} = req;
     if (res.destroyed || socket.destroyed || socket.readableEnded) {
-      this.onLateRead('caller_gone');
+      this.host.onLateRead('caller_gone');
       return;
     }
+    const call = this.createCallInfo(req, body);
     const callId = `${this.prefix}-${this.nextCallNumber++}`;
     const headers: HeaderRecord = {
       ...copyEndToEndHeaders(req.headers),
-      [this.headerNames.callerService]: this.getService(),
+      [this.headerNames.callerService]: this.host.getService(),
     };
     const {path} = call;
     const outbound = {method: req.method ?? 'GET', path, headers, body};
     this.pending.add(callId, res, outbound);
-    this.post({kind: 'callArrived', callId, call, unreadMs});
+    this.host.post({kind: 'callArrived', callId, call, unreadMs});
   }
 
-  private refuse(res: ServerResponse, refusal: Refusal, close: boolean): void {
-    this.onBadInput(refusal.reason);
-    writeCallResult(res, refusal, close || this.shouldClose(res), 'fractions');
+  /** Refuses a request of which the body, if any, has not been read whole. */
+  private refuseUnread(
+    req: IncomingMessage,
+    res: ServerResponse,
+    refusal: Refusal,
+  ): void {
+    this.host.onBadInput(refusal.reason);
+    const close = hasBody(req) || this.shouldClose(res);
+    writeCallResult(res, refusal, close, 'fractions');
   }
 
   /**
@@ -178,8 +221,7 @@
    * proxy closes it only with the last response.
    */
   private shouldClose(res: ServerResponse): boolean {
-    const {socket} = res.req;
-    return this.stopping && (this.openRequests.get(socket) ?? 0) <= 1;
+    return this.stopping && this.connections.isLast(res.req.socket);
   }
 
   /**
@@ -198,9 +240,33 @@
    */
   answer(callId: string, result: Answer | Refusal): void {
     const res = this.pending.removeAndGetResponse(callId);
-    if (res !== undefined) {
-      writeCallResult(res, result, this.shouldClose(res), 'fractions');
+    if (res === undefined) {
+      return;
+    }
+    if (result.kind === 'answer') {
+      this.holdUntilRead(res, result.body.length);
+    }
+    writeCallResult(res, result, this.shouldClose(res), 'fractions');
+  }
+
+  /** Counts an answer until its caller has read it, or ends it where room is needed. */
+  private holdUntilRead(res: ServerResponse, bytes: number): void {
+    const request = this.openRequests.get(res);
+    if (request === undefined || bytes <= MAX_ORDINARY_BYTES) {
+      request?.hold.add(bytes);
+      return;
     }
+    const {socket} = res.req;
+    const holder = {
+      heldBytes: bytes,
+      getProgress: () => socket.writableLength,
+      evict: () => socket.destroy(),
+    };
+    this.memory.addHolder(holder);
+    request.onEnd(() => {
+      this.memory.removeHolder(holder);
+      this.memory.retire(bytes);
+    });
   }
 }
 
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -12,6 +12,7 @@
   | 'unknown_input'
   | 'internal_error'
   | 'log_dropped'
+  | 'memory'
   | 'reload';
 
 const COUNTER_HELP: Readonly<Record<CounterName, string>> = {
@@ -42,6 +43,8 @@
     'Times that the event loop stood still for half a second or more, by cause.',
   unknown_input: 'Values that this build does not know, by kind.',
   internal_error: 'Unexpected errors, by event or origin.',
+  memory:
+    'Reservations refused, transfers given up and collections for want of memory.',
   log_dropped: 'Log lines dropped because too many came at once.',
   reload: 'Settings files read again, by outcome.',
 };
@@ -84,6 +87,8 @@
   readonly link_received_bytes: number;
   /** Bytes of large bodies that wait for the VM's bandwidth or their reader. */
   readonly link_waiting_bytes: number;
+  /** Bytes held for callers, peers and upstreams. */
+  readonly memory_held_bytes: number;
   readonly processor_seconds: number;
   readonly peak_resident_bytes: number;
 }
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -27,6 +27,10 @@
 } from '../model/mesh.js';
 import {MeshSettingsFile} from '../model/mesh_settings.js';
 import {parseAddress} from '../proxy/addresses.js';
+import {findRouteOrRefusal} from '../core/mesh/create_call.js';
+import {Refusal} from '../core/refusals.js';
+import {MemoryBudget} from '../proxy/memory_budget.js';
+import {createMemoryBudget} from '../proxy/memory_limits.js';
 import {findUnconfirmed} from '../core/mesh/caller_presence.js';
 import {Clock, SystemClock} from '../proxy/clock.js';
 import {CoreLoop} from '../proxy/core_loop.js';
@@ -54,6 +58,9 @@
 const DEFAULT_RECEIVE_TIMEOUT_MS = 10_000;
 const DEFAULT_MAX_HEADER_BYTES = 65_536;
 
+/** Largest head, relative to the names and values of its fields, which are limited. */
+const HEAD_FRAMING_FACTOR = 2;
+
 /** Limit on caller connections, well below the VM's file descriptor limit. */
 const MAX_CALLER_CONNECTIONS = 2_048;
 const MAX_OPERATOR_CONNECTIONS = 32;
@@ -118,6 +125,7 @@
     this.loop.state.work.queue.map(({attempt}) => attempt.route),
   );
   private readonly log: BoundedLog;
+  private readonly memory: MemoryBudget;
   private readonly pacer = new BodyPacer(
     () => this.settings.linkMbps,
     waitedMs => this.metrics.observe('link_wait_seconds', waitedMs / 1_000),
@@ -153,6 +161,9 @@
     this.log = new BoundedLog(name, logLevel, count =>
       this.metrics.count('log_dropped', 'full', count),
     );
+    this.memory = createMemoryBudget(settings.memoryMb, event =>
+      this.metrics.count('memory', event),
+    );
     const post = (event: MeshEventBody) => this.post(event);
     this.links = new LinkManager(
       {
@@ -176,11 +187,15 @@
       `${addresses.peers}-${startedAt.toString(36)}`,
       adapter.headerNames,
       adapter.nestedSeparator,
-      () => this.settings.service,
-      post,
-      kind => this.metrics.count('bad_input', kind),
-      what => this.metrics.count('late_read', what),
+      {
+        getService: () => this.settings.service,
+        findRefusal: (host, path) => this.findRefusal(host, path),
+        post,
+        onBadInput: kind => this.metrics.count('bad_input', kind),
+        onLateRead: what => this.metrics.count('late_read', what),
+      },
       this.turns,
+      this.memory,
     );
     this.upstream = new MeshUpstreamClient(
       settings.upstream,
@@ -263,6 +278,7 @@
       const waiting = this.pacer.getWaiting();
       this.loop.post({kind: 'tick', linkBytes: {received, sent, waiting}});
       this.links.checkIfDue();
+      this.memory.recordProgress();
     } finally {
       this.scheduleTick();
     }
@@ -308,6 +324,16 @@
     }
   }
 
+  /** Finds why a request will be refused whatever its body is, and counts it. */
+  private findRefusal(host: string, path: string): Refusal | undefined {
+    const found = findRouteOrRefusal(this.loop.state, {host, path});
+    if (!('reason' in found)) {
+      return undefined;
+    }
+    this.metrics.count('call_refused', found.reason);
+    return found;
+  }
+
   private listenHttp(
     address: string,
     maxConnections: number,
@@ -572,6 +598,9 @@
     if (callers !== undefined) {
       callers.server.keepAliveTimeout = limits.idleTimeoutMs;
       callers.server.headersTimeout = limits.headerTimeoutMs;
+      // For connections that are accepted from now on.
+      const maxHeaderSize = limits.maxHeaderBytes * HEAD_FRAMING_FACTOR;
+      Object.assign(callers.server, {maxHeaderSize});
     }
   }
 
@@ -597,6 +626,7 @@
       link_sent_bytes: sentBytes,
       link_received_bytes: receivedBytes,
       link_waiting_bytes: this.pacer.countWaitingBytes(),
+      memory_held_bytes: this.memory.usedBytes,
       processor_seconds: (userCPUTime + systemCPUTime) / 1e6,
       peak_resident_bytes: maxRSS * 1_024,
     };
--- a/src/model/mesh_settings.ts
+++ b/src/model/mesh_settings.ts
@@ -31,6 +31,8 @@
    * wait for new versions.
    */
   linkMbps: z.number().positive().default(1_000),
+  /** Memory of the VM for this process, in megabytes (1e6 bytes). */
+  memoryMb: z.number().positive().default(250),
   /** Time within which no proxy may send new work to an upstream that drains. */
   drainMs: MillisSchema.min(200).default(2_000),
   /** Time within which a new configuration is to be in force everywhere. */
--- a/src/proxy/caller_server.ts
+++ b/src/proxy/caller_server.ts
@@ -5,7 +5,8 @@
 import {createRefusal, Refusal, weakenToUnknown} from '../core/refusals.js';
 import {Answer, CallInfo, EventBody} from '../core/types.js';
 import {Settings} from '../model/settings.js';
-import {readBody} from './read_body.js';
+import {MemoryBudget} from './memory_budget.js';
+import {createBodyRefusal, readBody, releaseAfter} from './read_body.js';
 import {
   copyEndToEndHeaders,
   DEADLINE_HEADER,
@@ -33,6 +34,7 @@
     private readonly limits: Settings['limits'],
     private readonly post: (event: EventBody) => void,
     private readonly count: (reason: string) => void,
+    private readonly memory: MemoryBudget,
   ) {
     this.pendingCalls = new PendingCalls(callId =>
       post({kind: 'callerGone', callId}),
@@ -40,19 +42,22 @@
   }
 
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const body = await readBody(req, this.limits.maxRequestBytes);
+    const body = await readBody(req, this.limits.maxRequestBytes, this.memory);
     if (body.isErr()) {
-      if (body.error === 'too-large') {
-        this.refuse(req, res, createRefusal('body_too_large'), true);
+      const refusal = createBodyRefusal(body.error);
+      if (refusal !== undefined) {
+        this.refuse(req, res, refusal, true);
       }
       return;
     }
-    const call = parseCall(req, body.value);
+    const {bytes, release} = body.value;
+    releaseAfter(res, release);
+    const call = parseCall(req, bytes);
     if (call.kind === 'refusal') {
       this.refuse(req, res, call, false);
       return;
     }
-    this.accept(req, res, call.info, body.value);
+    this.accept(req, res, call.info, bytes);
   }
 
   private accept(
--- a/src/proxy/memory_budget.ts
+++ b/src/proxy/memory_budget.ts
@@ -11,7 +11,7 @@
 /** Reservations up to this size may use the room that is kept for ordinary requests. */
 export const MAX_ORDINARY_BYTES = 65_536;
 
-/** Bytes of ended requests after which garbage is collected. */
+/** Bytes of ended requests after which garbage is collected, if half of it is used. */
 const COLLECT_AFTER_BYTES = 16 * 1_048_576;
 
 /** Least time between two collections. */
@@ -132,7 +132,8 @@
    */
   retire(bytes: number): void {
     this.retiredBytes += bytes;
-    if (this.retiredBytes >= COLLECT_AFTER_BYTES) {
+    const isHalfUsed = this.reservedBytes > this.maxBytes / 2;
+    if (isHalfUsed && this.retiredBytes >= COLLECT_AFTER_BYTES) {
       this.retiredBytes = 0;
       void this.collectSoon();
     }
--- a/src/proxy/peer_server.ts
+++ b/src/proxy/peer_server.ts
@@ -1,6 +1,6 @@
 /** Receives attempts and control messages from other proxies. */
 import {IncomingMessage, ServerResponse} from 'node:http';
-import {createRefusal, Refusal} from '../core/refusals.js';
+import {Refusal} from '../core/refusals.js';
 import {Answer, EventBody} from '../core/types.js';
 import {
   Attempt,
@@ -10,7 +10,8 @@
   PeerRequest,
 } from '../model/peer.js';
 import {Settings} from '../model/settings.js';
-import {readBody} from './read_body.js';
+import {MemoryBudget} from './memory_budget.js';
+import {createBodyRefusal, readBody, releaseAfter} from './read_body.js';
 import {OutboundRequest} from './pending_calls.js';
 import {
   ControlTraffic,
@@ -44,6 +45,7 @@
     private readonly traffic: ControlTraffic,
     private readonly post: (event: EventBody) => void,
     private readonly countBadInput: (kind: string) => void,
+    private readonly memory: MemoryBudget,
   ) {
     this.handleRpc = createControlServer(
       request => this.requestReply(request),
@@ -70,14 +72,17 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    const body = await readBody(req, MAX_CONTROL_REQUEST_BYTES);
+    const body = await readBody(req, MAX_CONTROL_REQUEST_BYTES, this.memory);
     if (body.isErr()) {
       this.countBadInput('control_body');
       writeError(res, 413, `Send at most ${MAX_CONTROL_REQUEST_BYTES} bytes.`);
       return;
     }
-    this.traffic.receivedBytes += body.value.length;
-    const text = await this.handleRpc(Buffer.from(body.value).toString('utf8'));
+    const {bytes, release} = body.value;
+    this.traffic.receivedBytes += bytes.length;
+    const message = Buffer.from(bytes).toString('utf8');
+    release();
+    const text = await this.handleRpc(message);
     const reply = Buffer.from(text);
     this.traffic.sentBytes += reply.length;
     res.writeHead(200, {
@@ -119,22 +124,23 @@
       return;
     }
     const {attemptId} = attempt;
-    const body = await readBody(req, this.limits.maxRequestBytes);
+    const body = await readBody(req, this.limits.maxRequestBytes, this.memory);
     if (body.isErr()) {
-      if (body.error === 'too-large') {
+      const refusal = createBodyRefusal(body.error);
+      if (refusal !== undefined) {
         const load = {running: 0, queued: 0, slots: 0, leaving: false};
-        const refusal = createRefusal('body_too_large');
         writeAttemptResult(res, attemptId, refusal, load);
       }
       return;
     }
+    releaseAfter(res, body.value.release);
     this.attempts.set(attemptId, {
       key: attempt.key,
       outbound: {
         method: req.method ?? 'GET',
         path: req.url ?? '/',
         headers: copyEndToEndHeaders(req.headers),
-        body: body.value,
+        body: body.value.bytes,
       },
       finish: (result, load) =>
         writeAttemptResult(res, attemptId, result, load),
--- a/src/proxy/proxy_runtime.ts
+++ b/src/proxy/proxy_runtime.ts
@@ -13,6 +13,7 @@
 import {CoreLoop} from './core_loop.js';
 import {closeGracefully, stopAccepting, listen, Listener} from './listener.js';
 import {PartLogs} from './log.js';
+import {DEFAULT_MEMORY_MB, createMemoryBudget} from './memory_limits.js';
 import {GaugeValues, ProxyMetrics} from './metrics.js';
 import {OperatorServer} from './operator_server.js';
 import {PeerServer} from './peer_server.js';
@@ -80,14 +81,19 @@
     const post = (event: EventBody) => this.post(event);
     const countBadInput = (kind: string) =>
       this.metrics.count('bad_input', kind);
-    this.callerServer = new CallerServer(limits, post, reason =>
-      this.metrics.count('call_refused', reason),
+    const memory = createMemoryBudget(DEFAULT_MEMORY_MB);
+    this.callerServer = new CallerServer(
+      limits,
+      post,
+      reason => this.metrics.count('call_refused', reason),
+      memory,
     );
     this.peerServer = new PeerServer(
       limits,
       this.controlTraffic,
       post,
       countBadInput,
+      memory,
     );
     this.attemptSender = new AttemptSender(
       this.callPools,
--- a/test/platform/documents.test.ts
+++ b/test/platform/documents.test.ts
@@ -140,6 +140,12 @@
           .map(({scarceSlots}) => scarceSlots)
           ._unsafeUnwrap(),
       ),
+      ...[{'memory-mb': 602, 'link-mbps': 5}, {'link-mbps': 5}, null].map(
+        limits =>
+          parseSettings(JSON.stringify({...settings, limits}))
+            .map(({memoryMb}) => memoryMb)
+            ._unsafeUnwrap(),
+      ),
     ];
     expect(shown).toMatchSnapshot();
   });
--- a/test/spread/control_bytes.test.ts
+++ b/test/spread/control_bytes.test.ts
@@ -6,6 +6,10 @@
 import {ConnectionPools} from '../../src/proxy/connection_pools.js';
 import {ControlClient} from '../../src/proxy/control_channel.js';
 import {closeGracefully, listen} from '../../src/proxy/listener.js';
+import {
+  DEFAULT_MEMORY_MB,
+  createMemoryBudget,
+} from '../../src/proxy/memory_limits.js';
 import {PeerServer} from '../../src/proxy/peer_server.js';
 import {
   CoreFixture,
@@ -188,6 +192,7 @@
         }
       },
       () => undefined,
+      createMemoryBudget(DEFAULT_MEMORY_MB),
     );
     const listener = await listen(
       '127.0.0.1:0',
