Assemble answers in place, so that what is held is what is counted

A faulty upstream ended the process that had called it, and with it the requests of all its other callers: an endless answer in chunks of one byte ran it out of memory.

Each chunk was kept as an object of its own until the end; one of a byte takes a hundred or more.

An answer is now copied to a BodyBuffer, whose size is reserved in the memory budget of the process, and a large one counts until its buffer is free. Where the budget has no room, the answer is given up as too large. AnswerBuffers still limits what answers take together.

--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -35,6 +35,7 @@
 import {Clock, SystemClock} from '../proxy/clock.js';
 import {CoreLoop} from '../proxy/core_loop.js';
 import {Listener, listen} from '../proxy/listener.js';
+import {MemoryBudget} from '../proxy/memory_budget.js';
 import {AttemptTransport} from './attempt_transport.js';
 import {BodyPacer} from './body_pacer.js';
 import {BoundedLog} from './bounded_log.js';
@@ -201,6 +202,7 @@
       settings.upstream,
       adapter.headerNames,
       post,
+      this.memory,
     );
     this.source = adapter.createSource(settings.source, {
       onReject: (kind, detail) => this.reportBadInput(kind, detail),
--- a/src/mesh/mesh_upstream_client.ts
+++ b/src/mesh/mesh_upstream_client.ts
@@ -15,6 +15,7 @@
   HttpAnswer,
   startExchange,
 } from '../proxy/http_exchange.js';
+import {MemoryBudget} from '../proxy/memory_budget.js';
 import {HeaderNames} from './header_names.js';
 
 /** Limit on answers, which are buffered in memory. */
@@ -49,10 +50,17 @@
   private readonly buffers = new AnswerBuffers(MAX_BUFFERED_BYTES);
   private readonly running = new Map<string, RunningExchange>();
 
+  /**
+   * @param address - The upstream's address.
+   * @param headerNames - The platform's header names.
+   * @param post - Receives events.
+   * @param memory - Counts the answers while they arrive, and large ones until they are free.
+   */
   constructor(
     private readonly address: string,
     private readonly headerNames: HeaderNames,
     private readonly post: (event: MeshEventBody) => void,
+    private readonly memory: MemoryBudget,
   ) {}
 
   /**
@@ -81,6 +89,7 @@
       timeoutMs,
       maxAnswerBytes: MAX_ANSWER_BYTES,
       buffers: this.buffers,
+      memory: this.memory,
       // A faulty upstream may write a refusal once more, where a later answer is due.
       // Without an identifier, only the connection tells to which request it belongs.
       endsWithHead: (_status, headers) =>
--- a/src/proxy/http_exchange.ts
+++ b/src/proxy/http_exchange.ts
@@ -5,8 +5,10 @@
 import {err, ok, Result} from 'neverthrow';
 import {Dispatcher} from 'undici';
 import {FailureKind} from '../core/types.js';
+import {BodyBuffer} from './body_buffer.js';
 import {classifyFailure} from './classify_failure.js';
 import {HeaderRecord} from './headers.js';
+import {MemoryBudget, MemoryHolder} from './memory_budget.js';
 
 export interface ExchangeRequest {
   readonly method: string;
@@ -20,6 +22,8 @@
   readonly maxAnswerBytes: number;
   /** Limits the bytes of all answers that share it; undefined: no such limit. */
   readonly buffers?: AnswerBuffers;
+  /** Counts the memory of the answer; undefined: it is not limited otherwise. */
+  readonly memory?: MemoryBudget;
   /**
    * Reports whether an answer ends with its head, without its body, and its connection
    * is not used again; undefined: no answer does.
@@ -47,6 +51,8 @@
 
 const EMPTY_BODY = new Uint8Array(0);
 
+const UNLIMITED = new MemoryBudget(Infinity, 0);
+
 /** Lower statuses are informational; the answer follows. */
 const FIRST_FINAL_STATUS = 200;
 
@@ -92,7 +98,11 @@
 }
 
 class ExchangeHandler
-  implements Dispatcher.DispatchHandler, RunningExchange, IncompleteAnswer
+  implements
+    Dispatcher.DispatchHandler,
+    RunningExchange,
+    IncompleteAnswer,
+    MemoryHolder
 {
   readonly result: Promise<ExchangeResult>;
   private resolve: (result: ExchangeResult) => void = () => undefined;
@@ -103,16 +113,13 @@
   private status = 0;
   private informationalHeads = 0;
   headers?: HeaderRecord;
-  private readonly chunks: Uint8Array[] = [];
+  private body?: BodyBuffer;
   receivedBytes = 0;
-  private readonly endsWithHead: ExchangeRequest['endsWithHead'];
-
-  constructor(
-    {timeoutMs, headTimeoutMs, endsWithHead}: ExchangeRequest,
-    private readonly maxAnswerBytes: number,
-    private readonly buffers: AnswerBuffers | undefined,
-  ) {
-    this.endsWithHead = endsWithHead;
+  private readonly memory: MemoryBudget;
+
+  constructor(private readonly request: ExchangeRequest) {
+    const {timeoutMs, headTimeoutMs, memory = UNLIMITED} = request;
+    this.memory = memory;
     this.result = new Promise(resolve => {
       this.resolve = resolve;
     });
@@ -133,9 +140,20 @@
     this.abortWith('too-large');
   }
 
+  get heldBytes(): number {
+    return this.body?.heldBytes ?? 0;
+  }
+
+  getProgress(): number {
+    return this.receivedBytes;
+  }
+
+  evict(): void {
+    this.abortAsTooLarge();
+  }
+
   private abortWith(failure: FailureKind): void {
     if (this.settle(err(failure))) {
-      this.chunks.length = 0;
       this.controller?.abort(new Error(failure));
     }
   }
@@ -146,7 +164,9 @@
       return false;
     }
     this.settled = true;
-    this.buffers?.release(this);
+    this.request.buffers?.release(this);
+    this.memory.removeHolder(this);
+    this.body?.discard();
     clearTimeout(this.timer);
     clearTimeout(this.headTimer);
     this.resolve(result);
@@ -176,7 +196,7 @@
       if (this.informationalHeads > MAX_INFORMATIONAL_HEADS) {
         this.abortAsTooLarge();
       }
-    } else if (this.endsWithHead?.(status, headers)) {
+    } else if (this.request.endsWithHead?.(status, headers)) {
       this.settle(ok({status, headers, body: EMPTY_BODY}));
       controller.abort(new Error('The connection is not used again.'));
     }
@@ -190,18 +210,32 @@
       return;
     }
     this.receivedBytes += chunk.length;
-    this.buffers?.add(this, chunk.length);
-    if (this.receivedBytes > this.maxAnswerBytes) {
-      this.abortAsTooLarge();
+    this.request.buffers?.add(this, chunk.length);
+    if (this.settled) {
       return;
     }
-    this.chunks.push(chunk);
+    this.body ??= this.createBody();
+    const isHeld = this.body.append(chunk) === 'ok';
+    if (this.settled) {
+      // The budget has given up this answer to make room for it.
+      this.body.discard();
+    } else if (!isHeld) {
+      this.abortAsTooLarge();
+    }
+  }
+
+  private createBody(): BodyBuffer {
+    this.memory.addHolder(this);
+    const {maxAnswerBytes: maxBytes} = this.request;
+    const length = Number(this.headers?.['content-length']);
+    const announcedBytes = length <= maxBytes ? length : undefined;
+    return new BodyBuffer(this.memory, {maxBytes, announcedBytes});
   }
 
   onResponseEnd(): void {
-    const {status, headers = {}, chunks} = this;
-    const body = chunks.length > 1 ? Buffer.concat(chunks) : chunks[0];
-    this.settle(ok({status, headers, body: body ?? EMPTY_BODY}));
+    const {status, headers = {}} = this;
+    const body = this.body?.finish() ?? EMPTY_BODY;
+    this.settle(ok({status, headers, body}));
   }
 
   onResponseError(
@@ -222,11 +256,7 @@
   dispatcher: Dispatcher,
   request: ExchangeRequest,
 ): RunningExchange {
-  const handler = new ExchangeHandler(
-    request,
-    request.maxAnswerBytes,
-    request.buffers,
-  );
+  const handler = new ExchangeHandler(request);
   dispatcher.dispatch(
     {
       method: request.method as Dispatcher.HttpMethod,
--- a/test/mesh/broken_answers.test.ts
+++ b/test/mesh/broken_answers.test.ts
@@ -3,6 +3,7 @@
 import {AddressInfo, Server, Socket, createServer} from 'node:net';
 import {MeshEventBody} from '../../src/core/mesh/mesh_types.js';
 import {MeshUpstreamClient} from '../../src/mesh/mesh_upstream_client.js';
+import {MemoryBudget} from '../../src/proxy/memory_budget.js';
 import {HEADER_NAMES} from '../../platform/header_names.js';
 import {expect} from '../support/chai_setup.js';
 
@@ -52,7 +53,12 @@
     }
   };
   const address = await upstream.start();
-  const client = new MeshUpstreamClient(address, HEADER_NAMES, post);
+  const client = new MeshUpstreamClient(
+    address,
+    HEADER_NAMES,
+    post,
+    new MemoryBudget(100e6, 0),
+  );
   for (let n = 1; n <= count; n += 1) {
     const headers = {[HEADER_NAMES.requestId]: `r-${n}`};
     const body = new Uint8Array(0);
--- a/test/mesh/endless_answers.test.ts
+++ b/test/mesh/endless_answers.test.ts
@@ -12,6 +12,7 @@
   MAX_HEAD_BYTES,
   MeshUpstreamClient,
 } from '../../src/mesh/mesh_upstream_client.js';
+import {MemoryBudget} from '../../src/proxy/memory_budget.js';
 import {HEADER_NAMES} from '../../platform/header_names.js';
 import {waitUntil} from '../../src/standins/harness/wait_for.js';
 import {expect} from '../support/chai_setup.js';
@@ -63,6 +64,10 @@
     start: `${OK}Transfer-Encoding: chunked\r\n\r\n`,
     repeated: `10000\r\n${CHUNK}\r\n`,
   },
+  'a body of chunks of one byte': {
+    start: `${OK}Transfer-Encoding: chunked\r\n\r\n`,
+    repeated: '1\r\nx\r\n',
+  },
   'an extension of a chunk': {
     start: `${OK}Transfer-Encoding: chunked\r\n\r\n1;`,
     repeated: CHUNK,
@@ -127,6 +132,7 @@
   async function ask(
     endless: EndlessAnswer,
     count: number,
+    memory = new MemoryBudget(100e6, 0),
   ): Promise<{events: MeshEventBody[]; writtenBytes: number}> {
     const upstream = new EndlessUpstream(endless);
     const events: MeshEventBody[] = [];
@@ -134,6 +140,7 @@
       await upstream.start(),
       HEADER_NAMES,
       event => events.push(event),
+      memory,
     );
     const asked = Array.from({length: count}, (_, n) => {
       const headers = {[HEADER_NAMES.requestId]: `r-${n}`};
@@ -145,6 +152,7 @@
     await upstream.allClosed();
     await client.destroy();
     upstream.stop();
+    expect(memory.usedBytes).to.equal(0);
     return {events, writtenBytes: upstream.writtenBytes};
   }
 
@@ -165,6 +173,17 @@
     );
   });
 
+  it('are cut off where the memory of the process ends', async () => {
+    const memory = new MemoryBudget(4 * 1_048_576, 0);
+    const {events, writtenBytes} = await ask(
+      ANSWERS['a body of chunks'],
+      1,
+      memory,
+    );
+    expect(events.map(({kind}) => kind)).to.deep.equal(['upstreamFailed']);
+    expect(writtenBytes).to.be.at.most(4 * 1_048_576 + SOCKET_BYTES);
+  });
+
   it('take no more memory together than the limit, the largest goes first', () => {
     const buffers = new AnswerBuffers(100);
     const aborted: string[] = [];
--- a/test/mesh/upstream_client.test.ts
+++ b/test/mesh/upstream_client.test.ts
@@ -4,6 +4,7 @@
 import {AddressInfo} from 'node:net';
 import {MeshEventBody} from '../../src/core/mesh/mesh_types.js';
 import {MeshUpstreamClient} from '../../src/mesh/mesh_upstream_client.js';
+import {MemoryBudget} from '../../src/proxy/memory_budget.js';
 import {HEADER_NAMES} from '../../platform/header_names.js';
 import {expect} from '../support/chai_setup.js';
 
@@ -53,8 +54,11 @@
 
   before(async () => {
     const address = await upstream.start();
-    client = new MeshUpstreamClient(address, HEADER_NAMES, event =>
-      events.push(event),
+    client = new MeshUpstreamClient(
+      address,
+      HEADER_NAMES,
+      event => events.push(event),
+      new MemoryBudget(100e6, 0),
     );
   });
 
