Reject documents of the store with too many values

A store that answers with a document of empty lists ended every proxy that read it: JSON.parse took more memory than the process has. The limit on a document, 64 MiB, counts its text only; a list of two bytes takes some thirty.

The text is limited to 16 MiB now, and the values are counted before the text is parsed, up to 500,000. A page of the store has some thousand values; its largest items are text in base64, which has none of the counted bytes.

npm run mocha -- test/platform/endless 'of the store', real processes: with a document of 5 million lists (15 MB) both ended before this change, now both live, stay below 250 MiB and take the next version.

--- a/src/mesh/json_http_client.ts
+++ b/src/mesh/json_http_client.ts
@@ -12,7 +12,13 @@
 /** Time for the rest of an answer that has begun: a large one on a slow link. */
 const BODY_TIMEOUT_MS = 3_000;
 
-const MAX_ANSWER_BYTES = 64 * 1_048_576;
+const MAX_ANSWER_BYTES = 16 * 1_048_576;
+
+/** Limit on the values of a document; each takes far more memory than its text. */
+const MAX_VALUES = 500_000;
+
+/** Bytes before each value of a document but the first, or of its lists and objects. */
+const VALUE_BYTES: ReadonlySet<number> = new Set(Buffer.from(',[{'));
 
 const STATUS_OK = 200;
 const EMPTY_BODY = new Uint8Array(0);
@@ -82,6 +88,10 @@
     if (status !== STATUS_OK) {
       return err({kind: 'refused', detail: `${path} answered ${status}`});
     }
+    if (hasMoreValues(body, MAX_VALUES)) {
+      const detail = `${path}: more than ${MAX_VALUES} values`;
+      return err({kind: 'unreadable', detail});
+    }
     try {
       const value: unknown = JSON.parse(Buffer.from(body).toString('utf8'));
       return ok({status, headers, value});
@@ -91,6 +101,18 @@
   }
 }
 
+/** Reports whether a document may have more values than a limit. */
+function hasMoreValues(body: Uint8Array, limit: number): boolean {
+  if (body.length <= limit) {
+    return false;
+  }
+  let values = 0;
+  for (const byte of body) {
+    values += VALUE_BYTES.has(byte) ? 1 : 0;
+  }
+  return values > limit;
+}
+
 /** Validates the document of a reply. */
 export function validateReply<T>(
   schema: z.ZodType<T>,
--- a/test/platform/endless_answers.test.ts
+++ b/test/platform/endless_answers.test.ts
@@ -169,4 +169,23 @@
       expect(await machine.readPeakMemory()).to.be.below(MAX_MEMORY);
     }
   });
+
+  // Guards against FAULT: the proxies of a fleet read what their store sends.
+  for (const mode of ['endless', 'large'] as const) {
+    it(`of the store end no proxy: ${mode}`, async () => {
+      const {machines, store} = fleet;
+      store.mode = mode;
+      const calls = store.calls.length;
+      await waitForFleet(async () => store.calls.length > calls + 4);
+      store.mode = 'answers';
+      store.put('op/config', createConfigDocument(3));
+      for (const machine of machines) {
+        await waitForFleet(async () => {
+          expect(machine.exit).to.equal(undefined);
+          return (await fleet.readStatus(machine)).version === 3;
+        });
+        expect(await machine.readPeakMemory()).to.be.below(MAX_MEMORY);
+      }
+    });
+  }
 });
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -9,6 +9,11 @@
 /** Interval at which a pending watch checks for events. */
 const WATCH_POLL_MS = 5;
 
+const EMPTY_LISTS = '[],'.repeat(20_000);
+
+/** Empty lists in a large document, of three bytes each. */
+const LARGE_LISTS = 5_000_000;
+
 interface Item {
   readonly key: string;
   readonly value: string;
@@ -20,10 +25,17 @@
 
 /**
  * How the store responds: as usual (`answers`), with 503 (`busy`), with 429
- * (`rate-limited`), never (`silent`), or with an invalid document (`invalid`).
+ * (`rate-limited`), never (`silent`), with an invalid document (`invalid`), with one that
+ * does not end (`endless`), or with one that has only empty lists (`large`).
  */
 export type StoreMode =
-  'answers' | 'busy' | 'rate-limited' | 'silent' | 'invalid';
+  | 'answers'
+  | 'busy'
+  | 'rate-limited'
+  | 'silent'
+  | 'invalid'
+  | 'endless'
+  | 'large';
 
 /** What a copy of the store holds. */
 interface StoreCopy {
@@ -126,6 +138,11 @@
         return reply(res, 429, {error: 'too many'});
       case 'invalid':
         return reply(res, 200, {items: 'none'});
+      case 'endless':
+        return writeEndless(res);
+      case 'large':
+        res.end(`[${'[],'.repeat(LARGE_LISTS)}[]]`);
+        return;
       case 'answers':
         return this.answer(url, res);
     }
@@ -194,6 +211,16 @@
   }
 }
 
+/** Writes empty lists until the client closes the connection. */
+function writeEndless(res: ServerResponse): void {
+  const write = () => {
+    while (!res.destroyed && res.write(EMPTY_LISTS));
+  };
+  res.on('drain', write);
+  res.write('[');
+  write();
+}
+
 function reply(res: ServerResponse, status: number, value: unknown): void {
   res.writeHead(status, {'content-type': 'application/json'});
   res.end(JSON.stringify(value));
