Links: hold an incomplete frame in one buffer

What a peer could cause: FrameReader kept one Buffer for each piece of a frame that was not complete, and each piece kept what it had been read with. Nothing counted either. Bodies of whole messages were slices that kept the whole read alive for as long as their request waited, and a frame could announce a body of 128 MiB although none above 8 KiB is sent.

Change: an incomplete frame is copied to one buffer of its length, which counts in the memory budget. The body of a frame is at most 8 KiB, and that of a whole message is copied out of what was read.

--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -4,6 +4,7 @@
  * the message and that of the body (32 bits each), the encoded message, and the body or
  * a part of it. All numbers are big-endian.
  */
+import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
 
 const TYPE_WHOLE = 0;
 const TYPE_CHUNK = 1;
@@ -21,7 +22,9 @@
 const PREFIX_BYTES = BODY_LENGTH_AT + LENGTH_BYTES;
 
 const MAX_MESSAGE_BYTES = 8 * 1_048_576;
-const MAX_BODY_BYTES = 128 * 1_048_576;
+
+/** Largest body, or part of one, in a frame. */
+const MAX_BODY_BYTES = MAX_WHOLE_BODY_BYTES;
 
 /** Largest time that is sent; one that is longer is sent as this. */
 const MAX_BEHIND_MS = 2 ** (8 * BEHIND_BYTES) - 1;
@@ -62,11 +65,12 @@
 
 /** Encodes a frame. */
 export function encodeFrame(frame: Frame, stamp: FrameStamp): Buffer {
+  const type = getType(frame);
   const transfer = frame.kind === 'whole' ? 0 : frame.transfer;
   const message = frame.kind === 'discarded' ? NOTHING : frame.message;
   const body = frame.kind === 'discarded' ? NOTHING : frame.body;
   const bytes = Buffer.allocUnsafe(PREFIX_BYTES + message.length + body.length);
-  bytes.writeUInt8(getType(frame), 0);
+  bytes.writeUInt8(type, 0);
   bytes.writeUIntBE(Math.floor(stamp.sentAt), SENT_AT, SENT_BYTES);
   const behindMs = Math.min(MAX_BEHIND_MS, Math.ceil(stamp.behindMs));
   bytes.writeUInt16BE(behindMs, BEHIND_AT);
@@ -89,68 +93,43 @@
   }
 }
 
-/** Splits a stream of bytes into frames. */
-export class FrameReader {
-  private buffered: Buffer[] = [];
-  private bufferedBytes = 0;
-  private neededBytes = PREFIX_BYTES;
-
-  /** Adds received bytes. */
-  push(chunk: Buffer): void {
-    this.buffered.push(chunk);
-    this.bufferedBytes += chunk.length;
+/**
+ * Gets the length of a frame from its first bytes, as far as they tell it.
+ * @returns Bytes, or a description of what is wrong with them.
+ */
+export function getFrameBytes(
+  received: Buffer,
+): number | {readonly error: string} {
+  if (received.length < PREFIX_BYTES) {
+    return PREFIX_BYTES;
   }
-
-  /**
-   * Reads the next frame.
-   * @returns The frame, a description of what is wrong with the bytes, or
-   *     undefined while the frame is incomplete.
-   */
-  read(): ReceivedFrame | {readonly error: string} | undefined {
-    if (this.bufferedBytes < this.neededBytes) {
-      return undefined;
-    }
-    const received =
-      this.buffered.length === 1
-        ? this.buffered[0]
-        : Buffer.concat(this.buffered);
-    this.buffered = [received];
-    const messageBytes = received.readUInt32BE(MESSAGE_LENGTH_AT);
-    const bodyBytes = received.readUInt32BE(BODY_LENGTH_AT);
-    if (messageBytes > MAX_MESSAGE_BYTES || bodyBytes > MAX_BODY_BYTES) {
-      return {
-        error: `frame too large: message of ${messageBytes} bytes (limit ${MAX_MESSAGE_BYTES}), body of ${bodyBytes} bytes (limit ${MAX_BODY_BYTES}); check that the peer address belongs to a proxy`,
-      };
-    }
-    const bodyAt = PREFIX_BYTES + messageBytes;
-    const end = bodyAt + bodyBytes;
-    if (received.length < end) {
-      this.neededBytes = end;
-      return undefined;
-    }
-    this.buffered = received.length > end ? [received.subarray(end)] : [];
-    this.bufferedBytes = received.length - end;
-    this.neededBytes = PREFIX_BYTES;
-    return createFrame(
-      received.readUInt8(0),
-      {
-        sentAt: received.readUIntBE(SENT_AT, SENT_BYTES),
-        behindMs: received.readUInt16BE(BEHIND_AT),
-      },
-      received.readUInt32BE(TRANSFER_AT),
-      received.subarray(PREFIX_BYTES, bodyAt),
-      received.subarray(bodyAt, end),
-    );
+  const messageBytes = received.readUInt32BE(MESSAGE_LENGTH_AT);
+  const bodyBytes = received.readUInt32BE(BODY_LENGTH_AT);
+  if (messageBytes > MAX_MESSAGE_BYTES || bodyBytes > MAX_BODY_BYTES) {
+    return {
+      error: `frame too large: message of ${messageBytes} bytes (limit ${MAX_MESSAGE_BYTES}), body of ${bodyBytes} bytes (limit ${MAX_BODY_BYTES}); check that the peer address belongs to a proxy`,
+    };
   }
+  return PREFIX_BYTES + messageBytes + bodyBytes;
 }
 
-function createFrame(
-  type: number,
-  stamp: FrameStamp,
-  transfer: number,
-  message: Uint8Array,
-  body: Uint8Array,
+/**
+ * Decodes a frame.
+ * @param bytes - All of its bytes and no others.
+ * @returns The frame, whose parts share the bytes, or what is wrong with them.
+ */
+export function decodeFrame(
+  bytes: Buffer,
 ): ReceivedFrame | {readonly error: string} {
+  const type = bytes.readUInt8(0);
+  const stamp = {
+    sentAt: bytes.readUIntBE(SENT_AT, SENT_BYTES),
+    behindMs: bytes.readUInt16BE(BEHIND_AT),
+  };
+  const transfer = bytes.readUInt32BE(TRANSFER_AT);
+  const bodyAt = PREFIX_BYTES + bytes.readUInt32BE(MESSAGE_LENGTH_AT);
+  const message = bytes.subarray(PREFIX_BYTES, bodyAt);
+  const body = bytes.subarray(bodyAt);
   switch (type) {
     case TYPE_WHOLE:
       return {kind: 'whole', stamp, message, body};
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -5,9 +5,11 @@
 import {Socket} from 'node:net';
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
 import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
+import {MemoryBudget} from '../proxy/memory_budget.js';
 import {BodyClaim, BodyPacer, CONTROL_CLAIM} from './body_pacer.js';
 import {BodyTransfers} from './body_transfers.js';
-import {Frame, FrameReader, ReceivedFrame, encodeFrame} from './frames.js';
+import {FrameReader} from './frame_reader.js';
+import {Frame, ReceivedFrame, encodeFrame} from './frames.js';
 import {MessageCodec} from './message_codec.js';
 import {PeerClock} from './peer_clock.js';
 import {ReadDelays} from './turn_clock.js';
@@ -81,7 +83,7 @@
   /** Number of attempts sent on this link that the peer has not answered. */
   pendingAnswers = 0;
   closed = false;
-  private readonly reader = new FrameReader();
+  private readonly reader: FrameReader;
   private readonly transfers: BodyTransfers;
   private lastReceivedAt: number;
   /** When the first message since then was sent. */
@@ -107,8 +109,10 @@
     private readonly now: () => number,
     private readonly pacer: BodyPacer,
     private readonly delays: ReadDelays,
+    budget: MemoryBudget,
   ) {
     this.lastReceivedAt = now();
+    this.reader = new FrameReader(budget);
     this.transfers = new BodyTransfers(
       {
         write: (frame, onFlushed) => this.write(frame, onFlushed),
@@ -195,6 +199,7 @@
     }
     this.closed = true;
     this.transfers.close();
+    this.reader.close();
     this.socket.destroy();
     this.handlers.onClose(this);
   }
@@ -302,8 +307,10 @@
       this.handlers.onBadFrame(decoded.error);
       return undefined;
     }
-    const {body, stamp} = whole;
-    return {message: decoded.value, body, sentAt: stamp.sentAt};
+    // A part of what was read at once would keep all of it in memory.
+    const body =
+      whole.body.length > 0 ? new Uint8Array(whole.body) : EMPTY_BODY;
+    return {message: decoded.value, body, sentAt: whole.stamp.sentAt};
   }
 
   /**
--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -2,6 +2,7 @@
 import {Server, Socket, connect, createServer} from 'node:net';
 import {Hello, LinkMessage} from '../model/mesh.js';
 import {parseAddress} from '../proxy/addresses.js';
+import {MemoryBudget} from '../proxy/memory_budget.js';
 import {BodyPacer} from './body_pacer.js';
 import {MessageCodec} from './message_codec.js';
 import {Link, LinkHandlers, LinkTraffic} from './link.js';
@@ -52,6 +53,7 @@
     private readonly now: () => number,
     private readonly pacer: BodyPacer,
     private readonly delays: ReadDelays,
+    private readonly budget: MemoryBudget,
   ) {
     this.linkHandlers = {
       onMessage: (link, message, body, ageMs) =>
@@ -153,6 +155,7 @@
       this.now,
       this.pacer,
       this.delays,
+      this.budget,
     );
     this.allLinks.add(link);
     link.send(this.handlers.createHello());
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -35,7 +35,6 @@
 import {Clock, SystemClock} from '../proxy/clock.js';
 import {CoreLoop} from '../proxy/core_loop.js';
 import {Listener, listen} from '../proxy/listener.js';
-import {MemoryBudget} from '../proxy/memory_budget.js';
 import {AttemptTransport} from './attempt_transport.js';
 import {BodyPacer} from './body_pacer.js';
 import {BoundedLog} from './bounded_log.js';
@@ -182,6 +181,7 @@
       () => performance.now(),
       this.pacer,
       this.turns,
+      this.memory,
     );
     this.attempts = new AttemptTransport(this.links, post, this.turns);
     this.callers = new MeshCallerHandler(
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -11,6 +11,7 @@
 import {BodyPacer} from '../../src/mesh/body_pacer.js';
 import {LinkManager} from '../../src/mesh/link_manager.js';
 import {MessageCodec} from '../../src/mesh/message_codec.js';
+import {MemoryBudget} from '../../src/proxy/memory_budget.js';
 import {expect} from '../support/chai_setup.js';
 import {NO_DELAYS, createAttempt, createHello} from './mesh_fixture.js';
 
@@ -24,6 +25,8 @@
 /** More than the buffers of the sockets take, so that a part remains unsent. */
 const LARGE_UPLOAD = Buffer.alloc(32 * 1_048_576, 7);
 
+const MAX_HELD_BYTES = 100e6;
+
 /** Least time that the test's upload takes. */
 const UPLOAD_MS = 100;
 
@@ -36,6 +39,7 @@
   readonly links: LinkManager;
   readonly attempts: AttemptTransport;
   readonly pacer: BodyPacer;
+  readonly budget = new MemoryBudget(MAX_HELD_BYTES, 0);
   private notifyWaiter: () => void = () => undefined;
 
   constructor(
@@ -59,6 +63,7 @@
       () => performance.now(),
       this.pacer,
       NO_DELAYS,
+      this.budget,
     );
     // In a proxy, ticks do this.
     setInterval(() => this.links.checkIfDue(), LINK_CHECK_MS).unref();
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -5,6 +5,7 @@
 import {Link} from '../../src/mesh/link.js';
 import {MessageCodec} from '../../src/mesh/message_codec.js';
 import {LinkMessage} from '../../src/model/mesh.js';
+import {MemoryBudget} from '../../src/proxy/memory_budget.js';
 import {expect} from '../support/chai_setup.js';
 import {NO_DELAYS, createAttempt} from './mesh_fixture.js';
 
@@ -109,6 +110,7 @@
         setTimer: () => () => undefined,
       }),
       NO_DELAYS,
+      new MemoryBudget(10e6, 0),
     );
   }
 
