Links: count the bodies that peers send, and refuse those that do not fit

What callers could cause: a proxy received the body of an attempt or an answer as a list of pieces and copied them together at the end, which takes twice its size, with no limit for one body but 32 bits and none for all of them. A few callers with large bodies at several entries filled the memory of the owner they shared.

Cause: of the class "what is held is not counted as held".

Change: chunks state the length of the whole body. With the first one, the receiver decodes the message and reserves the body in the memory budget, or refuses it before its bytes arrive; it is assembled in place. A transfer in progress may be given up for ordinary requests like that of a caller. Without room: - an attempt arrives at its owner without its request (`noMemory`) and is refused as not run with the new reason `memory_full` and the owner's load report. Its id counts as seen, so it never runs. The entry stops sending the body once it has the outcome, and asks the next owner, as after other refusals of owners; - an answer ends as `answer_too_large` with outcome unknown, since it ran; - other messages of the link are not affected, and chunks of a transfer that was refused, or whose first chunk was never seen, are ignored. Configurations and other messages that belong to no call count but are not refused, up to 8 MiB each. A body above 65 MiB, or not as long as announced, is a bad frame and refused in the same way, without closing the link for all others.

A received request counts with its headers until its attempt ends; a body above 64 KiB counts by itself until it is free.

Evidence: `npm run mocha -- test/mesh/attempt_transport` with the new tests failed on a scratch copy of the code before in three of them (the upload arrives in full memory; the answer is delivered; the request counts as 0 bytes), `test/mesh/owner.test` and `test/mesh/calls.test` in one each. All pass now.

--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -178,6 +178,8 @@
        * posts this reports each departure without delay.
        */
       readonly unconfirmedMs?: number;
+      /** There was no memory for its request, which is not kept. */
+      readonly noMemory?: boolean;
     }
   | {
       /** Entries have confirmed the callers of waiting attempts. */
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -42,6 +42,9 @@
 /** Retry delay advised while the upstream or this proxy takes no work. */
 const UNAVAILABLE_RETRY_AFTER_MS = 400;
 
+/** Retry delay advised while there is no memory for a request. */
+const NO_MEMORY_RETRY_AFTER_MS = 500;
+
 /** Slots assumed while no registration of the upstream is known. */
 const UNREGISTERED_SLOTS = 1;
 
@@ -54,7 +57,11 @@
 ): void {
   const {attempt, ageMs = 0, unconfirmedMs = -Infinity} = arrival;
   state.lastWorkAt = at;
-  const refusal = getAdmissionRefusal(state, at, attempt, ageMs);
+  const refusal =
+    getAdmissionRefusal(state, at, attempt, ageMs) ??
+    (arrival.noMemory === true
+      ? createRefusal('memory_full', NO_MEMORY_RETRY_AFTER_MS)
+      : undefined);
   if (refusal !== undefined) {
     refuseAttempt(state, at, attempt, refusal, emit);
     return;
--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -4,15 +4,22 @@
  * asks for the outcome of each attempt, so that no attempt runs twice and no
  * answer is lost with the link.
  */
-import {createRefusal, isRefusalReason} from '../core/refusals.js';
+import {createRefusal} from '../core/refusals.js';
 import {ASK_AFTER_MS} from '../core/mesh/caller_presence.js';
 import {AttemptOutcome, MeshEventBody} from '../core/mesh/mesh_types.js';
 import {roundToHundredths} from '../core/mesh/rounding.js';
 import {LinkMessage, MeshAttempt} from '../model/mesh.js';
+import {
+  MAX_ORDINARY_BYTES,
+  MemoryBudget,
+  MemoryHold,
+} from '../proxy/memory_budget.js';
 import {OutboundRequest} from '../proxy/pending_calls.js';
 import {BodyClaim} from './body_pacer.js';
+import {countRequestBytes} from './held_bytes.js';
 import {Link} from './link.js';
 import {LinkManager} from './link_manager.js';
+import {OutcomeMessage, readOutcome, sendOutcome} from './outcome_messages.js';
 import {ReadDelays} from './turn_clock.js';
 
 /**
@@ -37,6 +44,8 @@
  */
 const MAX_SEEN_IDS = 20_000;
 
+const EMPTY_BODY = new Uint8Array(0);
+
 interface SentAttempt {
   readonly to: string;
   readonly attempt: MeshAttempt;
@@ -50,6 +59,8 @@
   /** Claim of its answer. */
   readonly claim: BodyClaim;
   readonly outbound: OutboundRequest;
+  /** Counts the request; that of a local attempt counts at its caller. */
+  readonly hold: MemoryHold;
   /** The entry's link; undefined if this proxy is also the entry. */
   link?: Link;
 }
@@ -60,7 +71,6 @@
 }
 
 type AttemptMessage = Extract<LinkMessage, {kind: 'attempt'}>;
-type OutcomeMessage = Extract<LinkMessage, {kind: 'answer' | 'refusal'}>;
 
 /** Tracks attempts that this proxy has sent as entry or received as owner. */
 export class AttemptTransport {
@@ -75,6 +85,7 @@
     private readonly links: LinkManager,
     private readonly post: (event: MeshEventBody) => void,
     private readonly delays: ReadDelays,
+    private readonly budget: MemoryBudget,
   ) {}
 
   /** Returns a received attempt that has not ended. */
@@ -85,7 +96,8 @@
   /** Delivers an attempt for which this proxy is both entry and owner. */
   receiveLocal(attempt: MeshAttempt, outbound: OutboundRequest): void {
     const claim = createClaim(attempt);
-    this.received.set(attempt.attemptId, {attempt, claim, outbound});
+    const hold = new MemoryHold(this.budget);
+    this.received.set(attempt.attemptId, {attempt, claim, outbound, hold});
     const unconfirmedMs = this.delays.getBehindMs();
     this.post({kind: 'attemptArrived', attempt, unconfirmedMs});
   }
@@ -187,13 +199,24 @@
     // The core looks up the request while it handles the event, so the attempt
     // is deleted only afterwards.
     this.post({kind: 'attemptCancelled', attemptId});
+    this.forgetReceived(attemptId);
+  }
+
+  /** Removes a received attempt that has ended, and releases its request. */
+  private forgetReceived(attemptId: string): ReceivedAttempt | undefined {
+    const ended = this.received.get(attemptId);
     this.received.delete(attemptId);
+    ended?.hold.release();
+    const bodyBytes = ended?.outbound.body.length ?? 0;
+    if (ended?.link !== undefined && bodyBytes > MAX_ORDINARY_BYTES) {
+      this.budget.retire(bodyBytes);
+    }
+    return ended;
   }
 
   /** Ends a received attempt and sends its outcome to the entry. */
   finish(attemptId: string, outcome: AttemptOutcome): void {
-    const receivedAttempt = this.received.get(attemptId);
-    this.received.delete(attemptId);
+    const receivedAttempt = this.forgetReceived(attemptId);
     if (receivedAttempt === undefined) {
       return;
     }
@@ -255,10 +278,15 @@
     if (this.seenIds.has(attemptId)) {
       return;
     }
+    const hold = new MemoryHold(this.budget);
+    if (!hold.tryAdd(countRequestBytes(headers, body))) {
+      this.handleBodyRefused(link, message);
+      return;
+    }
     this.markSeen(attemptId);
     const outbound = {method, path, headers, body};
     const claim = createClaim(attempt);
-    this.received.set(attemptId, {attempt, claim, outbound, link});
+    this.received.set(attemptId, {attempt, claim, outbound, hold, link});
     const unconfirmedMs = link.getUnconfirmedMs();
     if (unconfirmedMs > ASK_AFTER_MS) {
       link.askForCallers();
@@ -266,6 +294,34 @@
     this.post({kind: 'attemptArrived', attempt, ageMs, unconfirmedMs});
   }
 
+  /**
+   * Ends the attempt of a message for whose body there is no memory. An attempt that has
+   * arrived does not run; one that was answered counts as failed.
+   */
+  handleBodyRefused(link: Link, message: LinkMessage): void {
+    if (message.kind === 'answer') {
+      const detail = 'no memory for the answer';
+      const result = createRefusal('answer_too_large', undefined, detail);
+      const {attemptId, load} = message;
+      this.endSent(attemptId, {result, reachedUpstream: true, load});
+      return;
+    }
+    if (message.kind !== 'attempt') {
+      return;
+    }
+    const {attempt, method, path} = message;
+    const {attemptId} = attempt;
+    if (this.seenIds.has(attemptId)) {
+      return;
+    }
+    this.markSeen(attemptId);
+    const outbound = {method, path, headers: {}, body: EMPTY_BODY};
+    const claim = createClaim(attempt);
+    const hold = new MemoryHold(this.budget);
+    this.received.set(attemptId, {attempt, claim, outbound, hold, link});
+    this.post({kind: 'attemptArrived', attempt, noMemory: true});
+  }
+
   private handleCancel(link: Link, attemptId: string): void {
     link.discard(attemptId);
     if (this.received.has(attemptId)) {
@@ -296,14 +352,18 @@
   }
 
   private handleOutcome(message: OutcomeMessage, body: Uint8Array): void {
-    const {attemptId} = message;
+    this.endSent(message.attemptId, readOutcome(message, body));
+  }
+
+  /** Ends an attempt that was sent; the owner wants no more of its body. */
+  private endSent(attemptId: string, outcome: AttemptOutcome): void {
     const sentAttempt = this.sent.get(attemptId);
     if (sentAttempt === undefined) {
       return;
     }
     this.sent.delete(attemptId);
+    sentAttempt.link?.discard(attemptId);
     this.detachLink(sentAttempt);
-    const outcome = readOutcome(message, body);
     this.post({kind: 'attemptEnded', attemptId, outcome});
   }
 
@@ -368,55 +428,3 @@
   const aimAt = performance.now() + aimMs;
   return {priority, nested: nested === true, aimAt};
 }
-
-function sendOutcome(
-  link: Link,
-  attemptId: string,
-  {result, reachedUpstream, load}: AttemptOutcome,
-  claim?: BodyClaim,
-): void {
-  const reportedLoad = load ?? {
-    running: 0,
-    queued: 0,
-    slots: 0,
-    leaving: false,
-  };
-  if (result.kind === 'answer') {
-    const {status, body, unframed} = result;
-    const headers = result.headers as Record<string, string | string[]>;
-    const message = {kind: 'answer', attemptId, status, headers} as const;
-    const answer = {...message, unframed, load: reportedLoad};
-    link.send(answer, body, attemptId, claim);
-    return;
-  }
-  const {reason, outcome, retryAfterMs} = result;
-  link.send({
-    kind: 'refusal',
-    attemptId,
-    reason,
-    outcome,
-    retryAfterMs: retryAfterMs && Math.round(retryAfterMs),
-    reachedUpstream,
-    load: reportedLoad,
-  });
-}
-
-function readOutcome(
-  message: OutcomeMessage,
-  body: Uint8Array,
-): AttemptOutcome {
-  const {load} = message;
-  if (message.kind === 'answer') {
-    const {status, headers, unframed} = message;
-    const result = {kind: 'answer', status, headers, body, unframed} as const;
-    return {result, reachedUpstream: true, load};
-  }
-  const {reason, outcome, retryAfterMs, reachedUpstream} = message;
-  // A proxy of a newer version may send a reason that is unknown here.
-  const knownReason = isRefusalReason(reason) ? reason : 'attempt_lost';
-  return {
-    result: {kind: 'refusal', reason: knownReason, outcome, retryAfterMs},
-    reachedUpstream,
-    load,
-  };
-}
--- a/src/mesh/body_transfers.ts
+++ b/src/mesh/body_transfers.ts
@@ -1,11 +1,11 @@
 /**
- * Large bodies on a link between two proxies. They are sent in chunks, when the
+ * Large bodies that a link to another proxy sends. They are sent in chunks, when the
  * process's {@link BodyPacer} lets them, and only while few bytes wait in the socket, so
  * that a small message never waits behind a whole upload on a slow link.
  */
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
 import {BodyClaim, BodyPacer, BodySource, WaitingBody} from './body_pacer.js';
-import {Frame, FrameStamp, ReceivedFrame, WholeFrame} from './frames.js';
+import {Frame} from './frames.js';
 
 const CHUNK_BYTES = MAX_WHOLE_BODY_BYTES;
 
@@ -40,19 +40,11 @@
   }
 }
 
-interface Incoming {
-  /** Of its first chunk. */
-  readonly stamp: FrameStamp;
-  readonly message: Uint8Array;
-  readonly chunks: Uint8Array[];
-}
-
 const NOTHING = new Uint8Array(0);
 
-/** The bodies that one link sends and receives in chunks. */
+/** The bodies that one link sends in chunks. */
 export class BodyTransfers implements BodySource {
   private readonly outgoing: Outgoing[] = [];
-  private readonly incoming = new Map<number, Incoming>();
   private nextTransfer = 1;
 
   constructor(
@@ -106,6 +98,7 @@
     const frame: Frame = {
       kind: 'chunk',
       transfer,
+      bodyTotal: body.length,
       message: sentBytes === 0 ? message : NOTHING,
       body: body.subarray(sentBytes, end),
       last,
@@ -132,30 +125,4 @@
   hasUnsent(key: string): boolean {
     return this.outgoing.some(other => other.key === key);
   }
-
-  /**
-   * Handles a received part of a message.
-   * @returns The whole message with the stamp of its first chunk, once its last chunk
-   *     has arrived.
-   */
-  receive(
-    frame: Exclude<ReceivedFrame, WholeFrame>,
-  ): (WholeFrame & {readonly stamp: FrameStamp}) | undefined {
-    if (frame.kind === 'discarded') {
-      this.incoming.delete(frame.transfer);
-      return undefined;
-    }
-    const {transfer, body, last, stamp} = frame;
-    const known = this.incoming.get(transfer);
-    const incoming = known ?? {stamp, message: frame.message, chunks: []};
-    incoming.chunks.push(body);
-    if (!last) {
-      this.incoming.set(transfer, incoming);
-      return undefined;
-    }
-    this.incoming.delete(transfer);
-    const {message, chunks} = incoming;
-    const whole = Buffer.concat(chunks);
-    return {kind: 'whole', stamp: incoming.stamp, message, body: whole};
-  }
 }
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -1,8 +1,9 @@
 /**
  * Frames on a link between two proxies. A frame is a type (1 byte), the sender's time
  * (48 bits), how far behind it was with reading (16 bits), a transfer id, the length of
- * the message and that of the body (32 bits each), the encoded message, and the body or
- * a part of it. All numbers are big-endian.
+ * the message and that of the body in the frame (32 bits each), in chunks the length of
+ * the whole body (32 bits), the encoded message, and the body or a part of it. All
+ * numbers are big-endian.
  */
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
 
@@ -21,6 +22,9 @@
 const BODY_LENGTH_AT = MESSAGE_LENGTH_AT + LENGTH_BYTES;
 const PREFIX_BYTES = BODY_LENGTH_AT + LENGTH_BYTES;
 
+/** In chunks. */
+const BODY_TOTAL_AT = PREFIX_BYTES;
+
 const MAX_MESSAGE_BYTES = 8 * 1_048_576;
 
 /** Largest body, or part of one, in a frame. */
@@ -51,6 +55,8 @@
   | {
       readonly kind: 'chunk';
       readonly transfer: number;
+      /** Length of the whole body. */
+      readonly bodyTotal: number;
       /** Empty except in the first chunk. */
       readonly message: Uint8Array;
       readonly body: Uint8Array;
@@ -69,7 +75,8 @@
   const transfer = frame.kind === 'whole' ? 0 : frame.transfer;
   const message = frame.kind === 'discarded' ? NOTHING : frame.message;
   const body = frame.kind === 'discarded' ? NOTHING : frame.body;
-  const bytes = Buffer.allocUnsafe(PREFIX_BYTES + message.length + body.length);
+  const headBytes = getHeadBytes(type);
+  const bytes = Buffer.allocUnsafe(headBytes + message.length + body.length);
   bytes.writeUInt8(type, 0);
   bytes.writeUIntBE(Math.floor(stamp.sentAt), SENT_AT, SENT_BYTES);
   const behindMs = Math.min(MAX_BEHIND_MS, Math.ceil(stamp.behindMs));
@@ -77,8 +84,11 @@
   bytes.writeUInt32BE(transfer, TRANSFER_AT);
   bytes.writeUInt32BE(message.length, MESSAGE_LENGTH_AT);
   bytes.writeUInt32BE(body.length, BODY_LENGTH_AT);
-  bytes.set(message, PREFIX_BYTES);
-  bytes.set(body, PREFIX_BYTES + message.length);
+  if (frame.kind === 'chunk') {
+    bytes.writeUInt32BE(frame.bodyTotal, BODY_TOTAL_AT);
+  }
+  bytes.set(message, headBytes);
+  bytes.set(body, headBytes + message.length);
   return bytes;
 }
 
@@ -93,6 +103,12 @@
   }
 }
 
+/** Gets the number of bytes before the message. */
+function getHeadBytes(type: number): number {
+  const isChunk = type === TYPE_CHUNK || type === TYPE_LAST_CHUNK;
+  return isChunk ? BODY_TOTAL_AT + LENGTH_BYTES : PREFIX_BYTES;
+}
+
 /**
  * Gets the length of a frame from its first bytes, as far as they tell it.
  * @returns Bytes, or a description of what is wrong with them.
@@ -110,7 +126,7 @@
       error: `frame too large: message of ${messageBytes} bytes (limit ${MAX_MESSAGE_BYTES}), body of ${bodyBytes} bytes (limit ${MAX_BODY_BYTES}); check that the peer address belongs to a proxy`,
     };
   }
-  return PREFIX_BYTES + messageBytes + bodyBytes;
+  return getHeadBytes(received.readUInt8(0)) + messageBytes + bodyBytes;
 }
 
 /**
@@ -127,8 +143,9 @@
     behindMs: bytes.readUInt16BE(BEHIND_AT),
   };
   const transfer = bytes.readUInt32BE(TRANSFER_AT);
-  const bodyAt = PREFIX_BYTES + bytes.readUInt32BE(MESSAGE_LENGTH_AT);
-  const message = bytes.subarray(PREFIX_BYTES, bodyAt);
+  const messageAt = getHeadBytes(type);
+  const bodyAt = messageAt + bytes.readUInt32BE(MESSAGE_LENGTH_AT);
+  const message = bytes.subarray(messageAt, bodyAt);
   const body = bytes.subarray(bodyAt);
   switch (type) {
     case TYPE_WHOLE:
@@ -136,7 +153,8 @@
     case TYPE_CHUNK:
     case TYPE_LAST_CHUNK: {
       const last = type === TYPE_LAST_CHUNK;
-      return {kind: 'chunk', stamp, transfer, message, body, last};
+      const bodyTotal = bytes.readUInt32BE(BODY_TOTAL_AT);
+      return {kind: 'chunk', stamp, transfer, bodyTotal, message, body, last};
     }
     case TYPE_DISCARDED:
       return {kind: 'discarded', stamp, transfer};
--- /dev/null
+++ b/src/mesh/held_bytes.ts
@@ -0,0 +1,35 @@
+/** What requests and answers take in memory. */
+import {MAX_ORDINARY_BYTES} from '../proxy/memory_budget.js';
+
+/** Objects of a request or an answer beside its headers and its body. */
+const OVERHEAD_BYTES = 1_024;
+
+type Headers = Readonly<Record<string, string | readonly string[] | undefined>>;
+
+/**
+ * Counts what a request or an answer takes without its body.
+ * @returns Bytes, approximately.
+ */
+export function countHeadBytes(headers: Headers): number {
+  let bytes = OVERHEAD_BYTES;
+  for (const [name, value] of Object.entries(headers)) {
+    bytes += name.length + countValueBytes(value ?? '');
+  }
+  return bytes;
+}
+
+function countValueBytes(value: string | readonly string[]): number {
+  return typeof value === 'string'
+    ? value.length
+    : value.reduce((sum, {length}) => sum + length, 0);
+}
+
+/**
+ * Counts what a request takes until it ends. A large body counts by itself, until it is
+ * free.
+ * @returns Bytes, approximately.
+ */
+export function countRequestBytes(headers: Headers, body: Uint8Array): number {
+  const bodyBytes = body.length > MAX_ORDINARY_BYTES ? 0 : body.length;
+  return countHeadBytes(headers) + bodyBytes;
+}
--- /dev/null
+++ b/src/mesh/incoming_bodies.ts
@@ -0,0 +1,182 @@
+/**
+ * Bodies that one link receives in chunks. Whether there is room for a body is decided
+ * with its first chunk; it is assembled in place.
+ */
+import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
+import {BodyBuffer} from '../proxy/body_buffer.js';
+import {MemoryBudget, MemoryHolder} from '../proxy/memory_budget.js';
+import {ReceivedFrame, WholeFrame} from './frames.js';
+import {MessageCodec} from './message_codec.js';
+
+/** Largest body of a call; the limits of callers and upstreams are below it. */
+export const MAX_CALL_BODY_BYTES = 65 * 1_048_576;
+
+/**
+ * Largest body that belongs to no call, such as a configuration. These are counted but
+ * never refused for the sake of calls.
+ */
+const MAX_CONTROL_BODY_BYTES = 8 * 1_048_576;
+
+/** What a body in progress takes beside its bytes and its encoded message. */
+const OVERHEAD_BYTES = 1_024;
+
+const CALL_KINDS: ReadonlySet<string> = new Set(CALL_MESSAGE_KINDS);
+
+/** A message that was received whole. */
+export interface ReceivedMessage {
+  readonly message: LinkMessage;
+  readonly body: Uint8Array;
+  /** When it was sent, on the peer's clock. */
+  readonly sentAt: number;
+}
+
+export interface IncomingHandlers {
+  /** There is no room for the body of a message; what arrives of it is dropped. */
+  onRefused(message: LinkMessage): void;
+  onBadFrame(detail: string): void;
+}
+
+type ChunkFrame = Extract<ReceivedFrame, {kind: 'chunk'}>;
+
+/** A body of which chunks are to come. */
+class IncomingBody implements MemoryHolder {
+  constructor(
+    readonly message: LinkMessage,
+    readonly sentAt: number,
+    readonly bodyTotal: number,
+    readonly buffer: BodyBuffer,
+    private readonly refuse: () => void,
+  ) {}
+
+  get heldBytes(): number {
+    return this.buffer.heldBytes;
+  }
+
+  getProgress(): number {
+    return this.buffer.length;
+  }
+
+  evict(): void {
+    this.refuse();
+  }
+}
+
+/** Receives the bodies of one link. */
+export class IncomingBodies {
+  private readonly bodies = new Map<number, IncomingBody>();
+
+  constructor(
+    private readonly budget: MemoryBudget,
+    private readonly codec: MessageCodec,
+    private readonly handlers: IncomingHandlers,
+  ) {}
+
+  /**
+   * Handles a received part of a message. Chunks of a message that was refused or
+   * discarded are ignored.
+   * @returns The message with its body, once its last chunk has arrived.
+   */
+  receive(
+    frame: Exclude<ReceivedFrame, WholeFrame>,
+  ): ReceivedMessage | undefined {
+    if (frame.kind === 'discarded') {
+      this.drop(frame.transfer);
+      return undefined;
+    }
+    if (frame.message.length > 0) {
+      this.begin(frame);
+    }
+    const incoming = this.bodies.get(frame.transfer);
+    if (incoming === undefined) {
+      return undefined;
+    }
+    const appended = incoming.buffer.append(frame.body);
+    const {length} = incoming.buffer;
+    const {bodyTotal, message, sentAt} = incoming;
+    if (appended === 'too-large' || (frame.last && length !== bodyTotal)) {
+      this.handlers.onBadFrame(
+        `body is not as long as announced (${bodyTotal} bytes); run the same build on all proxies`,
+      );
+      this.refuse(frame.transfer);
+      return undefined;
+    }
+    if (appended !== 'ok') {
+      this.refuse(frame.transfer);
+      return undefined;
+    }
+    if (!frame.last) {
+      return undefined;
+    }
+    const body = incoming.buffer.finish();
+    this.drop(frame.transfer);
+    return {message, body, sentAt};
+  }
+
+  /** Drops all bodies; their messages are not refused. */
+  close(): void {
+    [...this.bodies.keys()].forEach(transfer => this.drop(transfer));
+  }
+
+  private begin(frame: ChunkFrame): void {
+    const {transfer, bodyTotal, stamp} = frame;
+    this.drop(transfer);
+    const decoded = this.codec.decode(frame.message);
+    if (decoded.isErr()) {
+      this.handlers.onBadFrame(decoded.error);
+      return;
+    }
+    const message = decoded.value;
+    const isCall = CALL_KINDS.has(message.kind);
+    const maxBytes = isCall ? MAX_CALL_BODY_BYTES : MAX_CONTROL_BODY_BYTES;
+    if (bodyTotal > maxBytes) {
+      this.handlers.onBadFrame(
+        `body of ${bodyTotal} bytes is too large (limit ${maxBytes}); lower the limits of callers`,
+      );
+      this.reportRefused(message);
+      return;
+    }
+    const heldBytes = bodyTotal + frame.message.length + OVERHEAD_BYTES;
+    if (!isCall) {
+      this.budget.add(heldBytes);
+    } else if (!this.budget.tryReserve(heldBytes)) {
+      this.reportRefused(message);
+      return;
+    }
+    const limits = {maxBytes: bodyTotal, announcedBytes: bodyTotal};
+    const buffer = new BodyBuffer(this.budget, limits, heldBytes);
+    const incoming = new IncomingBody(
+      message,
+      stamp.sentAt,
+      bodyTotal,
+      buffer,
+      () => this.refuse(transfer),
+    );
+    this.bodies.set(transfer, incoming);
+    if (isCall) {
+      this.budget.addHolder(incoming);
+    }
+  }
+
+  /** Forgets a body and releases what is counted for it alone. */
+  private drop(transfer: number): IncomingBody | undefined {
+    const incoming = this.bodies.get(transfer);
+    if (incoming !== undefined) {
+      this.bodies.delete(transfer);
+      this.budget.removeHolder(incoming);
+      incoming.buffer.discard();
+    }
+    return incoming;
+  }
+
+  private refuse(transfer: number): void {
+    const incoming = this.drop(transfer);
+    if (incoming !== undefined) {
+      this.reportRefused(incoming.message);
+    }
+  }
+
+  /** Reports a refusal later: a reservation for something else may have caused it. */
+  private reportRefused(message: LinkMessage): void {
+    queueMicrotask(() => this.handlers.onRefused(message));
+  }
+}
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -10,6 +10,7 @@
 import {BodyTransfers} from './body_transfers.js';
 import {FrameReader} from './frame_reader.js';
 import {Frame, ReceivedFrame, encodeFrame} from './frames.js';
+import {IncomingBodies, ReceivedMessage} from './incoming_bodies.js';
 import {MessageCodec} from './message_codec.js';
 import {PeerClock} from './peer_clock.js';
 import {ReadDelays} from './turn_clock.js';
@@ -51,6 +52,8 @@
     body: Uint8Array,
     ageMs: number,
   ): void;
+  /** There is no memory for the body of a message, which is not delivered. */
+  onBodyRefused(link: Link, message: LinkMessage): void;
   /** The peer has replied to {@link Link.askForCallers}. */
   onConfirmed(link: Link): void;
   onClose(link: Link): void;
@@ -63,13 +66,6 @@
   receivedBytes: number;
 }
 
-interface ReceivedMessage {
-  readonly message: LinkMessage;
-  readonly body: Uint8Array;
-  /** When it was sent, on the peer's clock. */
-  readonly sentAt: number;
-}
-
 /** A connection that carries messages in both directions. */
 export class Link {
   /**
@@ -85,6 +81,7 @@
   closed = false;
   private readonly reader: FrameReader;
   private readonly transfers: BodyTransfers;
+  private readonly incoming: IncomingBodies;
   private lastReceivedAt: number;
   /** When the first message since then was sent. */
   private unconfirmedSince?: number;
@@ -113,6 +110,10 @@
   ) {
     this.lastReceivedAt = now();
     this.reader = new FrameReader(budget);
+    this.incoming = new IncomingBodies(budget, codec, {
+      onRefused: message => this.refuseBody(message),
+      onBadFrame: detail => handlers.onBadFrame(detail),
+    });
     this.transfers = new BodyTransfers(
       {
         write: (frame, onFlushed) => this.write(frame, onFlushed),
@@ -199,6 +200,7 @@
     }
     this.closed = true;
     this.transfers.close();
+    this.incoming.close();
     this.reader.close();
     this.socket.destroy();
     this.handlers.onClose(this);
@@ -297,20 +299,24 @@
 
   /** Decodes the message that a frame completes, if it does and is valid. */
   private decode(frame: ReceivedFrame): ReceivedMessage | undefined {
-    const whole =
-      frame.kind === 'whole' ? frame : this.transfers.receive(frame);
-    if (whole === undefined) {
-      return undefined;
+    if (frame.kind !== 'whole') {
+      return this.incoming.receive(frame);
     }
-    const decoded = this.codec.decode(whole.message);
+    const decoded = this.codec.decode(frame.message);
     if (decoded.isErr()) {
       this.handlers.onBadFrame(decoded.error);
       return undefined;
     }
     // A part of what was read at once would keep all of it in memory.
     const body =
-      whole.body.length > 0 ? new Uint8Array(whole.body) : EMPTY_BODY;
-    return {message: decoded.value, body, sentAt: whole.stamp.sentAt};
+      frame.body.length > 0 ? new Uint8Array(frame.body) : EMPTY_BODY;
+    return {message: decoded.value, body, sentAt: frame.stamp.sentAt};
+  }
+
+  private refuseBody(message: LinkMessage): void {
+    if (!this.closed) {
+      this.handlers.onBodyRefused(this, message);
+    }
   }
 
   /**
--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -19,7 +19,7 @@
 
 export interface LinkManagerHandlers extends Pick<
   LinkHandlers,
-  'onMessage' | 'onBadFrame'
+  'onMessage' | 'onBodyRefused' | 'onBadFrame'
 > {
   /** Creates the first message on each link, which identifies this proxy. */
   createHello(): Hello;
@@ -58,6 +58,7 @@
     this.linkHandlers = {
       onMessage: (link, message, body, ageMs) =>
         this.handleMessage(link, message, body, ageMs),
+      onBodyRefused: (link, message) => handlers.onBodyRefused(link, message),
       onConfirmed: () => handlers.onConfirmed(),
       onClose: link => this.handleClose(link),
       onBadFrame: detail => handlers.onBadFrame(detail),
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -171,6 +171,8 @@
         onClose: (address, link) => this.handleLinkClosed(address, link),
         onMessage: (link, message, body, ageMs) =>
           this.handleMessage(link, message, body, ageMs),
+        onBodyRefused: (link, message) =>
+          this.attempts.handleBodyRefused(link, message),
         onConfirmed: () => this.confirmCallers(),
         onBadFrame: detail => this.reportBadInput('peer_frame', detail),
       },
@@ -183,7 +185,12 @@
       this.turns,
       this.memory,
     );
-    this.attempts = new AttemptTransport(this.links, post, this.turns);
+    this.attempts = new AttemptTransport(
+      this.links,
+      post,
+      this.turns,
+      this.memory,
+    );
     this.callers = new MeshCallerHandler(
       `${addresses.peers}-${startedAt.toString(36)}`,
       adapter.headerNames,
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -6,6 +6,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {MAX_UNCONFIRMED_MS} from '../../src/core/mesh/caller_presence.js';
 import {MeshEventBody} from '../../src/core/mesh/mesh_types.js';
+import {createRefusal} from '../../src/core/refusals.js';
 import {LinkMessage} from '../../src/model/mesh.js';
 import {AttemptTransport} from '../../src/mesh/attempt_transport.js';
 import {BodyPacer} from '../../src/mesh/body_pacer.js';
@@ -54,6 +55,8 @@
         onClose: (_address, link) => this.attempts.handleLinkClosed(link),
         onMessage: (link, message: LinkMessage, body, ageMs) =>
           this.attempts.handleMessage(link, message, body, ageMs),
+        onBodyRefused: (link, message) =>
+          this.attempts.handleBodyRefused(link, message),
         onConfirmed: () => undefined,
         onBadFrame: detail => {
           throw new Error(detail);
@@ -74,6 +77,7 @@
         this.notifyWaiter();
       },
       NO_DELAYS,
+      this.budget,
     );
   }
 
@@ -343,6 +347,61 @@
     expect(owner.pacer.countWaitingBytes()).to.equal(0);
   });
 
+  it('never runs an upload for which there was no memory, and stops sending it', async () => {
+    entry.links.close();
+    entry = new TestProxy('127.0.0.1:1', 1, 2);
+    owner.budget.add(MAX_HELD_BYTES);
+    const outbound = {...OUTBOUND, body: Buffer.alloc(1_000_000, 7)};
+    void entry.attempts.send(address, attempt, outbound);
+    const event = await owner.waitForEvent('attemptArrived');
+    expect(event).to.include({noMemory: true});
+    const refusal = createRefusal('memory_full', 500);
+    owner.attempts.finish(attemptId, {result: refusal, reachedUpstream: false});
+    expect(describeOutcome(await entry.waitForEvent('attemptEnded'))).to.equal(
+      'memory_full not-run',
+    );
+    expect(entry.pacer.countWaitingBytes()).to.equal(0);
+    owner.budget.release(MAX_HELD_BYTES);
+    const link = entry.links.find(address);
+    const {method, path, headers} = OUTBOUND;
+    link?.send({kind: 'attempt', attempt, method, path, headers});
+    const other = createAttempt({attemptId: 'a-2'});
+    await entry.attempts.send(address, other, OUTBOUND);
+    while (!owner.arrivedIds.includes('a-2')) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(owner.arrivedIds).to.deep.equal([attemptId, 'a-2']);
+  });
+
+  it('refuses an answer for which the entry has no memory, and no other', async () => {
+    const other = createAttempt({attemptId: 'a-2'});
+    await entry.attempts.send(address, attempt, OUTBOUND);
+    await entry.attempts.send(address, other, OUTBOUND);
+    while (owner.events.length < 2) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    entry.budget.add(MAX_HELD_BYTES);
+    const large = {...result, body: Buffer.alloc(200_000)};
+    owner.attempts.finish(attemptId, {result: large, reachedUpstream: true});
+    owner.attempts.finish('a-2', {result, reachedUpstream: true});
+    while (entry.events.length < 2) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(entry.events.map(describeOutcome).sort()).to.deep.equal([
+      'answer_too_large unknown',
+      'receipt',
+    ]);
+  });
+
+  it('counts a request until its attempt ends', async () => {
+    const outbound = {...OUTBOUND, body: Buffer.alloc(50_000)};
+    void entry.attempts.send(address, attempt, outbound);
+    await owner.waitForEvent('attemptArrived');
+    expect(owner.budget.usedBytes).to.be.within(50_000, 53_000);
+    owner.attempts.finish(attemptId, {result, reachedUpstream: true});
+    expect(owner.budget.usedBytes).to.be.below(3_000);
+  });
+
   it('cancels the attempt of an entry that does not reconnect', async () => {
     void entry.attempts.send(address, attempt, OUTBOUND);
     await owner.waitForEvent('attemptArrived');
--- a/test/mesh/calls.test.ts
+++ b/test/mesh/calls.test.ts
@@ -30,17 +30,19 @@
     ]);
   });
 
-  it('asks another owner after a refusal, without spending the budget', () => {
-    const proxy = new MeshFixture({retryShare: 0, retryExtra: 0});
-    proxy.loadFromSource(NEAR);
-    proxy.drainEffects();
-    proxy.call('c-1', '/charge/1');
-    proxy.refuse('c-1.1', 'queue_full');
-    proxy.answer('c-1.2');
-    const lines = proxy.drainEffects();
-    expect(lines[2]).to.equal('answerCall c-1 200');
-    expect(new Set(lines.slice(0, 2)).size).to.equal(2);
-  });
+  for (const reason of ['queue_full', 'memory_full'] as const) {
+    it(`asks another owner after ${reason}, without spending the budget`, () => {
+      const proxy = new MeshFixture({retryShare: 0, retryExtra: 0});
+      proxy.loadFromSource(NEAR);
+      proxy.drainEffects();
+      proxy.call('c-1', '/charge/1');
+      proxy.refuse('c-1.1', reason);
+      proxy.answer('c-1.2');
+      const lines = proxy.drainEffects();
+      expect(lines[2]).to.equal('answerCall c-1 200');
+      expect(new Set(lines.slice(0, 2)).size).to.equal(2);
+    });
+  }
 
   it('never retries a charge that may have run', () => {
     const proxy = new MeshFixture();
--- a/test/mesh/frames.test.ts
+++ b/test/mesh/frames.test.ts
@@ -11,6 +11,7 @@
   {
     kind: 'chunk',
     transfer: 7,
+    bodyTotal: 11,
     message: Buffer.from('upload'),
     body: Buffer.from('first'),
     last: false,
@@ -19,6 +20,7 @@
   {
     kind: 'chunk',
     transfer: 7,
+    bodyTotal: 11,
     message: Buffer.alloc(0),
     body: Buffer.from('second'),
     last: true,
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -96,6 +96,7 @@
       socket as unknown as Socket,
       {
         onMessage: (_link, message, body) => onMessage(message, body),
+        onBodyRefused: () => undefined,
         onConfirmed: () => undefined,
         onClose: () => undefined,
         onBadFrame: detail => {
--- a/test/mesh/owner.test.ts
+++ b/test/mesh/owner.test.ts
@@ -57,6 +57,15 @@
     ]);
   });
 
+  it('refuses an attempt for whose request there is no memory', () => {
+    const owner = createOwner();
+    const attempt = createAttempt({attemptId: 'a'});
+    owner.post({kind: 'attemptArrived', attempt, noMemory: true});
+    expect(owner.drainEffects()).to.deep.equal([
+      'finishAttempt a memory_full reached=false',
+    ]);
+  });
+
   it('dispatches nested attempts before others of the same priority', () => {
     const owner = createOwner();
     deliverAttempt(owner, 'runs');
