Links: bound what waits in sockets, not the bodies that wait for bandwidth

What callers saw: a link on which bodies of more than 64 MiB waited was closed, with all calls on it, although each of these bodies was within the limits: one upload of the largest size and a small one were enough on a narrow connection. On the other hand each of some 200 links could hold 64 MiB of small messages for a peer that reads nothing, which no process has, and nothing counted them.

Cause: one bound for two things. Waiting bodies are held anyway, and count where they were received; what a link adds are the encoded messages and what is in its socket.

Change: a link is closed instead of taking a further message once 4 MiB are in its socket or in messages whose bodies wait. What all sockets hold counts in the memory budget, at each check of the links; above 16 MiB together the link with the most is closed. Waiting bodies up to 64 KiB and messages count until they are sent, larger bodies until they are free. A peer that reads nothing is still noticed by the liveness checks within about 1.5 s.

--- a/src/mesh/body_transfers.ts
+++ b/src/mesh/body_transfers.ts
@@ -4,6 +4,11 @@
  * that a small message never waits behind a whole upload on a slow link.
  */
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
+import {
+  MAX_ORDINARY_BYTES,
+  MemoryBudget,
+  MemoryHold,
+} from '../proxy/memory_budget.js';
 import {BodyClaim, BodyPacer, BodySource, WaitingBody} from './body_pacer.js';
 import {Frame} from './frames.js';
 
@@ -14,7 +19,7 @@
 
 /** The part of a socket that transfers use. */
 export interface FrameSink {
-  /** @param onFlushed - Called when the operating system has the frame. */
+  /** @param onFlushed - Called when the operating system has the frame, or never will. */
   write(frame: Frame, onFlushed?: () => void): void;
   /** Bytes that were written and not yet passed to the operating system. */
   getUnsentBytes(): number;
@@ -33,6 +38,7 @@
     readonly claim: BodyClaim,
     readonly queuedAt: number,
     readonly turnAt: number,
+    readonly hold: MemoryHold,
   ) {}
 
   get unsentBytes(): number {
@@ -46,10 +52,12 @@
 export class BodyTransfers implements BodySource {
   private readonly outgoing: Outgoing[] = [];
   private nextTransfer = 1;
+  private waitingMessageBytes = 0;
 
   constructor(
     private readonly sink: FrameSink,
     private readonly pacer: BodyPacer,
+    private readonly budget: MemoryBudget,
   ) {}
 
   /** Bodies that are not sent whole. */
@@ -57,12 +65,15 @@
     return this.outgoing;
   }
 
-  /** Bytes of bodies that are not written. */
-  get waitingBytes(): number {
-    return this.outgoing.reduce((sum, {unsentBytes}) => sum + unsentBytes, 0);
+  /** Bytes of encoded messages whose bodies wait. */
+  get messageBytes(): number {
+    return this.waitingMessageBytes;
   }
 
-  /** Begins to send a message and its body. */
+  /**
+   * Begins to send a message and its body.
+   * @param key - With it, {@link discard} stops sending the body.
+   */
   send(
     message: Uint8Array,
     body: Uint8Array,
@@ -71,15 +82,21 @@
   ): void {
     const transfer = this.nextTransfer;
     this.nextTransfer += 1;
+    const hold = new MemoryHold(this.budget);
+    // Larger bodies count where they were received.
+    const isCounted = body.length > MAX_ORDINARY_BYTES;
+    hold.add(message.length + (isCounted ? 0 : body.length));
     const {queuedAt, turnAt} = this.pacer.createTurn(body.length);
     this.outgoing.push(
-      new Outgoing(transfer, key, message, body, claim, queuedAt, turnAt),
+      new Outgoing(transfer, key, message, body, claim, queuedAt, turnAt, hold),
     );
+    this.waitingMessageBytes += message.length;
     this.pacer.add(this);
   }
 
   /** Ends all sending; {@link hasUnsent} still tells what was not sent. */
   close(): void {
+    this.outgoing.forEach(({hold}) => hold.release());
     this.pacer.remove(this);
   }
 
@@ -93,7 +110,7 @@
     const last = end === body.length;
     outgoing.sentBytes = end;
     if (last) {
-      this.outgoing.splice(this.outgoing.indexOf(outgoing), 1);
+      this.remove(this.outgoing.indexOf(outgoing));
     }
     const frame: Frame = {
       kind: 'chunk',
@@ -103,7 +120,12 @@
       body: body.subarray(sentBytes, end),
       last,
     };
-    this.sink.write(frame, () => this.pacer.writeChunks());
+    this.sink.write(frame, () => {
+      if (last) {
+        outgoing.hold.release();
+      }
+      this.pacer.writeChunks();
+    });
   }
 
   /** Stops sending the message that was given this key. */
@@ -112,7 +134,8 @@
     if (index < 0) {
       return;
     }
-    const [{transfer, sentBytes}] = this.outgoing.splice(index, 1);
+    const {transfer, sentBytes, hold} = this.remove(index);
+    hold.release();
     if (this.outgoing.length === 0) {
       this.pacer.remove(this);
     }
@@ -121,6 +144,12 @@
     }
   }
 
+  private remove(index: number): Outgoing {
+    const [outgoing] = this.outgoing.splice(index, 1);
+    this.waitingMessageBytes -= outgoing.message.length;
+    return outgoing;
+  }
+
   /** Reports whether a part of a message with this key was not written yet. */
   hasUnsent(key: string): boolean {
     return this.outgoing.some(other => other.key === key);
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -16,10 +16,11 @@
 import {ReadDelays} from './turn_clock.js';
 
 /**
- * Bytes in the send buffer, or of waiting bodies, above which the link is closed: its
- * reader is too slow.
+ * Bytes in the send buffer and of messages whose bodies wait, above which the link is
+ * closed instead of taking more: its reader is too slow. Waiting bodies are bounded where
+ * they are received.
  */
-const MAX_UNSENT_BYTES = 64 * 1_048_576;
+const MAX_UNSENT_BYTES = 4 * 1_048_576;
 
 /**
  * Time without received data after which a peer with pending answers is pinged;
@@ -120,6 +121,7 @@
         getUnsentBytes: () => (this.closed ? Infinity : socket.writableLength),
       },
       pacer,
+      budget,
     );
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
@@ -140,6 +142,7 @@
     key?: string,
     claim: BodyClaim = CONTROL_CLAIM,
   ): void {
+    this.closeIfTooSlow();
     if (this.closed) {
       return;
     }
@@ -153,9 +156,6 @@
       return;
     }
     this.transfers.send(encoded, body, claim, key);
-    if (this.transfers.waitingBytes > MAX_UNSENT_BYTES) {
-      this.close();
-    }
   }
 
   /**
@@ -188,7 +188,15 @@
     this.pacer.countWritten(bytes.length);
     // Whole messages, too, can fill the socket so that a large body has to wait.
     this.socket.write(bytes, onFlushed ?? this.wakePacer);
-    if (this.socket.writableLength > MAX_UNSENT_BYTES) {
+  }
+
+  /** Bytes that were written and not yet passed to the operating system. */
+  get unsentBytes(): number {
+    return this.socket.writableLength;
+  }
+
+  private closeIfTooSlow(): void {
+    if (this.unsentBytes + this.transfers.messageBytes > MAX_UNSENT_BYTES) {
       this.close();
     }
   }
--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -2,7 +2,7 @@
 import {Server, Socket, connect, createServer} from 'node:net';
 import {Hello, LinkMessage} from '../model/mesh.js';
 import {parseAddress} from '../proxy/addresses.js';
-import {MemoryBudget} from '../proxy/memory_budget.js';
+import {MemoryBudget, MemoryHold} from '../proxy/memory_budget.js';
 import {BodyPacer} from './body_pacer.js';
 import {MessageCodec} from './message_codec.js';
 import {Link, LinkHandlers, LinkTraffic} from './link.js';
@@ -17,6 +17,9 @@
  */
 const CHECK_INTERVAL_MS = 80;
 
+/** Bytes to be sent on all links above which the one with the most is closed. */
+const MAX_UNSENT_BYTES = 16 * 1_048_576;
+
 export interface LinkManagerHandlers extends Pick<
   LinkHandlers,
   'onMessage' | 'onBodyRefused' | 'onBadFrame'
@@ -45,6 +48,7 @@
   private server?: Server;
   private closed = false;
   private checkedAt = -Infinity;
+  private readonly unsent: MemoryHold;
   private readonly linkHandlers: LinkHandlers;
 
   constructor(
@@ -55,6 +59,7 @@
     private readonly delays: ReadDelays,
     private readonly budget: MemoryBudget,
   ) {
+    this.unsent = new MemoryHold(budget);
     this.linkHandlers = {
       onMessage: (link, message, body, ageMs) =>
         this.handleMessage(link, message, body, ageMs),
@@ -85,6 +90,19 @@
     if (now - this.checkedAt >= CHECK_INTERVAL_MS) {
       this.checkedAt = now;
       this.allLinks.forEach(link => link.checkAlive(now));
+      this.countUnsent();
+    }
+  }
+
+  /** Counts what is to be sent, and closes the slowest link if that is too much. */
+  private countUnsent(): void {
+    const links = [...this.allLinks];
+    const total = links.reduce((sum, {unsentBytes}) => sum + unsentBytes, 0);
+    this.unsent.release();
+    this.unsent.add(total);
+    if (total > MAX_UNSENT_BYTES) {
+      links.sort((first, second) => second.unsentBytes - first.unsentBytes);
+      links[0].close();
     }
   }
 
--- a/test/mesh/body_pacer.test.ts
+++ b/test/mesh/body_pacer.test.ts
@@ -1,6 +1,7 @@
 /** Replays downloads from one VM with a narrow connection to dozens of entries. */
 import {BodyClaim, BodyPacer} from '../../src/mesh/body_pacer.js';
 import {BodyTransfers} from '../../src/mesh/body_transfers.js';
+import {MemoryBudget} from '../../src/proxy/memory_budget.js';
 import {expect} from '../support/chai_setup.js';
 
 const LINK_MBPS = 14;
@@ -21,6 +22,7 @@
   readonly links: BodyTransfers[];
   readonly pacer: BodyPacer;
   readonly waitsMs: number[] = [];
+  readonly budget = new MemoryBudget(1e9, 0);
   private freeAt = 0;
   /** Links whose readers take nothing. */
   readonly blocked = new Set<number>();
@@ -56,6 +58,7 @@
         getUnsentBytes: () => (this.blocked.has(n) ? 20_000 : 0),
       },
       this.pacer,
+      this.budget,
     );
   }
 
@@ -172,7 +175,11 @@
   it('drops a body that is discarded', () => {
     vm.write(100_000);
     vm.download(1, DOWNLOAD_CLAIM, 'a-1');
+    vm.download(2, DOWNLOAD_CLAIM, 'a-2');
+    expect(vm.budget.usedBytes).to.equal(2 * MESSAGE.length);
     vm.links[1].discard('a-1');
+    vm.links[2].discard('a-2');
+    expect(vm.budget.usedBytes).to.equal(0);
     expect(vm.timers).to.deep.equal([]);
     vm.advance(1_000);
     expect(vm.ended).to.deep.equal([]);
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -244,6 +244,19 @@
     expect(sender.closed).to.equal(true);
   });
 
+  // A large body counts where it was received, and its turn may be far away.
+  it('closes a connection that takes no messages, but not for waiting bodies', () => {
+    const {answer, body} = createSmallAnswer();
+    for (let n = 0; n < 300; n += 1) {
+      sendUpload(`a-${n}`);
+    }
+    expect(sender.closed).to.equal(false);
+    for (let n = 0; n < 600; n += 1) {
+      sender.send(answer, body);
+    }
+    expect(sender.closed).to.equal(true);
+  });
+
   it('stops sending a body that is discarded', async () => {
     sendUpload('a-1');
     await connection.pass();
