Attempts: bound the answers that are kept for entries that resume

What callers could cause: an owner kept the last 256 outcomes for entries whose link breaks, each with its whole answer of up to 16 MiB and none of them counted. 256 large downloads were enough to hold up to 4 GiB.

Change: kept outcomes take 4 MiB together and count in the memory budget; the oldest leave first. An outcome above 1 MiB is kept only until its last chunk has left, or for the 800 ms after its link broke in which its entry may resume. It is held for sending anyway, and an answer that breaks off halfway is still sent again. What changes for callers: where a link breaks after the last bytes of such an answer were written and before they arrived, the attempt is lost with outcome unknown. A large answer that was sent is reported to the budget as garbage.

--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -17,6 +17,7 @@
 import {OutboundRequest} from '../proxy/pending_calls.js';
 import {BodyClaim} from './body_pacer.js';
 import {countRequestBytes} from './held_bytes.js';
+import {KeptOutcome, KeptOutcomes} from './kept_outcomes.js';
 import {Link} from './link.js';
 import {LinkManager} from './link_manager.js';
 import {OutcomeMessage, readOutcome, sendOutcome} from './outcome_messages.js';
@@ -34,9 +35,6 @@
  */
 const MAX_RESUME_TRIES = 3;
 
-/** Number of outcomes that an owner keeps for entries that resume. */
-const MAX_KEPT_OUTCOMES = 256;
-
 /**
  * Number of attempt ids that an owner remembers. At 100 attempts per second an
  * id is kept for 200 s, longer than any deadline, so an attempt whose id is
@@ -65,19 +63,13 @@
   link?: Link;
 }
 
-interface KeptOutcome {
-  readonly outcome: AttemptOutcome;
-  readonly claim: BodyClaim;
-}
-
 type AttemptMessage = Extract<LinkMessage, {kind: 'attempt'}>;
 
 /** Tracks attempts that this proxy has sent as entry or received as owner. */
 export class AttemptTransport {
   private readonly sent = new Map<string, SentAttempt>();
   private readonly received = new Map<string, ReceivedAttempt>();
-  /** Outcomes of ended attempts, oldest first. */
-  private readonly keptOutcomes = new Map<string, KeptOutcome>();
+  private readonly keptOutcomes: KeptOutcomes;
   /** Ids of attempts that were received, or must not run if they arrive. */
   private readonly seenIds = new Set<string>();
 
@@ -86,7 +78,9 @@
     private readonly post: (event: MeshEventBody) => void,
     private readonly delays: ReadDelays,
     private readonly budget: MemoryBudget,
-  ) {}
+  ) {
+    this.keptOutcomes = new KeptOutcomes(budget);
+  }
 
   /** Returns a received attempt that has not ended. */
   getReceived(attemptId: string): ReceivedAttempt | undefined {
@@ -225,16 +219,28 @@
       return;
     }
     const {link, claim} = receivedAttempt;
-    this.keepOutcome(attemptId, {outcome, claim});
-    sendOutcome(link, attemptId, outcome, claim);
+    this.sendAndKeep(link, attemptId, {outcome, claim});
   }
 
-  private keepOutcome(attemptId: string, kept: KeptOutcome): void {
-    this.keptOutcomes.set(attemptId, kept);
-    if (this.keptOutcomes.size > MAX_KEPT_OUTCOMES) {
-      const [oldest] = this.keptOutcomes.keys();
-      this.keptOutcomes.delete(oldest);
+  private sendAndKeep(link: Link, attemptId: string, kept: KeptOutcome): void {
+    const {outcome, claim} = kept;
+    const {result} = outcome;
+    this.keptOutcomes.keep(attemptId, kept, link);
+    if (link.closed) {
+      this.dropLargeLater(link);
     }
+    sendOutcome(link, attemptId, outcome, claim, () => {
+      if (link.closed) {
+        return;
+      }
+      this.keptOutcomes.dropLarge(attemptId);
+      this.budget.retire(result.kind === 'answer' ? result.body.length : 0);
+    });
+  }
+
+  private dropLargeLater(link: Link): void {
+    const drop = () => this.keptOutcomes.dropLargeOf(link);
+    setTimeout(drop, RESUME_GRACE_MS).unref();
   }
 
   private markSeen(attemptId: string): void {
@@ -336,9 +342,9 @@
       receivedAttempt.link = link;
       return;
     }
-    const kept = this.keptOutcomes.get(attemptId);
+    const kept = this.keptOutcomes.find(attemptId);
     if (kept !== undefined) {
-      sendOutcome(link, attemptId, kept.outcome, kept.claim);
+      this.sendAndKeep(link, attemptId, kept);
       return;
     }
     const reachedUpstream = this.seenIds.has(attemptId);
@@ -372,6 +378,7 @@
    * received ones unless their entry resumes them in time.
    */
   handleLinkClosed(link: Link): void {
+    this.dropLargeLater(link);
     for (const [attemptId, sentAttempt] of this.sent) {
       if (sentAttempt.link === link) {
         this.detachLink(sentAttempt);
--- a/src/mesh/body_transfers.ts
+++ b/src/mesh/body_transfers.ts
@@ -20,7 +20,7 @@
 /** The part of a socket that transfers use. */
 export interface FrameSink {
   /** @param onFlushed - Called when the operating system has the frame, or never will. */
-  write(frame: Frame, onFlushed?: () => void): void;
+  write(frame: Frame, onFlushed?: (err?: Error | null) => void): void;
   /** Bytes that were written and not yet passed to the operating system. */
   getUnsentBytes(): number;
 }
@@ -39,6 +39,7 @@
     readonly queuedAt: number,
     readonly turnAt: number,
     readonly hold: MemoryHold,
+    readonly onDone: () => void,
   ) {}
 
   get unsentBytes(): number {
@@ -73,12 +74,14 @@
   /**
    * Begins to send a message and its body.
    * @param key - With it, {@link discard} stops sending the body.
+   * @param onDone - Called when the body was sent whole or discarded.
    */
   send(
     message: Uint8Array,
     body: Uint8Array,
     claim: BodyClaim,
     key?: string,
+    onDone: () => void = () => undefined,
   ): void {
     const transfer = this.nextTransfer;
     this.nextTransfer += 1;
@@ -88,7 +91,17 @@
     hold.add(message.length + (isCounted ? 0 : body.length));
     const {queuedAt, turnAt} = this.pacer.createTurn(body.length);
     this.outgoing.push(
-      new Outgoing(transfer, key, message, body, claim, queuedAt, turnAt, hold),
+      new Outgoing(
+        transfer,
+        key,
+        message,
+        body,
+        claim,
+        queuedAt,
+        turnAt,
+        hold,
+        onDone,
+      ),
     );
     this.waitingMessageBytes += message.length;
     this.pacer.add(this);
@@ -120,10 +133,13 @@
       body: body.subarray(sentBytes, end),
       last,
     };
-    this.sink.write(frame, () => {
+    this.sink.write(frame, err => {
       if (last) {
         outgoing.hold.release();
       }
+      if (last && !err) {
+        outgoing.onDone();
+      }
       this.pacer.writeChunks();
     });
   }
@@ -134,7 +150,7 @@
     if (index < 0) {
       return;
     }
-    const {transfer, sentBytes, hold} = this.remove(index);
+    const {transfer, sentBytes, hold, onDone} = this.remove(index);
     hold.release();
     if (this.outgoing.length === 0) {
       this.pacer.remove(this);
@@ -142,6 +158,7 @@
     if (sentBytes > 0) {
       this.sink.write({kind: 'discarded', transfer});
     }
+    onDone();
   }
 
   private remove(index: number): Outgoing {
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -135,12 +135,15 @@
    * @param body - The request or answer body, or a compressed configuration.
    * @param key - With it, {@link discard} stops sending the body.
    * @param claim - What the order of a large body depends on.
+   * @param onDone - Called when a large body was sent whole, or is not sent further on
+   *     an open link.
    */
   send(
     message: LinkMessage,
     body: Uint8Array = EMPTY_BODY,
     key?: string,
     claim: BodyClaim = CONTROL_CLAIM,
+    onDone?: () => void,
   ): void {
     this.closeIfTooSlow();
     if (this.closed) {
@@ -155,7 +158,7 @@
       this.write({kind: 'whole', message: encoded, body});
       return;
     }
-    this.transfers.send(encoded, body, claim, key);
+    this.transfers.send(encoded, body, claim, key, onDone);
   }
 
   /**
@@ -178,7 +181,7 @@
 
   private readonly wakePacer = () => this.pacer.writeChunks();
 
-  private write(frame: Frame, onFlushed?: () => void): void {
+  private write(frame: Frame, onFlushed?: (err?: Error | null) => void): void {
     if (this.closed) {
       return;
     }
--- a/src/mesh/outcome_messages.ts
+++ b/src/mesh/outcome_messages.ts
@@ -10,12 +10,14 @@
 /**
  * Sends the outcome of an attempt to its entry.
  * @param claim - Claim of the answer's body.
+ * @param onDone - Called when a large body was sent whole or is not wanted any more.
  */
 export function sendOutcome(
   link: Link,
   attemptId: string,
   {result, reachedUpstream, load}: AttemptOutcome,
   claim?: BodyClaim,
+  onDone?: () => void,
 ): void {
   const reportedLoad = load ?? {
     running: 0,
@@ -28,7 +30,7 @@
     const headers = result.headers as Record<string, string | string[]>;
     const message = {kind: 'answer', attemptId, status, headers} as const;
     const answer = {...message, unframed, load: reportedLoad};
-    link.send(answer, body, attemptId, claim);
+    link.send(answer, body, attemptId, claim, onDone);
     return;
   }
   const {reason, outcome, retryAfterMs} = result;
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -393,6 +393,20 @@
     ]);
   });
 
+  it('sends a large answer again after its link broke halfway', async () => {
+    owner.links.close();
+    owner = new TestProxy(address, 2, 100);
+    await owner.links.listen('127.0.0.1:0');
+    void entry.attempts.send(address, attempt, OUTBOUND);
+    await owner.waitForEvent('attemptArrived');
+    const large = {...result, body: Buffer.alloc(2_000_000, 'x')};
+    owner.attempts.finish(attemptId, {result: large, reachedUpstream: true});
+    relay.closeConnections();
+    expect(describeOutcome(await entry.waitForEvent('attemptEnded'))).to.equal(
+      'x'.repeat(2_000_000),
+    );
+  });
+
   it('counts a request until its attempt ends', async () => {
     const outbound = {...OUTBOUND, body: Buffer.alloc(50_000)};
     void entry.attempts.send(address, attempt, outbound);
