Links: collect the garbage of ended bodies when one is refused

What callers saw: an upload was refused for want of memory that only garbage held, and its repetition again, as long as nothing else asked for a collection.

Cause: the room for a body on a link is decided with its first chunk, so it cannot wait for a collection as an upload of a caller does.

Change: a refusal reports its bytes to the budget, which collects soon after.

Evidence: trial in one process, bodies of 64 MiB and a budget of 96 MB: while a reference to the first body was left, the following ones were refused and nothing was collected again; without it, six bodies one after another arrived whole. The new test in test/mesh/incoming_bodies fails without the change (nothing is collected).

--- a/src/mesh/incoming_bodies.ts
+++ b/src/mesh/incoming_bodies.ts
@@ -139,6 +139,8 @@
     if (!isCall) {
       this.budget.add(heldBytes);
     } else if (!this.budget.tryReserve(heldBytes)) {
+      // Bodies that have ended may hold the room; a repetition finds it free.
+      this.budget.retire(heldBytes);
       this.reportRefused(message);
       return;
     }
--- a/test/mesh/incoming_bodies.test.ts
+++ b/test/mesh/incoming_bodies.test.ts
@@ -120,6 +120,17 @@
     expect(events).to.deep.equal([]);
   });
 
+  it('have what is garbage collected when they are refused', async () => {
+    const events: string[] = [];
+    const full = new MemoryBudget(MAX_BYTES, 0, event => events.push(event));
+    const handlers = {onRefused: () => undefined, onBadFrame: () => undefined};
+    const [first] = createChunks(1, UPLOAD, 20e6);
+    new IncomingBodies(full, codec, handlers).receive(first);
+    while (!events.includes('collected')) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+  });
+
   // A full memory must not keep configurations from spreading.
   it('are never refused if they are no calls', () => {
     budget.add(MAX_BYTES);
