Wait for garbage before a body is given up

A body that doesn't fit now pauses its request, and goes on once garbage has been collected. The collection after the end of large requests is repeated up to three times, as their buffers may be in use for a moment longer. A body that gives itself up while it reserves holds nothing afterwards.

--- a/src/proxy/body_buffer.ts
+++ b/src/proxy/body_buffer.ts
@@ -58,6 +58,18 @@
    * @param chunk - The bytes, which are copied.
    */
   append(chunk: Uint8Array): AppendResult {
+    const result = this.tryAppend(chunk);
+    if (result === 'no-memory') {
+      this.discard();
+    }
+    return result;
+  }
+
+  /**
+   * The same, but the body may go on after `no-memory`, once there is room.
+   * @param chunk - The bytes, which are copied.
+   */
+  tryAppend(chunk: Uint8Array): AppendResult {
     if (this.ended) {
       return 'no-memory';
     }
@@ -66,8 +78,12 @@
       this.discard();
       return 'too-large';
     }
-    if (end > this.bytes.length && !this.grow(end)) {
+    const hasRoom = end <= this.bytes.length || this.grow(end);
+    if (this.ended) {
+      // The budget has given up this body to make room for it.
       this.discard();
+    }
+    if (!hasRoom || this.ended) {
       return 'no-memory';
     }
     this.bytes.set(chunk, this.usedBytes);
--- a/src/proxy/memory_budget.ts
+++ b/src/proxy/memory_budget.ts
@@ -23,6 +23,9 @@
 /** Turns of the event loop in which the buffers of a collection are reported free. */
 const FINALIZATION_TURNS = 3;
 
+/** Collections after the end of requests until one frees buffers. */
+const MAX_RECLAIMS = 3;
+
 /** A transfer that holds reserved bytes and can be given up. */
 export interface MemoryHolder {
   readonly heldBytes: number;
@@ -104,7 +107,7 @@
     if (this.tryReserve(bytes)) {
       return true;
     }
-    await this.collectSoon();
+    await this.reclaim();
     if (this.tryReserve(bytes)) {
       return true;
     }
@@ -126,6 +129,14 @@
     this.buffers.register(buffer, bytes);
   }
 
+  /** Collects garbage, not too often; resolves when freed buffers were counted. */
+  reclaim(): Promise<void> {
+    this.collection ??= this.collectAndFinalize().finally(() => {
+      this.collection = undefined;
+    });
+    return this.collection;
+  }
+
   /**
    * Tells that buffers have served their purpose, so that they are worth collecting.
    * @param bytes - Their size.
@@ -135,7 +146,7 @@
     const isHalfUsed = this.reservedBytes > this.maxBytes / 2;
     if (isHalfUsed && this.retiredBytes >= COLLECT_AFTER_BYTES) {
       this.retiredBytes = 0;
-      void this.collectSoon();
+      void this.reclaimRetired();
     }
   }
 
@@ -208,12 +219,15 @@
     this.evictedBytes += Math.max(0, heldBytes - freedBytes);
   }
 
-  /** Collects garbage, not too often; resolves when freed buffers were counted. */
-  private collectSoon(): Promise<void> {
-    this.collection ??= this.collectAndFinalize().finally(() => {
-      this.collection = undefined;
-    });
-    return this.collection;
+  /** Collects garbage until some buffers are free; some are in use for a while. */
+  private async reclaimRetired(): Promise<void> {
+    const {reservedBytes} = this;
+    for (let tries = 0; tries < MAX_RECLAIMS; tries += 1) {
+      await this.reclaim();
+      if (this.reservedBytes < reservedBytes) {
+        return;
+      }
+    }
   }
 
   private async collectAndFinalize(): Promise<void> {
--- a/src/proxy/read_body.ts
+++ b/src/proxy/read_body.ts
@@ -103,7 +103,7 @@
 /** One body in progress. */
 class Upload implements MemoryHolder {
   constructor(
-    req: IncomingMessage,
+    private readonly req: IncomingMessage,
     private readonly buffer: BodyBuffer,
     private readonly budget: MemoryBudget,
     private resolve: ((result: Received) => void) | undefined,
@@ -134,12 +134,27 @@
     if (this.resolve === undefined) {
       return;
     }
-    const appended = this.buffer.append(chunk);
-    if (appended !== 'ok') {
+    const appended = this.buffer.tryAppend(chunk);
+    if (appended === 'no-memory') {
+      this.req.pause();
+      void this.appendAfterReclaim(chunk);
+    } else if (appended === 'too-large') {
       this.fail(appended);
     }
   }
 
+  /** Goes on if collecting garbage makes room. */
+  private async appendAfterReclaim(chunk: Buffer): Promise<void> {
+    await this.budget.reclaim();
+    if (this.resolve !== undefined) {
+      const appended = this.buffer.append(chunk);
+      if (appended !== 'ok') {
+        this.fail(appended);
+      }
+    }
+    this.req.resume();
+  }
+
   private finish(): void {
     if (this.resolve === undefined) {
       return;
