Log: a reader that stops reading does not keep a process from ending

What operators saw: a process whose standard output is a full pipe does not end after SIGTERM; it is killed at the end of its grace time.

Cause: the log was written by a blocking write in a thread of the pool. The planned stop waited for it without a bound, and even process.exit() joins the threads of the pool: a script with one such write hangs in its exit as well.

What is not written is counted in log_dropped.

--- a/src/mesh/bounded_log.ts
+++ b/src/mesh/bounded_log.ts
@@ -4,13 +4,11 @@
  * buffer is full, lines are dropped and counted. At the end of the process the
  * rest is written before it exits.
  */
-import {write, writeSync} from 'node:fs';
 import {ILogObj, Logger} from 'tslog';
 import {LogFields, MeshLogPart} from '../core/mesh/mesh_types.js';
 import {LEVELS, LogLevel} from '../proxy/log.js';
 import {MeshSettingsFile} from '../model/mesh_settings.js';
-
-const STDOUT_FD = 1;
+import {LogOutput, createLogOutput} from './log_output.js';
 
 /** Size of the buffer for unwritten text, in characters. */
 const MAX_PENDING_CHARS = 262_144;
@@ -31,6 +29,9 @@
 /** The same for warnings and errors, which may precede the end of the process. */
 const URGENT_WRITE_DELAY_MS = 20;
 
+/** Longest wait for a reader that does not take the log at the end of the process. */
+const MAX_DRAIN_MS = 500;
+
 /** Name of the level `info` in records. */
 const INFO = 'INFO';
 
@@ -57,6 +58,7 @@
     private readonly name: string,
     level: MeshSettingsFile['logLevel'],
     private readonly onDropped: (count: number) => void,
+    private readonly output: LogOutput = createLogOutput(),
   ) {
     this.logger = new Logger({
       type: 'hidden',
@@ -140,7 +142,7 @@
       return;
     }
     try {
-      writeSync(STDOUT_FD, text);
+      this.output.writeSync(text);
     } catch {
       // The log itself cannot report this, so only the counter does.
       this.onDropped(text.split('\n').length - 1);
@@ -161,9 +163,9 @@
     this.writing = true;
     const text = this.pendingText;
     this.pendingText = '';
-    write(STDOUT_FD, text, error => {
+    this.output.write(text, error => {
       this.writing = false;
-      if (error !== null) {
+      if (error) {
         // The log itself cannot report this, so only the counter does.
         this.onDropped(text.split('\n').length - 1);
       }
@@ -171,10 +173,17 @@
     });
   }
 
-  /** Resolves when the buffer is empty and no write is in progress. */
+  /**
+   * Resolves when the buffer is empty and no write is in progress, or after
+   * half a second if the reader of the log does not take it.
+   */
   drain(): Promise<void> {
     return new Promise(resolve => {
-      this.drainResolvers.push(resolve);
+      const timer = setTimeout(resolve, MAX_DRAIN_MS);
+      this.drainResolvers.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
       this.flush();
     });
   }
--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -201,7 +201,8 @@
   return waitUntil('the fleet on the stand-in store', condition);
 }
 
-async function findPorts(): Promise<{callers: number; peers: number}> {
+/** Finds free ports: four in a row, the first for callers. */
+export async function findPorts(): Promise<{callers: number; peers: number}> {
   const server = createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
--- a/test/platform/process_machine.ts
+++ b/test/platform/process_machine.ts
@@ -5,6 +5,7 @@
 import {Child, ExitStatus} from '../../src/standins/harness/child.js';
 import {Machine} from './fleet_standin.js';
 
+export const BUNDLE = 'target/fireflysill_platform.cjs';
 const DEPLOY_FILE = 'deploy/system.toml';
 const TEMPLATE = 'deploy/settings.json.template';
 
@@ -41,8 +42,7 @@
   private dir?: string;
 
   override async start(): Promise<void> {
-    await this.startUpstream();
-    const settings = await this.writeSettings();
+    const settings = await this.prepare();
     const [first, ...others] = await readNodeArguments();
     this.child = new Child(`proxy at ${this.host}`, first, others, undefined, {
       FIREFLYSILL_SETTINGS: settings,
@@ -57,6 +57,12 @@
     return file;
   }
 
+  /** Writes settings, but starts no process. Returns the path of the file. */
+  async prepare(): Promise<string> {
+    await this.startUpstream();
+    return this.writeSettings();
+  }
+
   /** Returns the template values that the platform provides for a VM. */
   private getTemplateValues(): object {
     const {callers, peers} = this.ports;
