Daemon: signals while the program loads do not end the process

What operators saw: a SIGHUP for changed settings soon after the start ends the process by the signal's default action, and so does SIGTERM, without a planned stop. Each restart has the same window, which grows with the load of the machine.

Cause: the handlers were installed after the whole bundle was loaded and the settings were read. The entry module now installs them before it loads anything else; signals that come until then are kept and handled after that. The bundle stays one file.

What remains is the start of the runtime itself: a script of one line that handles SIGHUP first is ended up to 60 ms (4 of 6), and 200 ms beside the loops (3 of 3).

--- a/src/mesh/run_daemon.ts
+++ b/src/mesh/run_daemon.ts
@@ -2,6 +2,7 @@
 import {Result} from 'neverthrow';
 import {MeshSettingsFile} from '../model/mesh_settings.js';
 import {MeshAdapter, MeshRuntime} from './mesh_runtime.js';
+import {ProcessSignals} from './process_signals.js';
 import {
   SettingsFileWatcher,
   readSettingsText,
@@ -12,12 +13,14 @@
 /**
  * Runs a proxy until a planned stop is complete, then ends the process. Invalid
  * settings and addresses that cannot be listened on end it with exit code 2.
+ * @param signals - The signals of the process.
  * @param file - The path of the settings file; undefined if it was not given.
  * @param fileVariable - The environment variable that holds the path.
  * @param parseSettings - Parses the content of the file.
  * @param adapter - The platform-specific parts of the proxy.
  */
 export async function runDaemon(
+  signals: ProcessSignals,
   file: string | undefined,
   fileVariable: string,
   parseSettings: (text: string) => Result<MeshSettingsFile, string>,
@@ -47,8 +50,10 @@
     process.on(origin, (error: unknown) => proxy.reportError(origin, error));
   }
   process.on('exit', () => proxy.writePendingLog());
-  process.on('SIGTERM', () => proxy.requestStop());
-  process.on('SIGINT', () => proxy.requestStop());
+  signals.attach({
+    onStop: () => proxy.requestStop(),
+    onReload: () => void watcher.check(),
+  });
   try {
     await proxy.start();
     await proxy.stopped;
--- a/src/mesh/settings_file_watcher.ts
+++ b/src/mesh/settings_file_watcher.ts
@@ -22,7 +22,7 @@
   }
 }
 
-/** Checks a settings file on SIGHUP and at regular intervals. */
+/** Checks a settings file at regular intervals, and when it is told to. */
 export class SettingsFileWatcher {
   /**
    * @param file - The path of the file.
@@ -37,7 +37,6 @@
 
   /** Starts to watch the file; there is no way to stop it. */
   watch(): void {
-    process.on('SIGHUP', () => void this.check());
     setInterval(() => void this.check(), CHECK_INTERVAL_MS).unref();
   }
 
--- a/test/platform/process_life.test.ts
+++ b/test/platform/process_life.test.ts
@@ -9,6 +9,7 @@
 import {BUNDLE, ProcessMachine} from './process_machine.js';
 import {StoreStandin} from './store_standin.js';
 
+const SIGNAL_AT_LOAD = './test/platform/signal_at_load.cjs';
 const HOST = '127.0.3.1';
 
 /** Opens a pipe that nobody reads, and fills it. Returns its ends. */
@@ -54,10 +55,16 @@
     await store.stop();
   });
 
-  function start(stdout: number | 'ignore' = 'ignore'): void {
-    child = spawn(process.execPath, ['--max-old-space-size=200', BUNDLE], {
+  function start(stdout: number | 'ignore' = 'ignore', signal?: string): void {
+    const preload = signal === undefined ? [] : ['--require', SIGNAL_AT_LOAD];
+    const args = [...preload, '--max-old-space-size=200', BUNDLE];
+    child = spawn(process.execPath, args, {
       stdio: ['ignore', stdout, 'ignore'],
-      env: {...process.env, FIREFLYSILL_SETTINGS: settings},
+      env: {
+        ...process.env,
+        FIREFLYSILL_SETTINGS: settings,
+        TEST_SIGNAL: signal,
+      },
     });
     ended = once(child, 'exit');
   }
@@ -89,4 +96,15 @@
       closeSync(pipe.reader);
     }
   }).timeout(30_000);
+
+  it('is not ended by a SIGHUP while it loads', async () => {
+    start('ignore', 'SIGHUP');
+    await waitForAnswer();
+    await expectPlannedStop();
+  }).timeout(30_000);
+
+  it('ends as planned at a SIGTERM while it loads', async () => {
+    start('ignore', 'SIGTERM');
+    expect(await ended).to.deep.equal([0, null]);
+  }).timeout(30_000);
 });
