Tests: count log writes to a pipe as such

The log of a pipe is written to a socket object since the log no longer blocks; count_events would have counted these among the socket writes.

--- a/test/platform/event_counter.cjs
+++ b/test/platform/event_counter.cjs
@@ -22,7 +22,7 @@
 function wrap(owner, name, onCall) {
   const original = owner[name];
   owner[name] = function (...args) {
-    onCall(args);
+    onCall(args, this);
     return original.apply(this, args);
   };
 }
@@ -37,8 +37,8 @@
     };
   });
 }
-wrap(net.Socket.prototype, '_writeGeneric', () => {
-  counts.socketWrites += 1;
+wrap(net.Socket.prototype, '_writeGeneric', (_args, socket) => {
+  counts[socket === process.stdout ? 'logWrites' : 'socketWrites'] += 1;
 });
 wrap(net.Socket.prototype, 'push', () => {
   counts.linkReads += 1;
