Links: keep the bound of a peer's clock where a reply takes under a millisecond

What callers saw: a request that had reached its owner waited for a further question to its entry, because the owner did not know how long its caller had been unconfirmed (`unconfirmedMs` Infinity).

Cause: frames state when they were sent in whole milliseconds, rounded down. PeerClock took the stamp of a pong for its exact time, so the lower bound of the difference between the clocks could be up to a millisecond too high. A message that was written at the start of a millisecond and read at once was then below that bound, which PeerClock takes for a sign that this machine was suspended: it forgot the bound until the next pong. For the same reason the least age of a message could be stated up to a millisecond too high.

Ruled out: a pong behind chunks (it is written before the first chunk), a second ping (none is sent within the test).

New tests that failed before: `npm run mocha -- test/mesh/peer_clock` (2: the property, now also with whole milliseconds, and the regression) and `npm run mocha -- test/mesh/link.test` (1).

Change: PeerClock is told the resolution of the stamps, and a stamp stands for any time until the next multiple. Both bounds are then true, so a message cannot contradict them unless a clock stood still.

--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -41,6 +41,9 @@
 /** Least time between two questions to a peer for its callers. */
 const MIN_CONFIRMATION_GAP_MS = 60;
 
+/** Frames state when they were sent in whole milliseconds. */
+const STAMP_RESOLUTION_MS = 1;
+
 const EMPTY_BODY = new Uint8Array(0);
 
 const CALL_KINDS: ReadonlySet<string> = new Set(CALL_MESSAGE_KINDS);
@@ -88,7 +91,7 @@
   private unconfirmedSince?: number;
   private pingSentAt?: number;
   private pingId = 0;
-  private readonly peerClock = new PeerClock();
+  private readonly peerClock = new PeerClock(STAMP_RESOLUTION_MS);
   /** When this proxy began to open the link; undefined: the peer opened it. */
   private dialedAt?: number;
   /** When the latest ping was sent. */
--- a/src/mesh/peer_clock.ts
+++ b/src/mesh/peer_clock.ts
@@ -18,6 +18,12 @@
   private readonly highest: Bound = {value: Infinity, at: 0};
   private readonly lowest: Bound = {value: -Infinity, at: 0};
 
+  /**
+   * @param resolutionMs - The peer's times are rounded down to multiples of this, in
+   *     milliseconds, so each stands for any time until the next multiple.
+   */
+  constructor(private readonly resolutionMs = 0) {}
+
   /**
    * Records a message.
    * @param sentAt - When it was sent, on the peer's clock.
@@ -42,7 +48,7 @@
    * @param readAt - When the reply was read, on this process's clock.
    */
   recordReply(askedAt: number, sentAt: number, readAt: number): void {
-    const found = askedAt - sentAt;
+    const found = askedAt - sentAt - this.resolutionMs;
     if (found >= this.getLowest(readAt)) {
       this.lowest.value = found;
       this.lowest.at = readAt;
@@ -61,7 +67,8 @@
    * @returns Milliseconds, as a message that took no time to arrive would show.
    */
   getLeastAgeMs(peerAt: number, at: number): number {
-    return Math.max(0, at - peerAt - this.getHighest(at));
+    const latestPeerAt = peerAt + this.resolutionMs;
+    return Math.max(0, at - latestPeerAt - this.getHighest(at));
   }
 
   /** The same, at most; `Infinity` before the first reply. */
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -189,6 +189,22 @@
     expect(receiver.getUnconfirmedMs()).to.be.closeTo(20, 1);
   });
 
+  // Guards against the same after an answer that comes within a millisecond.
+  it('still knows the age of messages that follow a quick answer', async () => {
+    const answering = connection.peer as SlowConnection;
+    answering.peer = connection;
+    now = 10.1;
+    receiver.askForCallers();
+    now = 10.9;
+    await answering.pass();
+    await connection.pass();
+    now = 11;
+    sender.send({kind: 'resume', attemptId: 'a-1'});
+    now = 11.05;
+    await connection.pass();
+    expect(receiver.getUnconfirmedMs()).to.be.within(0, 3);
+  });
+
   // Guards against a system call for each of the answers to what arrives together.
   it('writes what it answers at once to several messages in one piece', async () => {
     const answering = connection.peer as SlowConnection;
--- a/test/mesh/peer_clock.test.ts
+++ b/test/mesh/peer_clock.test.ts
@@ -20,12 +20,16 @@
   it('bounds the age of each message', () => {
     fc.assert(
       fc.property(
+        fc.constantFrom(0, 1),
         fc.double({min: -1e6, max: 1e6, noNaN: true}),
         fc.double({min: -0.0004, max: 0.0004, noNaN: true}),
         fc.array(MESSAGE, {minLength: 1, maxLength: 30}),
-        (offset, drift, messages) => {
-          const clock = new PeerClock();
-          const toPeer = (at: number) => at * (1 + drift) - offset;
+        (resolutionMs, offset, drift, messages) => {
+          const clock = new PeerClock(resolutionMs);
+          const toPeer = (at: number) => {
+            const peerAt = at * (1 + drift) - offset;
+            return resolutionMs === 0 ? peerAt : Math.floor(peerAt);
+          };
           let at = 10_000;
           for (const {gapMs, delayMs, askDelayMs} of messages) {
             const sentAt = at + gapMs;
@@ -53,6 +57,17 @@
     expect(clock.getLeastAgeMs(600, 11_108)).to.be.closeTo(1_003, 1);
   });
 
+  // Guards against callers that count as unconfirmed: a reply within a millisecond was
+  // taken for one that was sent before the question, and the next message for a sign
+  // that this machine had been suspended.
+  it('keeps its bounds where a reply takes less than the resolution', () => {
+    const clock = new PeerClock(1);
+    // Sent at 10.9 and 11.0 on the same clock.
+    clock.recordReply(10.1, 10, 10.95);
+    clock.recordMessage(11, 11.05);
+    expect(clock.getGreatestAgeMs(11, 12)).to.be.within(1, 3);
+  });
+
   it('follows a machine whose clock stood still', () => {
     const clock = new PeerClock();
     clock.recordMessage(1_000, 11_000);
