Fleet: send changes that lie ahead of the revision of their list

What callers saw: after one proxy restarted, others kept an older entry of an upstream although their revision was the latest. They send calls to an upstream that drains, or count with slots that it no longer has (DRAIN, CONFIG), until the entry changes again.

A change made between two pages was held under a revision that does not cover it. The next update is the difference to the own list, which has the change already, and states a base that others have reached without the change; they take the new revision and ask nobody. Class of the fault: a message raises a receiver's revision without all changes in between. The paths: a first list that is not sent on (the one that odd_entries met), an update that a peer rejects as older than its own, and a proxy that has the change from an update or a whole list and reads next; changes and removals alike.

Fix: the store client names the entries written after the list's revision. They, and what such a list removes, are marked in the view and in messages until the revision has passed them, and a reader's update carries what was marked before it. An update then holds all changes from its base to its revision. Pages that may be stale can come from copies that lie behind, so the revision is the lowest of the pages', not the first. Updates of lists that are not torn have the same bytes as before.

--- a/src/core/mesh/fleet_view.ts
+++ b/src/core/mesh/fleet_view.ts
@@ -11,6 +11,7 @@
   createEvacuationRegisters,
   isZoneEvacuated,
 } from './evacuations.js';
+import {createLaterChanges, recordLaterChanges} from './later_changes.js';
 import {getEra} from './source_position.js';
 
 /**
@@ -37,6 +38,8 @@
   /** Position of the source up to which all changes are known; 0: none. */
   revision: number;
   readonly instances: Map<string, Instance>;
+  /** Changes in `instances` that may be later than `revision`. */
+  readonly laterChanges: Map<string, number>;
   /**
    * Instances that a read after an outage no longer listed, with the time at
    * which each is removed unless it registers again.
@@ -67,6 +70,7 @@
   return {
     revision: 0,
     instances: new Map(),
+    laterChanges: new Map(),
     missingUntil: new Map(),
     tombstones: new Map(),
     leaving: new Map(),
@@ -189,6 +193,7 @@
     }
   }
   view.revision = update.revision;
+  recordLaterChanges(view.laterChanges, update, changes);
   if (changes.length > 0) {
     rebuildIndexes(view);
   }
@@ -376,5 +381,6 @@
   const changed = [...view.instances.values()].filter(
     ({id}) => !view.missingUntil.has(id),
   );
-  return {base: 0, revision: view.revision, changed, removed: []};
+  const later = createLaterChanges(view.laterChanges);
+  return {base: 0, revision: view.revision, changed, removed: [], later};
 }
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -6,6 +6,7 @@
   CallMessageKind,
   Evacuation,
   Instance,
+  LaterChanges,
   LinkMessage,
   MeshAttempt,
   MeshConfig,
@@ -62,8 +63,11 @@
 export type SourceAnswer =
   | {
       readonly kind: 'fleet';
+      /** No change up to this revision is missing from the list. */
       readonly revision: number;
       readonly instances: readonly Instance[];
+      /** What was changed while the list was read, as far as it shows. */
+      readonly later?: LaterChanges;
     }
   | {
       readonly kind: 'config';
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -23,7 +23,8 @@
   getSentEvacuations,
 } from './evacuation_updates.js';
 import {getLatestRevision} from './evacuations.js';
-import {FleetChange, REREGISTRATION_MS} from './fleet_view.js';
+import {FleetView, REREGISTRATION_MS} from './fleet_view.js';
+import {createLaterChanges} from './later_changes.js';
 import {MeshState, getOwnInstance} from './mesh_state.js';
 import {
   MeshEmit,
@@ -200,7 +201,7 @@
   recordReadSuccess(sourceReads, at, mayBeStale);
   sourceReads.firstListedAt ??= at;
   const knownRevision = fleet.revision;
-  const {revision, instances: changed} = answer;
+  const {revision, instances: changed, later} = answer;
   if (revision < knownRevision) {
     // A peer's update of a later read arrived first.
     emit({kind: 'count', counter: 'update_ignored', reason: 'old_listing'});
@@ -208,17 +209,19 @@
     return;
   }
   logRestore(knownRevision, revision, emit);
-  const listing = {base: 0, revision, changed, removed: []};
+  const heldLater = [...fleet.laterChanges.keys()];
+  const listing = {base: 0, revision, changed, removed: [], later};
   const changes = applyFleetUpdate(state, listing, at, 'source', emit);
   if (mayBeStale) {
     return;
   }
   noteCurrentRegistration(state);
   recordReading(state, knowledgeAgeMs);
-  const peerUpdate = createPeerUpdate(knownRevision, revision, changes);
+  const ids = new Set([...heldLater, ...changes.map(({id}) => id)]);
+  const peerUpdate = createPeerUpdate(fleet, knownRevision, ids);
   const appointment = appointPollers(state, at, emit);
   const update = {fleet: peerUpdate, ageMs: 0, appointment};
-  broadcastUpdate(state, update, changes.length > 0, at, emit);
+  broadcastUpdate(state, update, ids.size > 0, at, emit);
 }
 
 /** Logs that the source continues from an earlier copy of its data. */
@@ -335,21 +338,25 @@
   emit({kind: 'sendMessage', to: by, message});
 }
 
-/** Creates the update for peers, without instances that only sent heartbeats. */
+/**
+ * Creates the update for peers, without instances that only sent heartbeats.
+ * @param fleet - The fleet after a listing.
+ * @param knownRevision - Its revision before that.
+ * @param ids - What the listing changed, and what was held before it although it may
+ *     have been later than `knownRevision`.
+ */
 function createPeerUpdate(
+  {revision, instances, missingUntil, laterChanges}: FleetView,
   knownRevision: number,
-  revision: number,
-  changes: readonly FleetChange[],
+  ids: ReadonlySet<string>,
 ): FleetUpdate {
   // A first listing is not a difference to a revision that peers may have.
   const base = knownRevision === 0 ? revision : knownRevision;
-  const changed = changes
-    .filter(({kind}) => kind !== 'removed')
-    .map(({instance}) => instance);
-  const removed = changes
-    .filter(({kind}) => kind === 'removed')
-    .map(({id}) => id);
-  return {base, revision, changed, removed};
+  const present = [...ids].filter(id => !missingUntil.has(id));
+  const changed = present.flatMap(id => instances.get(id) ?? []);
+  const removed = present.filter(id => !instances.has(id));
+  const later = createLaterChanges(laterChanges);
+  return {base, revision, changed, removed, later};
 }
 
 /** Handles a failed read of the source. */
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -87,6 +87,13 @@
   heartbeat: z.number(),
 });
 
+/** Changes that are later than the revision of the list that shows them. */
+export const LaterChangesSchema = z.strictObject({
+  ids: z.array(IdSchema).readonly(),
+  /** Revision that none of them is later than. */
+  revision: SequenceSchema,
+});
+
 /** Changes of the fleet between two revisions of the source. */
 export const FleetUpdateSchema = z.strictObject({
   /**
@@ -97,6 +104,8 @@
   revision: SequenceSchema,
   changed: z.array(InstanceSchema).readonly(),
   removed: z.array(IdSchema).readonly(),
+  /** Instances whose change may be later than `revision`; absent: none. */
+  later: LaterChangesSchema.optional(),
 });
 
 /** Whether a zone is evacuated; the report with the highest revision holds. */
@@ -309,6 +318,7 @@
 export type Appointment = z.infer<typeof AppointmentSchema>;
 export type Evacuation = z.infer<typeof EvacuationSchema>;
 export type Instance = z.infer<typeof InstanceSchema>;
+export type LaterChanges = z.infer<typeof LaterChangesSchema>;
 export type FleetUpdate = z.infer<typeof FleetUpdateSchema>;
 export type ConfigDelta = z.infer<typeof ConfigDeltaSchema>;
 export type MeshAttempt = z.infer<typeof MeshAttemptSchema>;
--- a/test/platform/store_client.test.ts
+++ b/test/platform/store_client.test.ts
@@ -48,6 +48,8 @@
 
   beforeEach(() => {
     store.mode = 'answers';
+    store.onPage = () => undefined;
+    store.pageLag = 0;
     rejected.length = 0;
   });
 
@@ -79,6 +81,34 @@
     }
   });
 
+  // Guards against proxies that keep an older entry under the latest revision.
+  it('names what was written while a list was read', async () => {
+    const address = '10.0.0.7:80';
+    const entry = (seq: number) => createInstanceEntry(address, {seq});
+    const first = putInEra('servers/i-7', entry(2));
+    let second = 0;
+    store.onPage = () => {
+      store.onPage = () => undefined;
+      second = putInEra('servers/i-7', entry(3));
+    };
+    const request = {kind: 'fleet', mayBeStale: false} as const;
+    const torn = (await client.read(request))._unsafeUnwrap();
+    const later = {ids: ['i-7'], revision: second};
+    expect(torn).to.deep.include({revision: first, later});
+    const whole = (await client.read(request))._unsafeUnwrap();
+    expect(whole).to.deep.include({revision: second, later: undefined});
+  });
+
+  // Guards against the same where a page comes from a copy that lies behind.
+  it('takes the lowest revision of pages that may be stale', async () => {
+    const latest = putInEra('servers/i-7', createInstanceEntry('10.0.0.7:80'));
+    store.onPage = () => (store.pageLag = 5);
+    const request = {kind: 'fleet', mayBeStale: true} as const;
+    const answer = (await client.read(request))._unsafeUnwrap();
+    expect(answer).to.include({revision: latest - 5});
+    expect(answer).to.deep.nested.include({'later.revision': latest});
+  });
+
   it('returns no configuration before one is stored', async () => {
     const config = await client.read({kind: 'config'});
     expect(formatResult(config)).to.equal('config undefined');
--- a/test/platform/store_standin.ts
+++ b/test/platform/store_standin.ts
@@ -49,6 +49,10 @@
   /** Whether each page that was read may have been stale. */
   readonly listings: Array<'fresh' | 'may be stale'> = [];
   calls: string[] = [];
+  /** Is called after each page has been read. */
+  onPage: () => void = () => undefined;
+  /** By how much the next page that may be stale lies behind; tests set it. */
+  pageLag = 0;
   /** Number of restores, which all answers state. */
   private era = 1;
   private revision = 100;
@@ -169,6 +173,10 @@
           .sort((a, b) => (a.key < b.key ? -1 : 1));
         const items = all.slice(0, ITEMS_PER_PAGE);
         const page = {items, 'has-more': all.length > items.length, ...at};
+        if (get('allow-stale') === '1') {
+          page['store-revision'] -= this.pageLag;
+        }
+        this.onPage();
         return reply(res, 200, page);
       }
       case '/kv-watch':
