Fleet: repeat removals after an outage until the next list

What callers saw: after an outage or a restore of the source, a proxy could keep an upstream that had not registered again, although its revision was the latest, and go on sending it calls.

Cause: entries that a list lacks after an outage are held for two seconds, and the list's revision is sent on meanwhile. Their removal is then told in one update at that same revision.

Evidence: "is a removal after an outage, whose update was lost" in `npm run mocha -- test/mesh/later_changes` failed before ("ready at 21") and passes now. Found by reading the paths that raise a revision; no run with processes has shown it. After: `npm run mocha -- test/mesh` 567 passed, 0 failed.

Fix: such removals are marked as changes ahead of the revision, so the next update of whichever proxy reads next carries them; a peer that misses that one has a gap, and asks.

--- a/src/core/mesh/fleet_view.ts
+++ b/src/core/mesh/fleet_view.ts
@@ -11,7 +11,11 @@
   createEvacuationRegisters,
   isZoneEvacuated,
 } from './evacuations.js';
-import {createLaterChanges, recordLaterChanges} from './later_changes.js';
+import {
+  createLaterChanges,
+  recordLaterChanges,
+  recordOwnChanges,
+} from './later_changes.js';
 import {getEra} from './source_position.js';
 
 /**
@@ -286,6 +290,7 @@
       removeInstance(view, id, changes);
     }
   }
+  recordOwnChanges(view.laterChanges, view.revision, changes);
   if (changes.length > 0) {
     rebuildIndexes(view);
   }
--- a/src/core/mesh/later_changes.ts
+++ b/src/core/mesh/later_changes.ts
@@ -41,6 +41,23 @@
   }
 }
 
+/**
+ * Records changes that a proxy made by itself, so that no revision stands for them. The
+ * next list with a higher one carries them.
+ * @param known - By instance, a revision that its change is not later than.
+ * @param revision - The revision at which the changes were made.
+ * @param changes - The changes.
+ */
+export function recordOwnChanges(
+  known: Map<string, number>,
+  revision: number,
+  changes: readonly ChangeOfOne[],
+): void {
+  for (const {id} of changes) {
+    known.set(id, Math.max(revision + 1, known.get(id) ?? 0));
+  }
+}
+
 /**
  * Creates the part of an update that names its later changes.
  * @param known - What is recorded, by instance.
--- a/src/core/mesh/peer_updates.ts
+++ b/src/core/mesh/peer_updates.ts
@@ -26,6 +26,7 @@
   getSentEvacuations,
 } from './evacuation_updates.js';
 import {createFullUpdate, removeExpired} from './fleet_view.js';
+import {createLaterChanges} from './later_changes.js';
 import {MeshState} from './mesh_state.js';
 import {MeshEmit, MeshEvent} from './mesh_types.js';
 import {
@@ -326,7 +327,9 @@
   recordFleetChanges(state, changes, at, 'outage', emit);
   const {revision} = state.fleet;
   const removed = changes.map(({id}) => id);
-  const update = {base: Math.max(revision, 1), revision, changed: [], removed};
+  const later = createLaterChanges(state.fleet.laterChanges);
+  const base = Math.max(revision, 1);
+  const update = {base, revision, changed: [], removed, later};
   const ageMs = getBoundedKnowledgeAgeMs(state, at);
   broadcastUpdate(state, {fleet: update, ageMs}, true, at, emit);
 }
--- a/test/mesh/later_changes.test.ts
+++ b/test/mesh/later_changes.test.ts
@@ -148,4 +148,15 @@
     expect(describeThird(peer)).to.equal('ready at 10');
     expect(peer.drainEffects()).to.include('sendMessage pull to 10.0.0.1:7000');
   });
+
+  // Its proxies hold the entry for two seconds, and its revision passes meanwhile.
+  it('is a removal after an outage, whose update was lost', () => {
+    list(reader, 10, FLEET);
+    reader.at += 6_000;
+    deliver(list(reader, 20, FLEET.slice(0, 2)), peer);
+    reader.advance(2_000);
+    expect(describeThird(reader)).to.equal('undefined at 20');
+    deliver(list(reader, 21, FLEET.slice(0, 2)), peer);
+    expect(describeThird(peer)).to.equal('undefined at 21');
+  });
 });
