Tests: answers that a crowd leaves unread, sent one after the other

With an upstream that sends an answer only when the one before it has left, all of them reach the proxy; the proxy keeps them while the clients read nothing. The earlier tests stay as they are.

--- a/test/platform/memory/crowd_answers.test.ts
+++ b/test/platform/memory/crowd_answers.test.ts
@@ -36,11 +36,12 @@
   }
 }
 
-function createLargeAnswer(): Handler {
+function createLargeAnswer(inTurn = false): Handler {
   const body = createBody(15 * MIB);
   return createAnswer(
     `Content-Length: ${body.length}`,
     encodeBody('in pieces', body),
+    inTurn,
   );
 }
 
@@ -62,6 +63,14 @@
     handler: createLargeAnswer(),
     reading: 'reads slowly',
   }),
+  'reads none of its large answers, sent in turn,': () => ({
+    handler: createLargeAnswer(true),
+    reading: 'reads nothing',
+  }),
+  'reads large answers, sent in turn, slowly': () => ({
+    handler: createLargeAnswer(true),
+    reading: 'reads slowly',
+  }),
   'gets answers in small chunks': () => ({
     handler: createAnswer(
       'Transfer-Encoding: chunked',
--- a/test/platform/memory/upstream_handlers.ts
+++ b/test/platform/memory/upstream_handlers.ts
@@ -5,16 +5,16 @@
 
 export type Handler = (req: IncomingMessage, res: ServerResponse) => void;
 
-/** Sends what an iterator yields, as fast as the proxy takes it. */
-function sendAll(res: ServerResponse, parts: Iterator<Uint8Array>): void {
-  const {socket} = res;
-  const next = parts.next();
-  if (next.done !== true && socket?.writable) {
-    socket.write(next.value, err => {
-      if (!err) {
-        setImmediate(() => sendAll(res, parts));
-      }
-    });
+/** Sends parts as fast as the proxy takes them; resolves at the end of the sending. */
+async function sendAll(
+  {socket}: ServerResponse,
+  parts: Iterable<Uint8Array>,
+): Promise<void> {
+  for (const part of parts) {
+    if (!socket?.writable) {
+      return;
+    }
+    await new Promise(resolve => socket.write(part, resolve));
   }
 }
 
@@ -49,17 +49,21 @@
  * Creates a handler that answers 200 with a body.
  * @param framing - Field of the head that tells the end of the body.
  * @param parts - The body as it is sent.
+ * @param inTurn - Whether an answer waits until the one before it has been sent.
  */
 export function createAnswer(
   framing: string,
   parts: readonly Uint8Array[],
+  inTurn = false,
 ): Handler {
+  let last = Promise.resolve();
   return (req, res) => {
     req.resume();
     const head =
       `HTTP/1.1 200 OK\r\n${HEADER_NAMES.requestId}: ${getEcho(req)}\r\n` +
       `X-Response-Signature: signed\r\n${framing}\r\n\r\n`;
-    sendAll(res, [Buffer.from(head), ...parts][Symbol.iterator]());
+    const send = () => sendAll(res, [Buffer.from(head), ...parts]);
+    last = inTurn ? last.then(send) : send();
   };
 }
 
@@ -75,6 +79,6 @@
       `HTTP/1.1 200 OK\r\n${HEADER_NAMES.requestId}: ${getEcho(req)}\r\n` +
       'X-Response-Signature: signed\r\nContent-Length: 2\r\n\r\nok';
     const parts = Array.from({length: count}, () => head);
-    sendAll(res, [...parts, Buffer.from(answer)][Symbol.iterator]());
+    void sendAll(res, [...parts, Buffer.from(answer)]);
   };
 }
