Daemon: a reload keeps the addresses on which the process runs

What operators saw: after a reload of settings with another address for peers, other proxies know the proxy by an address on which nobody listens, and open a new link for each message to it.

Cause: reload() took over all settings, although the listeners, the client of the upstream and that of the source keep their addresses until a restart. It now keeps these addresses and logs those that differ.

--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -1,4 +1,5 @@
 /** Connects the core of a fleet proxy to sockets, timers and logs. */
+import {isDeepStrictEqual} from 'node:util';
 import {brotliCompressSync, brotliDecompressSync, constants} from 'node:zlib';
 import {getEvacuatedZones} from '../core/mesh/evacuations.js';
 import {getColdRate} from '../core/mesh/cold_limit.js';
@@ -415,14 +416,24 @@
    * @param settings - The validated settings.
    */
   reload(settings: MeshSettingsFile): void {
-    this.settings = settings;
+    const {listen: addresses, upstream, source} = this.settings;
+    const next = {...settings, listen: addresses, upstream, source};
+    this.settings = next;
     const {startedAt} = this.loop.state.settings;
-    this.loop.state.settings = createCoreSettings(settings, startedAt);
+    this.loop.state.settings = createCoreSettings(next, startedAt);
     this.metrics.count('reload', 'applied');
     this.log.write('daemon', 'info', 'Settings reloaded.', {
-      service: settings.service,
-      zone: settings.zone,
+      service: next.service,
+      zone: next.zone,
     });
+    if (!isDeepStrictEqual(next, settings)) {
+      this.log.write(
+        'daemon',
+        'warn',
+        'Changed addresses take effect after a restart.',
+        {...settings.listen, upstream: settings.upstream},
+      );
+    }
   }
 
   /** Reports an invalid settings file; the previous settings stay in effect. */
--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -264,7 +264,7 @@
       state: string;
       slots: number;
     }>;
-    readonly peers: readonly unknown[];
+    readonly peers: ReadonlyArray<{readonly address: string}>;
   }> {
     return JSON.parse((await machine.getInternal('/v1/status', 2)).body);
   }
--- a/test/platform/process_machine.ts
+++ b/test/platform/process_machine.ts
@@ -124,6 +124,11 @@
     }
   }
 
+  /** Sends a signal to the proxy. */
+  signal(signal: NodeJS.Signals): void {
+    this.child?.signal(signal);
+  }
+
   /** Kills the proxy with SIGKILL. */
   async kill(): Promise<ExitStatus | undefined> {
     return this.child?.kill();
