--- a/platform/durations.ts
+++ b/src/model/durations.ts
@@ -1,4 +1,4 @@
-/** Parses the platform's durations, such as `1500ms` or `2.5s`. */
+/** Parses durations with a unit, such as `1500ms` or `2.5s`. */
 import * as z from 'zod';
 
 const DURATION_PATTERN = /^(\d+(?:\.\d+)?)(ms|s)$/;
