--- a/src/mesh/incoming_bodies.ts
+++ b/src/mesh/incoming_bodies.ts
@@ -140,7 +140,7 @@
       this.budget.add(heldBytes);
     } else if (!this.budget.tryReserve(heldBytes)) {
       // Bodies that have ended may hold the room; a repetition finds it free.
-      this.budget.retire(heldBytes);
+      void this.budget.reclaim();
       this.reportRefused(message);
       return;
     }
