Tests: take ports that no connection of the machine can have

The system chose a port for 127.0.0.1, and the test used it and the next three on other addresses, where ephemeral ports of other tests' connections may have them.

--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -202,13 +202,40 @@
 }
 
 /** Finds free ports: four in a row, the first for callers. */
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 15_000;
+const LAST_PORT = 30_000;
+
+/** Ports of one machine: callers, readiness, operators and peers. */
+const PORTS_PER_MACHINE = 4;
+
+/** Whether a port is free on all loopback addresses. */
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise(resolve => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '0.0.0.0', () => server.close(() => resolve(true)));
+  });
+}
+
+/**
+ * Finds ports that are free on all loopback addresses. The system cannot choose them,
+ * since all machines of a fleet have the same, and ones that it chose for one address
+ * may be in use by connections of another.
+ */
 export async function findPorts(): Promise<{callers: number; peers: number}> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const {port} = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return {callers: port, peers: port + 3};
+  for (;;) {
+    const span = LAST_PORT - FIRST_PORT - PORTS_PER_MACHINE;
+    const callers = FIRST_PORT + Math.floor(Math.random() * span);
+    const ports = Array.from(
+      {length: PORTS_PER_MACHINE},
+      (_, n) => callers + n,
+    );
+    const free = await Promise.all(ports.map(isFree));
+    if (free.every(Boolean)) {
+      return {callers, peers: callers + 3};
+    }
+  }
 }
 
 /** Starts and stops a store and machines, and registers their upstreams. */
