Memory: release no more than was reserved where a body gives itself up

What callers see: nothing at first. A client that stops in the middle of a body for over a second and goes on while the memory of the process is in use makes the count of held bytes fall below what is held, by the size of its body each time.

Cause: a reservation may give up stalled transfers, and the body that asks for more room is one of them: its next bytes count as progress only once they are appended. Its reservation is released then, and the rest succeeds. The buffer took its whole capacity as reserved although only the rest was, and released the difference a second time.

Evidence: npm run mocha -- test/proxy/memory_budget, 'counts nothing twice': before this change 6 MiB less than nothing were in use after one such body; now none. Found by reading; not run with real processes.

A reservation now adds what it got, and a body that was given up does not allocate.

--- a/src/proxy/body_buffer.ts
+++ b/src/proxy/body_buffer.ts
@@ -159,13 +159,17 @@
     return true;
   }
 
-  /** Reserves the rest of a capacity. */
+  /** Reserves the rest of a capacity; false also if that has given up this body. */
   private reserve(capacity: number): boolean {
     const missingBytes = capacity - this.reservedBytes;
-    if (missingBytes > 0 && !this.budget.tryReserve(missingBytes)) {
+    if (missingBytes <= 0) {
+      return true;
+    }
+    if (!this.budget.tryReserve(missingBytes)) {
       return false;
     }
-    this.reservedBytes = Math.max(this.reservedBytes, capacity);
-    return true;
+    // The budget may have released the rest to make room.
+    this.reservedBytes += missingBytes;
+    return !this.ended;
   }
 }
--- a/test/proxy/memory_budget.test.ts
+++ b/test/proxy/memory_budget.test.ts
@@ -139,6 +139,22 @@
     }
   }
 
+  // Guards against a count that falls below what is held, so that nothing is refused.
+  it('counts nothing twice where it gives itself up for its own growth', () => {
+    const fixture = new Fixture(8 * MIB, MIB);
+    const {budget} = fixture;
+    const buffer = new BodyBuffer(budget, {maxBytes: 64 * MIB});
+    expect(buffer.append(Buffer.alloc(6 * MIB))).to.equal('ok');
+    budget.addHolder({
+      heldBytes: buffer.heldBytes,
+      getProgress: () => buffer.length,
+      evict: () => buffer.discard(),
+    });
+    fixture.nowMs += STALL_MS;
+    expect(buffer.append(Buffer.alloc(2 * MIB))).to.equal('no-memory');
+    expect(budget.usedBytes).to.equal(0);
+  });
+
   it('holds nothing for a body that is too large or for which there is no room', () => {
     const {budget} = new Fixture(2 * MIB, MIB);
     const small = new BodyBuffer(budget, {maxBytes: 10});
