Callers: bound the pipelined requests that are parsed and not read

What callers lose: the proxy. A crowd that sends a thousand tiny requests behind one that waits, 27 kB a client, ends the process.

Cause: requests behind the 64 that may be open are left unread, but one read of 64 KiB holds some 2,400 of them, and each is an object until its connection has closed, which the budget did not count. Connections that were destroyed kept theirs as well: a turn of the event loop reads all sockets before it closes one.

Such requests now count, and are bounded for all connections together. Where the bound is passed, the connection is destroyed and no other is read until the next turn, so that its objects are free before more come. Connections with at most 64 open requests are never closed by it.

--- a/src/mesh/caller_connections.ts
+++ b/src/mesh/caller_connections.ts
@@ -15,6 +15,12 @@
 /** Requests behind them that are parsed together before the connection is closed. */
 const MAX_UNREAD_REQUESTS = 1_024;
 
+/** Such requests on all connections together, above which one of them is closed at once. */
+const MAX_ALL_UNREAD_REQUESTS = 2_048;
+
+/** Counted for such a request: its head and its objects, until the connection closes. */
+const UNREAD_REQUEST_BYTES = 4_096;
+
 /** A request until its response is written or its connection ends. */
 export class OpenRequest {
   private readonly endCallbacks: Array<() => void> = [];
@@ -49,6 +55,10 @@
 
 export class CallerConnections {
   private readonly connections = new WeakMap<Socket, Connection>();
+  /** Requests that were left unread on connections that are still open. */
+  private allUnreadRequests = 0;
+  private readonly sockets = new Set<Socket>();
+  private readsNothing = false;
 
   constructor(private readonly budget: MemoryBudget) {}
 
@@ -92,6 +102,9 @@
   }
 
   private leaveUnread(socket: Socket, connection: Connection): void {
+    if (socket.destroyed) {
+      return;
+    }
     const {lastResponse} = connection;
     if (connection.unreadRequests === 0 && lastResponse !== undefined) {
       if (lastResponse.headersSent) {
@@ -101,11 +114,31 @@
       socket.pause();
     }
     connection.unreadRequests += 1;
-    if (connection.unreadRequests > MAX_UNREAD_REQUESTS) {
+    this.allUnreadRequests += 1;
+    connection.hold.add(UNREAD_REQUEST_BYTES);
+    if (
+      connection.unreadRequests > MAX_UNREAD_REQUESTS ||
+      this.allUnreadRequests > MAX_ALL_UNREAD_REQUESTS
+    ) {
       socket.destroy();
+      this.readNothingInThisTurn();
     }
   }
 
+  /** Lets what a closed connection held become free before others are read. */
+  private readNothingInThisTurn(): void {
+    if (this.readsNothing) {
+      return;
+    }
+    this.readsNothing = true;
+    const reading = [...this.sockets].filter(socket => !socket.isPaused());
+    reading.forEach(socket => socket.pause());
+    setImmediate(() => {
+      this.readsNothing = false;
+      reading.forEach(socket => socket.resume());
+    });
+  }
+
   private getOrCreate(socket: Socket): Connection {
     const known = this.connections.get(socket);
     if (known !== undefined) {
@@ -117,9 +150,12 @@
       unreadRequests: 0,
     };
     this.connections.set(socket, connection);
+    this.sockets.add(socket);
     // The response to a request behind another one does not close with its connection.
     socket.once('close', () => {
+      this.sockets.delete(socket);
       connection.hold.release();
+      this.allUnreadRequests -= connection.unreadRequests;
       [...connection.requests].forEach(request => request.end());
     });
     return connection;
--- a/test/platform/memory/crowd_answers.test.ts
+++ b/test/platform/memory/crowd_answers.test.ts
@@ -6,6 +6,7 @@
   answerWithSummary,
   createAnswer,
   createInterimHeads,
+  readNothing,
 } from './upstream_handlers.js';
 import {WatchedFleet} from './watched_fleet.js';
 
@@ -139,6 +140,19 @@
     });
   }
 
+  it('sends many tiny requests behind one that waits ends no proxy', async () => {
+    fleet.handleCrowd(readNothing);
+    const tiny = repeat(
+      Buffer.from('GET / HTTP/1.1\r\nHost: a\r\n\r\n'),
+      1_000,
+    );
+    for (let n = 0; n < 400; n += 1) {
+      const head = createHead('GET', '/read/crowd', `r-${n}`);
+      fleet.connect([Buffer.concat([head, tiny])], 'reads nothing');
+    }
+    await fleet.check('tiny requests');
+  });
+
   for (const count of [500, 4_200]) {
     it(`sends parts of ${count} heads ends no proxy`, async () => {
       const head = createHead('GET', '/read/crowd', 'r');
