Memory: collect garbage where an ordinary reservation is refused

What callers see: 503 memory_full for ordinary requests, and connections that are closed at once, for longer than the memory is in use.

Cause: large buffers count until they are collected. Collections were started for large reservations that do not fit, evictions and large bodies that ended as planned, but not where an ordinary request did not fit, which is looked at first, so that a large one behind it did not come to that either. Buffers of answers that were given up, or whose caller had left, then counted until the runtime collected by itself.

A refused reservation now starts a collection if there are such buffers; the gap between two collections stays.

--- a/src/proxy/memory_budget.ts
+++ b/src/proxy/memory_budget.ts
@@ -52,9 +52,12 @@
   private collectedAt = -Infinity;
   private collection?: Promise<void>;
   private readonly holders = new Map<MemoryHolder, Progress>();
-  private readonly buffers = new FinalizationRegistry<number>(bytes =>
-    this.release(bytes),
-  );
+  /** Bytes of buffers that count until they have been collected. */
+  private uncollectedBytes = 0;
+  private readonly buffers = new FinalizationRegistry<number>(bytes => {
+    this.uncollectedBytes -= bytes;
+    this.release(bytes);
+  });
 
   /**
    * @param maxBytes - Most bytes that are held.
@@ -80,13 +83,16 @@
    * Reserves bytes. Gives up stalled transfers for them; an ordinary reservation takes
    * the place of any transfer.
    * @param bytes - Number of bytes.
-   * @returns False if there is no room.
+   * @returns False if there is no room; a repetition may find what is collected now.
    */
   tryReserve(bytes: number): boolean {
     if (!this.fits(bytes)) {
       this.makeRoom(bytes);
     }
     if (!this.fits(bytes)) {
+      if (this.uncollectedBytes > 0) {
+        void this.reclaim();
+      }
       return false;
     }
     this.add(bytes);
@@ -126,6 +132,7 @@
    * @param bytes - Number of reserved bytes.
    */
   releaseWith(buffer: ArrayBufferLike, bytes: number): void {
+    this.uncollectedBytes += bytes;
     this.buffers.register(buffer, bytes);
   }
 
--- a/test/proxy/memory_budget.test.ts
+++ b/test/proxy/memory_budget.test.ts
@@ -95,6 +95,19 @@
     expect(events).to.include('collected');
   });
 
+  // Guards against refusals of ordinary requests until the runtime collects by itself.
+  it('collects where an ordinary request is refused', async () => {
+    const {budget, events} = new Fixture(8 * MIB, MIB);
+    const limits = {maxBytes: MIB, announcedBytes: MIB};
+    const buffer = new BodyBuffer(budget, limits);
+    expect(buffer.append(Buffer.alloc(MIB))).to.equal('ok');
+    buffer.finish();
+    budget.add(7 * MIB);
+    expect(budget.tryReserve(16 * KIB)).to.equal(false);
+    await waitUntil('a collection', async () => events.includes('collected'));
+    await waitUntil('a reservation', async () => budget.tryReserve(16 * KIB));
+  });
+
   it('releases what a request holds, once', () => {
     const {budget} = new Fixture();
     const hold = new MemoryHold(budget);
