Wait for garbage before an answer is given up

An answer of 15 MiB behind another one could end as answer_too_large, 502, although it had run: the first one had been passed on, but its buffer still counted until its collection.

The HTTP client now pauses while garbage is collected, and the answer goes on if that makes room. npm run mocha -- test/mesh/upstream_client 'arrive one after the other': the third of four failed before.

--- a/src/proxy/http_exchange.ts
+++ b/src/proxy/http_exchange.ts
@@ -203,7 +203,7 @@
   }
 
   onResponseData(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
     if (this.settled) {
@@ -215,11 +215,31 @@
       return;
     }
     this.body ??= this.createBody();
-    const isHeld = this.body.append(chunk) === 'ok';
+    const appended = this.body.tryAppend(chunk);
     if (this.settled) {
       // The budget has given up this answer to make room for it.
       this.body.discard();
-    } else if (!isHeld) {
+    } else if (appended === 'no-memory') {
+      controller.pause();
+      void this.appendAfterReclaim(controller, this.body, chunk);
+    } else if (appended === 'too-large') {
+      this.abortAsTooLarge();
+    }
+  }
+
+  /** Goes on with the answer if collecting garbage makes room. */
+  private async appendAfterReclaim(
+    controller: Dispatcher.DispatchController,
+    body: BodyBuffer,
+    chunk: Buffer,
+  ): Promise<void> {
+    await this.memory.reclaim();
+    if (this.settled) {
+      return;
+    }
+    if (body.append(chunk) === 'ok') {
+      controller.resume();
+    } else {
       this.abortAsTooLarge();
     }
   }
--- a/test/mesh/upstream_client.test.ts
+++ b/test/mesh/upstream_client.test.ts
@@ -1,5 +1,6 @@
 /** Requests to an upstream that falls silent on a connection. */
 import {once} from 'node:events';
+import {createServer as createHttpServer} from 'node:http';
 import {Server, Socket, createServer} from 'node:net';
 import {AddressInfo} from 'node:net';
 import {MeshEventBody} from '../../src/core/mesh/mesh_types.js';
@@ -87,3 +88,38 @@
     }
   });
 });
+
+describe('large answers of an upstream', () => {
+  const ANSWER = Buffer.alloc(15 * 1_048_576, 'a');
+  /** Room for one of them, until it has been collected. */
+  const MAX_BYTES = 24 * 1_048_576;
+
+  it('arrive one after the other, though the budget has room for one', async () => {
+    const server = createHttpServer((req, res) => {
+      const {requestId} = HEADER_NAMES;
+      res.setHeader(requestId, String(req.headers[requestId]));
+      res.end(ANSWER);
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const kinds: string[] = [];
+    const client = new MeshUpstreamClient(
+      `127.0.0.1:${port}`,
+      HEADER_NAMES,
+      ({kind}) => kinds.push(kind),
+      new MemoryBudget(MAX_BYTES, 0),
+    );
+    for (let n = 0; n < 4; n += 1) {
+      await client.dispatch(`a-${n}`, 'i-1', 60_000, {
+        method: 'GET',
+        path: '/read/1',
+        headers: {[HEADER_NAMES.requestId]: `r-${n}`},
+        body: new Uint8Array(0),
+      });
+    }
+    await client.destroy();
+    server.close();
+    expect(kinds).to.deep.equal(Array(4).fill('upstreamAnswered'));
+  });
+});
