Callers: count the heads of requests that wait behind others

What callers lose: the proxy. A crowd that sends requests with heads of 30 kB behind one that waits holds far more than the budget counts, and ends it.

Cause: a request counted 16 KiB, whatever its head was, and one that was refused for its head or for want of memory was held until the responses before it had been written, counted too low or not at all.

A request counts with its head. Where there is no room for one behind others, it is left unread, as one beyond the 64 open ones is, instead of being held for a refusal; and requests that are left unread are bounded by bytes.

--- a/src/mesh/caller_connections.ts
+++ b/src/mesh/caller_connections.ts
@@ -6,7 +6,7 @@
 /** Counted for a connection: its socket, parser and part of a head. */
 const CONNECTION_BYTES = 16_384;
 
-/** Counted for a request beside its body: its head and its state in all parts. */
+/** Counted for a request beside its head and its body: its state in all parts. */
 const REQUEST_BYTES = 16_384;
 
 /** Requests that may be open on a connection; those behind them are not read. */
@@ -15,10 +15,10 @@
 /** Requests behind them that are parsed together before the connection is closed. */
 const MAX_UNREAD_REQUESTS = 1_024;
 
-/** Such requests on all connections together, above which one of them is closed at once. */
-const MAX_ALL_UNREAD_REQUESTS = 2_048;
+/** Bytes of such requests together above which their connections are closed at once. */
+const MAX_UNREAD_BYTES = 8 * 1_048_576;
 
-/** Counted for such a request: its head and its objects, until the connection closes. */
+/** Counted for such a request beside its head, until the connection closes. */
 const UNREAD_REQUEST_BYTES = 4_096;
 
 /** A request until its response is written or its connection ends. */
@@ -26,7 +26,14 @@
   private readonly endCallbacks: Array<() => void> = [];
   private ended = false;
 
-  constructor(readonly hold: MemoryHold) {
+  /**
+   * @param hold - Counts what is held for it.
+   * @param isHeld - Whether there was room for its state.
+   */
+  constructor(
+    readonly hold: MemoryHold,
+    readonly isHeld: boolean,
+  ) {
     this.onEnd(() => hold.release());
   }
 
@@ -51,12 +58,13 @@
   /** The response of the request that was opened last. */
   lastResponse?: ServerResponse;
   unreadRequests: number;
+  unreadBytes: number;
 }
 
 export class CallerConnections {
   private readonly connections = new WeakMap<Socket, Connection>();
-  /** Requests that were left unread on connections that are still open. */
-  private allUnreadRequests = 0;
+  /** Counted for requests that were left unread on connections that are still open. */
+  private unreadBytes = 0;
   private readonly sockets = new Set<Socket>();
   private readsNothing = false;
 
@@ -71,8 +79,8 @@
 
   /**
    * Opens a request.
-   * @returns The request; undefined where its connection has too many: it is not read,
-   *     and the connection closes after the responses before it.
+   * @returns The request; undefined where its connection has too many, or others and there
+   *     is no room: it is not read, and the connection closes after the responses before it.
    */
   open(req: IncomingMessage, res: ServerResponse): OpenRequest | undefined {
     const connection = this.getOrCreate(req.socket);
@@ -80,10 +88,17 @@
       connection.unreadRequests > 0 ||
       connection.requests.size >= MAX_OPEN_REQUESTS
     ) {
-      this.leaveUnread(req.socket, connection);
+      this.leaveUnread(req, connection);
+      return undefined;
+    }
+    const hold = new MemoryHold(this.budget);
+    const isHeld = hold.tryAdd(REQUEST_BYTES + countHeadBytes(req));
+    if (!isHeld && connection.requests.size > 0) {
+      // A refusal would have to wait behind other responses, with the request.
+      this.leaveUnread(req, connection);
       return undefined;
     }
-    const request = new OpenRequest(new MemoryHold(this.budget));
+    const request = new OpenRequest(hold, isHeld);
     connection.requests.add(request);
     connection.lastResponse = res;
     request.onEnd(() => connection.requests.delete(request));
@@ -91,17 +106,13 @@
     return request;
   }
 
-  /** Counts the state of a request; false if there is no room. */
-  tryHold({hold}: OpenRequest): boolean {
-    return hold.tryAdd(REQUEST_BYTES);
-  }
-
   /** Reports whether no other request is open on a connection. */
   isLast(socket: Socket): boolean {
     return this.getOrCreate(socket).requests.size <= 1;
   }
 
-  private leaveUnread(socket: Socket, connection: Connection): void {
+  private leaveUnread(req: IncomingMessage, connection: Connection): void {
+    const {socket} = req;
     if (socket.destroyed) {
       return;
     }
@@ -114,11 +125,13 @@
       socket.pause();
     }
     connection.unreadRequests += 1;
-    this.allUnreadRequests += 1;
-    connection.hold.add(UNREAD_REQUEST_BYTES);
+    const bytes = UNREAD_REQUEST_BYTES + countHeadBytes(req);
+    connection.hold.add(bytes);
+    connection.unreadBytes += bytes;
+    this.unreadBytes += bytes;
     if (
       connection.unreadRequests > MAX_UNREAD_REQUESTS ||
-      this.allUnreadRequests > MAX_ALL_UNREAD_REQUESTS
+      this.unreadBytes > MAX_UNREAD_BYTES
     ) {
       socket.destroy();
       this.readNothingInThisTurn();
@@ -148,6 +161,7 @@
       hold: new MemoryHold(this.budget),
       requests: new Set(),
       unreadRequests: 0,
+      unreadBytes: 0,
     };
     this.connections.set(socket, connection);
     this.sockets.add(socket);
@@ -155,9 +169,13 @@
     socket.once('close', () => {
       this.sockets.delete(socket);
       connection.hold.release();
-      this.allUnreadRequests -= connection.unreadRequests;
+      this.unreadBytes -= connection.unreadBytes;
       [...connection.requests].forEach(request => request.end());
     });
     return connection;
   }
 }
+
+function countHeadBytes({url = '', rawHeaders}: IncomingMessage): number {
+  return rawHeaders.reduce((sum, {length}) => sum + length, url.length);
+}
--- a/src/mesh/mesh_caller_handler.ts
+++ b/src/mesh/mesh_caller_handler.ts
@@ -127,7 +127,7 @@
     req: IncomingMessage,
     request: OpenRequest,
   ): Refusal | undefined {
-    if (!this.connections.tryHold(request)) {
+    if (!request.isHeld) {
       return createMemoryRefusal();
     }
     const malformed = this.findMalformedHead(req);
--- a/test/platform/memory/crowd_answers.test.ts
+++ b/test/platform/memory/crowd_answers.test.ts
@@ -140,18 +140,22 @@
     });
   }
 
-  it('sends many tiny requests behind one that waits ends no proxy', async () => {
-    fleet.handleCrowd(readNothing);
-    const tiny = repeat(
-      Buffer.from('GET / HTTP/1.1\r\nHost: a\r\n\r\n'),
-      1_000,
-    );
-    for (let n = 0; n < 400; n += 1) {
-      const head = createHead('GET', '/read/crowd', `r-${n}`);
-      fleet.connect([Buffer.concat([head, tiny])], 'reads nothing');
-    }
-    await fleet.check('tiny requests');
-  });
+  const FIELD = 'x'.repeat(30_000);
+  for (const [title, clients, field, times] of [
+    ['many tiny requests', 400, '', 1_000],
+    ['large heads', 200, `x: ${FIELD}\r\n`, 63],
+  ] as const) {
+    it(`sends ${title} behind one that waits ends no proxy`, async () => {
+      fleet.handleCrowd(readNothing);
+      const next = Buffer.from(`GET / HTTP/1.1\r\nHost: a\r\n${field}\r\n`);
+      const parts = repeat(next, times);
+      for (let n = 0; n < clients; n += 1) {
+        const head = createHead('GET', '/read/crowd', `r-${n}`);
+        fleet.connect([Buffer.concat([head, parts])], 'reads nothing');
+      }
+      await fleet.check(title);
+    });
+  }
 
   for (const count of [500, 4_200]) {
     it(`sends parts of ${count} heads ends no proxy`, async () => {
