Close at once where the caller has asked for it

A caller that sends Connection: close with its last request sends nothing behind it, so its connection needs no time in which what it still sends is read. Spares a timer, and an error that Node creates where an ended connection is ended by its caller, for each connection of one request.

--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -1,7 +1,13 @@
 /** Creates HTTP servers that limit the resources which one client can use. */
 import {once} from 'node:events';
-import {createServer, RequestListener, Server, ServerResponse} from 'node:http';
-import {AddressInfo, Server as NetServer} from 'node:net';
+import {
+  IncomingMessage,
+  RequestListener,
+  Server,
+  ServerResponse,
+  createServer,
+} from 'node:http';
+import {AddressInfo, Server as NetServer, Socket as NetSocket} from 'node:net';
 import {Duplex} from 'node:stream';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Settings} from '../model/settings.js';
@@ -78,7 +84,13 @@
   server.maxConnections = maxConnections;
   server.on('connection', socket => {
     // The HTTP server calls it after a response that closes the connection.
-    socket.destroySoon = () => closeAfterReading(socket);
+    socket.destroySoon = () => {
+      if (isLastRequest(lastResponses.get(socket)?.req)) {
+        NetSocket.prototype.destroySoon.call(socket);
+      } else {
+        closeAfterReading(socket);
+      }
+    };
   });
   server.on('drop', () => onMalformedInput('too_many_connections'));
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -102,6 +114,11 @@
   };
 }
 
+/** Reports whether a request was read whole and its caller sends nothing behind it. */
+function isLastRequest(req: IncomingMessage | undefined): boolean {
+  return req?.complete === true && req.headers.connection === 'close';
+}
+
 /**
  * Ends a connection after malformed input. Sends the error only if the client
  * cannot mistake it for the answer to an earlier request, which may be running.
