Give up connections that keep many requests open where memory is short

Open requests could not be given up.

A connection with more than four open requests is now a transfer that may be given up. Test: test/mesh/ caller_connections, which failed before. Also, settings whose parsing throws count as a failed start, as other errors do, in place of a start that never ends (found by reading; no input is known that throws).

--- a/src/mesh/caller_connections.ts
+++ b/src/mesh/caller_connections.ts
@@ -1,7 +1,11 @@
 /** Counts the connections of callers and the requests that are open on them. */
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
-import {MemoryBudget, MemoryHold} from '../proxy/memory_budget.js';
+import {
+  MemoryBudget,
+  MemoryHold,
+  MemoryHolder,
+} from '../proxy/memory_budget.js';
 
 /** Counted for a connection: its socket, parser and part of a head. */
 const CONNECTION_BYTES = 16_384;
@@ -12,6 +16,9 @@
 /** Requests that may be open on a connection; those behind them are not read. */
 export const MAX_OPEN_REQUESTS = 64;
 
+/** Open requests above which a connection may be given up where memory is short. */
+const MAX_KEPT_REQUESTS = 4;
+
 /** Requests behind them that are parsed together before the connection is closed. */
 const MAX_UNREAD_REQUESTS = 1_024;
 
@@ -59,6 +66,9 @@
   lastResponse?: ServerResponse;
   unreadRequests: number;
   unreadBytes: number;
+  /** Requests that have ended. */
+  endedRequests: number;
+  readonly holder: MemoryHolder;
 }
 
 export class CallerConnections {
@@ -101,11 +111,22 @@
     const request = new OpenRequest(hold, isHeld);
     connection.requests.add(request);
     connection.lastResponse = res;
-    request.onEnd(() => connection.requests.delete(request));
+    if (connection.requests.size === MAX_KEPT_REQUESTS + 1) {
+      this.budget.addHolder(connection.holder);
+    }
+    request.onEnd(() => this.removeRequest(connection, request));
     res.once('close', () => request.end());
     return request;
   }
 
+  private removeRequest(connection: Connection, request: OpenRequest): void {
+    connection.requests.delete(request);
+    connection.endedRequests += 1;
+    if (connection.requests.size === MAX_KEPT_REQUESTS) {
+      this.budget.removeHolder(connection.holder);
+    }
+  }
+
   /** Reports whether no other request is open on a connection. */
   isLast(socket: Socket): boolean {
     return this.getOrCreate(socket).requests.size <= 1;
@@ -162,6 +183,14 @@
       requests: new Set(),
       unreadRequests: 0,
       unreadBytes: 0,
+      endedRequests: 0,
+      holder: {
+        get heldBytes() {
+          return connection.requests.size * REQUEST_BYTES;
+        },
+        getProgress: () => connection.endedRequests,
+        evict: () => socket.destroy(),
+      },
     };
     this.connections.set(socket, connection);
     this.sockets.add(socket);
--- a/src/mesh/run_daemon.ts
+++ b/src/mesh/run_daemon.ts
@@ -114,12 +114,12 @@
 
   private async tryStart(): Promise<Result<MeshRuntime, StartFailure>> {
     const text = await readSettingsText(this.file);
-    const settings = text.andThen(this.parseSettings);
-    if (text.isErr() || settings.isErr()) {
-      const detail = text.isErr() ? text.error : settings._unsafeUnwrapErr();
-      return err({cause: 'settings', detail});
-    }
     try {
+      const settings = text.andThen(this.parseSettings);
+      if (text.isErr() || settings.isErr()) {
+        const detail = text.isErr() ? text.error : settings._unsafeUnwrapErr();
+        return err({cause: 'settings', detail});
+      }
       const proxy = new MeshRuntime(settings.value, this.adapter);
       await proxy.start();
       this.proxy = proxy;
