--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -9,11 +9,8 @@
 import {AttemptOutcome, MeshEventBody} from '../core/mesh/mesh_types.js';
 import {roundToHundredths} from '../core/mesh/rounding.js';
 import {LinkMessage, MeshAttempt} from '../model/mesh.js';
-import {
-  MAX_ORDINARY_BYTES,
-  MemoryBudget,
-  MemoryHold,
-} from '../proxy/memory_budget.js';
+import {MAX_ORDINARY_BYTES, MemoryBudget} from '../proxy/memory_budget.js';
+import {MemoryHold} from '../proxy/memory_hold.js';
 import {OutboundRequest} from '../proxy/pending_calls.js';
 import {BodyClaim} from './body_pacer.js';
 import {countRequestBytes} from './held_bytes.js';
--- a/src/mesh/body_transfers.ts
+++ b/src/mesh/body_transfers.ts
@@ -4,11 +4,8 @@
  * that a small message never waits behind a whole upload on a slow link.
  */
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
-import {
-  MAX_ORDINARY_BYTES,
-  MemoryBudget,
-  MemoryHold,
-} from '../proxy/memory_budget.js';
+import {MAX_ORDINARY_BYTES, MemoryBudget} from '../proxy/memory_budget.js';
+import {MemoryHold} from '../proxy/memory_hold.js';
 import {BodyClaim, BodyPacer, BodySource, WaitingBody} from './body_pacer.js';
 import {Frame} from './frames.js';
 
--- a/src/mesh/caller_connections.ts
+++ b/src/mesh/caller_connections.ts
@@ -1,11 +1,8 @@
 /** Counts the connections of callers and the requests that are open on them. */
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
-import {
-  MemoryBudget,
-  MemoryHold,
-  MemoryHolder,
-} from '../proxy/memory_budget.js';
+import {MemoryBudget, MemoryHolder} from '../proxy/memory_budget.js';
+import {MemoryHold} from '../proxy/memory_hold.js';
 
 /** Counted for a connection: its socket, parser and part of a head. */
 const CONNECTION_BYTES = 16_384;
--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -2,7 +2,8 @@
 import {Server, Socket, connect, createServer} from 'node:net';
 import {Hello, LinkMessage} from '../model/mesh.js';
 import {parseAddress} from '../proxy/addresses.js';
-import {MemoryBudget, MemoryHold} from '../proxy/memory_budget.js';
+import {MemoryBudget} from '../proxy/memory_budget.js';
+import {MemoryHold} from '../proxy/memory_hold.js';
 import {BodyPacer} from './body_pacer.js';
 import {MessageCodec} from './message_codec.js';
 import {Link, LinkHandlers, LinkTraffic} from './link.js';
--- a/test/proxy/memory_budget.test.ts
+++ b/test/proxy/memory_budget.test.ts
@@ -1,10 +1,7 @@
 /** Limits on what one process holds for its callers, peers and upstreams. */
 import {BodyBuffer} from '../../src/proxy/body_buffer.js';
-import {
-  MemoryBudget,
-  MemoryEvent,
-  MemoryHold,
-} from '../../src/proxy/memory_budget.js';
+import {MemoryBudget, MemoryEvent} from '../../src/proxy/memory_budget.js';
+import {MemoryHold} from '../../src/proxy/memory_hold.js';
 import {waitUntil} from '../../src/standins/harness/wait_for.js';
 import {expect} from '../support/chai_setup.js';
 
