Links: an owner grants the bodies of requests that entries offer

Cause: 80 entries upload to 11 archives behind 4.9 Mbit/s each. Each entry paced what it sent, none knew what the others sent, and a body went out before its attempt was admitted, to up to four owners. So bodies waited in front of the archives' connections, and every small message behind them: at 300 ms of that, owners have no recent news of their callers and start nothing, although their slots are idle. Callers return and send more. Calls of sign-offs to the archives fail, which holds and wastes slots of the other services. Class: a shared resource is used before the one who knows its use has agreed.

At the archives alone, news of callers was 310 to 470 ms old, no run in progress, 2 to 7 attempts waiting; no late reads of the process.

Change: an entry sends the message of an attempt with a body above 8 KB and waits. The owner refuses it at once, or grants parts of the body so that little is under way to it.

The event field noMemory is now unreceived, with the reason; its two tests check the same. link.test: the receiver's frames reach the sender, as it has to grant.

--- a/src/core/mesh/link_load.ts
+++ b/src/core/mesh/link_load.ts
@@ -16,6 +16,8 @@
   readonly sent: number;
   /** Large bodies that wait to be sent now; absent: none. */
   readonly waiting?: readonly WaitingBytes[];
+  /** Time that the bodies take which peers have offered, in milliseconds. */
+  readonly arrivingMs?: number;
 }
 
 export interface LinkLoad {
@@ -23,10 +25,13 @@
   measuredAt: number;
   /** Moving average of the used share of the bandwidth, in the busier direction. */
   share: number;
+  /** Time that the bodies take which are to arrive, in milliseconds. */
+  arrivingMs: number;
 }
 
 export function createLinkLoad(): LinkLoad {
-  return {bytes: {received: 0, sent: 0}, measuredAt: -Infinity, share: 0};
+  const bytes = {received: 0, sent: 0};
+  return {bytes, measuredAt: -Infinity, share: 0, arrivingMs: 0};
 }
 
 /** Interval over which bytes are counted, in milliseconds. */
@@ -61,6 +66,7 @@
 ): void {
   const {linkLoad, settings} = state;
   recordWaitingBytes(state, bytes.waiting ?? [], at);
+  linkLoad.arrivingMs = bytes.arrivingMs ?? 0;
   const ms = at - linkLoad.measuredAt;
   if (ms < MEASURED_MS) {
     return;
@@ -109,8 +115,13 @@
   const remaining = Math.max(0, 1 - age / REPORT_LIFETIME_MS);
   const reported = (load.report?.linkShare ?? 0) * remaining;
   const free = 1 - Math.min(MAX_SHARE, reported);
+  const arrivingMs =
+    bodyBytes > MAX_WHOLE_BODY_BYTES
+      ? (load.report?.requestDelayMs ?? 0) * remaining
+      : 0;
   const requestMs =
-    getSendMs(bodyBytes, Math.min(settings.linkMbps, peerMbps)) / free ** 2;
+    getSendMs(bodyBytes, Math.min(settings.linkMbps, peerMbps)) / free ** 2 +
+    arrivingMs;
   if (!hasLargeAnswer) {
     return requestMs;
   }
--- a/src/core/mesh/link_rate.ts
+++ b/src/core/mesh/link_rate.ts
@@ -20,6 +20,11 @@
   return (bytes * BITS_PER_BYTE) / (mbps * BITS_PER_MS_OF_MBPS);
 }
 
+/** Returns the bytes that a connection carries within a time in milliseconds. */
+export function getSendBytes(ms: number, mbps: number): number {
+  return (ms * mbps * BITS_PER_MS_OF_MBPS) / BITS_PER_BYTE;
+}
+
 /** Returns the time in which bytes are sent at the rate of large bodies. */
 export function getPacedMs(bytes: number, mbps: number): number {
   return getSendMs(bytes, mbps * USABLE_SHARE);
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -22,6 +22,7 @@
 import {logUnconfirmedConfig} from './config_freshness.js';
 import {MeshState} from './mesh_state.js';
 import {MeshEffect, MeshEmit, MeshEvent} from './mesh_types.js';
+import {considerOffer} from './body_offers.js';
 import {
   admitMeshAttempt,
   cancelMeshAttempt,
@@ -114,6 +115,8 @@
       return handleAttemptLoss(state, event, event.attemptId, event.sent, emit);
     case 'attemptArrived':
       return admitMeshAttempt(state, at, event, emit);
+    case 'attemptOffered':
+      return considerOffer(state, at, event, emit);
     case 'callersConfirmed':
       confirmCallers(state.work, event.unconfirmedMs, at);
       return dispatchWaiting(state, at, emit);
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -182,8 +182,19 @@
        * posts this reports each departure without delay.
        */
       readonly unconfirmedMs?: number;
-      /** There was no memory for its request, which is not kept. */
-      readonly noMemory?: boolean;
+      /** Why its request was not received; absent: it was. */
+      readonly unreceived?: 'memory_full' | 'link_saturated';
+    }
+  | {
+      /** An entry asks whether it is to send an attempt with a large body. */
+      readonly kind: 'attemptOffered';
+      readonly attempt: MeshAttempt;
+      /** Time since it was sent, at least, in milliseconds. */
+      readonly ageMs: number;
+      /** Time that other bodies take which arrive before its own, in milliseconds. */
+      readonly aheadMs: number;
+      /** Time that its own body takes, in milliseconds. */
+      readonly ownMs: number;
     }
   | {
       /** Entries have confirmed the callers of waiting attempts. */
--- a/src/core/mesh/overload_admission.ts
+++ b/src/core/mesh/overload_admission.ts
@@ -80,7 +80,7 @@
   arriving: QueuedAttempt,
   at: number,
 ): QueueRefusal | undefined {
-  const {routeAimMs, priority, nested, slotWanted} = arriving.attempt;
+  const {priority, nested, slotWanted} = arriving.attempt;
   const {nestedRoom, servedShares} = work;
   if (nested !== true && servedShares !== undefined) {
     recordAsked(servedShares, priority);
@@ -89,18 +89,54 @@
   if (slotWanted === true && countUsedSlots(work, estimates, at) >= slots) {
     keepSlot(nestedRoom, at);
   }
+  const forecast = forecastAttempt(work, estimates, slots, arriving, at);
+  if (forecast.refusal === undefined) {
+    arriving.expectedEndAt = forecast.endAt;
+    work.queue.push(arriving);
+  }
+  return forecast.refusal;
+}
+
+/** What would become of an attempt in a queue. */
+export interface Forecast {
+  /** When it would end, in milliseconds. */
+  readonly endAt: number;
+  /** Why it is not to be queued, if so. */
+  readonly refusal?: QueueRefusal;
+}
+
+/**
+ * Estimates when an attempt would end, and decides whether it is to be queued.
+ * @param work - The running and waiting attempts.
+ * @param estimates - The upstream's estimates.
+ * @param slots - The upstream's slots.
+ * @param arriving - The attempt.
+ * @param at - Now, in milliseconds.
+ * @param arrivalMs - Time until its body has arrived, in milliseconds.
+ */
+export function forecastAttempt(
+  work: WorkQueue,
+  estimates: RunEstimates,
+  slots: number,
+  arriving: QueuedAttempt,
+  at: number,
+  arrivalMs = 0,
+): Forecast {
+  const {routeAimMs} = arriving.attempt;
   const slotWaitMs = estimateWaitMs(work, estimates, slots, arriving, at);
   const rateDelayMs = estimateStartDelayMs(work, estimates, arriving, at);
   const isRateLimited = rateDelayMs > slotWaitMs;
   const waitMs = Math.max(slotWaitMs, rateDelayMs);
   const runMs = estimateRunMs(estimates, arriving.attempt);
   const retryAfterMs = clampRetryAfterMs(waitMs);
-  if (at + waitMs + runMs * MIN_RUN_SHARE > arriving.deadlineAt) {
+  const startMs = Math.max(waitMs, arrivalMs);
+  const endAt = at + startMs + runMs;
+  if (at + startMs + runMs * MIN_RUN_SHARE > arriving.deadlineAt) {
     const reason = isRateLimited ? 'rate_limited' : 'deadline_too_short';
-    return {reason, retryAfterMs};
+    return {endAt, refusal: {reason, retryAfterMs}};
   }
   const marginMs = getFinishMarginMs(work.finishErrors, routeAimMs);
-  const meetsAim = at + waitMs + runMs + marginMs <= arriving.aimAt;
+  const meetsAim = endAt + marginMs <= arriving.aimAt;
   const punctual = countPunctual(work, estimates, at);
   const keepsSlotsBusy =
     punctual === 0 && work.queue.length < slots * BUSY_ROUNDS;
@@ -108,13 +144,16 @@
   const mayWaitLate =
     !isRateLimited &&
     (keepsSlotsBusy || mayWaitForSpareSlot(arriving, punctual, slots, at));
-  if (!meetsAim && !mayWaitLate && waitMs > routeAimMs * MAX_LATE_WAIT_SHARE) {
+  const idleWaitMs = startMs - arrivalMs;
+  if (
+    !meetsAim &&
+    !mayWaitLate &&
+    idleWaitMs > routeAimMs * MAX_LATE_WAIT_SHARE
+  ) {
     const reason = isRateLimited ? 'rate_limited' : 'queue_full';
-    return {reason, retryAfterMs};
+    return {endAt, refusal: {reason, retryAfterMs}};
   }
-  arriving.expectedEndAt = at + waitMs + runMs;
-  work.queue.push(arriving);
-  return undefined;
+  return {endAt};
 }
 
 /**
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -59,9 +59,7 @@
   state.lastWorkAt = at;
   const refusal =
     getAdmissionRefusal(state, at, attempt, ageMs) ??
-    (arrival.noMemory === true
-      ? createRefusal('memory_full', NO_MEMORY_RETRY_AFTER_MS)
-      : undefined);
+    getUnreceivedRefusal(state, arrival.unreceived);
   if (refusal !== undefined) {
     refuseAttempt(state, at, attempt, refusal, emit);
     return;
@@ -92,6 +90,22 @@
   dispatchWaiting(state, at, emit);
 }
 
+/** Refuses an attempt whose request was not received. */
+function getUnreceivedRefusal(
+  {linkLoad}: MeshState,
+  reason: 'memory_full' | 'link_saturated' | undefined,
+): Refusal | undefined {
+  if (reason === undefined) {
+    return undefined;
+  }
+  return createRefusal(
+    reason,
+    reason === 'link_saturated'
+      ? clampRetryAfterMs(linkLoad.arrivingMs)
+      : NO_MEMORY_RETRY_AFTER_MS,
+  );
+}
+
 /** Logs that an attempt must wait for news of its caller. */
 function logIfUnconfirmed(
   queued: QueuedAttempt,
@@ -145,8 +159,12 @@
   return true;
 }
 
-/** Returns why an attempt must not be queued, or undefined if it may be. */
-function getAdmissionRefusal(
+/**
+ * Returns why an attempt must not be queued whatever the load, or undefined if it may
+ * be.
+ * @param ageMs - Time since it was sent, at least, in milliseconds.
+ */
+export function getAdmissionRefusal(
   state: MeshState,
   at: number,
   attempt: MeshAttempt,
@@ -220,14 +238,15 @@
     : isLeaving(state.fleet, {id, incarnation: 0});
 }
 
-function getSlots(own: Instance | undefined): number {
+/** Gets the slots of this proxy's upstream. */
+export function getSlots(own: Instance | undefined): number {
   return own?.slots ?? UNREGISTERED_SLOTS;
 }
 
 /** Used share of the bandwidth below which it is not worth the bytes to report. */
 const MIN_REPORTED_LINK_SHARE = 0.1;
 
-/** The same for the time that waiting answers take, in milliseconds. */
+/** The same for the time that waiting bodies take, in milliseconds. */
 const MIN_REPORTED_LINK_DELAY_MS = 5;
 
 /**
@@ -244,6 +263,7 @@
   const incarnation = own?.id === instanceId ? own.incarnation : 0;
   const {limit, cold, queue} = work;
   const linkDelayMs = Math.round(getLinkDelayMs(state, at));
+  const requestDelayMs = Math.round(linkLoad.arrivingMs);
   return {
     running: countUsedSlots(work, estimates, at),
     queued: queue.length,
@@ -271,6 +291,7 @@
       ? {}
       : {linkShare: roundToHundredths(linkLoad.share)}),
     ...(linkDelayMs < MIN_REPORTED_LINK_DELAY_MS ? {} : {linkDelayMs}),
+    ...(requestDelayMs < MIN_REPORTED_LINK_DELAY_MS ? {} : {requestDelayMs}),
     ...(isLeaving(fleet, {id: instanceId, incarnation})
       ? {upstreamLeaving: true}
       : {}),
--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -12,10 +12,11 @@
 import {MAX_ORDINARY_BYTES, MemoryBudget} from '../proxy/memory_budget.js';
 import {MemoryHold} from '../proxy/memory_hold.js';
 import {OutboundRequest} from '../proxy/pending_calls.js';
-import {BodyClaim} from './body_pacer.js';
+import {BodyClaim, createAttemptClaim} from './body_pacer.js';
 import {countRequestBytes} from './held_bytes.js';
 import {KeptOutcome, KeptOutcomes} from './kept_outcomes.js';
-import {Link} from './link.js';
+import {BodyRefusalReason} from './incoming_bodies.js';
+import {BodyArrival, Link} from './link.js';
 import {LinkManager} from './link_manager.js';
 import {OutcomeMessage, readOutcome, sendOutcome} from './outcome_messages.js';
 import {ReadDelays} from './turn_clock.js';
@@ -86,7 +87,7 @@
 
   /** Delivers an attempt for which this proxy is both entry and owner. */
   receiveLocal(attempt: MeshAttempt, outbound: OutboundRequest): void {
-    const claim = createClaim(attempt);
+    const claim = createAttemptClaim(attempt);
     const hold = new MemoryHold(this.budget);
     this.received.set(attempt.attemptId, {attempt, claim, outbound, hold});
     const unconfirmedMs = this.delays.getBehindMs();
@@ -155,7 +156,7 @@
       path,
       headers,
     };
-    link.send(message, body, attemptId, createClaim(sending));
+    link.send(message, body, attemptId, createAttemptClaim(sending));
   }
 
   private attachLink(sentAttempt: SentAttempt, link: Link): void {
@@ -288,7 +289,7 @@
     }
     this.markSeen(attemptId);
     const outbound = {method, path, headers, body};
-    const claim = createClaim(attempt);
+    const claim = createAttemptClaim(attempt);
     this.received.set(attemptId, {attempt, claim, outbound, hold, link});
     const unconfirmedMs = link.getUnconfirmedMs();
     if (unconfirmedMs > ASK_AFTER_MS) {
@@ -298,10 +299,15 @@
   }
 
   /**
-   * Ends the attempt of a message for whose body there is no memory. An attempt that has
+   * Ends the attempt of a message whose body is not received. An attempt that has
    * arrived does not run; one that was answered counts as failed.
+   * @param reason - Why it is not received.
    */
-  handleBodyRefused(link: Link, message: LinkMessage): void {
+  handleBodyRefused(
+    link: Link,
+    message: LinkMessage,
+    reason: BodyRefusalReason = 'memory_full',
+  ): void {
     if (message.kind === 'answer') {
       const detail = 'no memory for the answer';
       const result = createRefusal('answer_too_large', undefined, detail);
@@ -312,17 +318,58 @@
     if (message.kind !== 'attempt') {
       return;
     }
-    const {attempt, method, path} = message;
+    const {attempt} = message;
+    if (this.seenIds.has(attempt.attemptId)) {
+      return;
+    }
+    this.markSeen(attempt.attemptId);
+    this.addWithoutBody(link, message);
+    this.post({kind: 'attemptArrived', attempt, unreceived: reason});
+  }
+
+  /**
+   * Decides whether the body of an attempt is to be sent.
+   * @param ageMs - Time since the attempt was sent, at least, in milliseconds.
+   * @param arrival - How long its body would take.
+   * @returns False if the attempt is refused, or was received or cancelled before.
+   */
+  handleOffer(
+    link: Link,
+    message: LinkMessage,
+    ageMs: number,
+    {aheadMs, ownMs}: BodyArrival,
+  ): boolean {
+    if (message.kind !== 'attempt') {
+      return true;
+    }
+    const {attempt} = message;
     const {attemptId} = attempt;
     if (this.seenIds.has(attemptId)) {
-      return;
+      return false;
     }
-    this.markSeen(attemptId);
+    // Where the core refuses the attempt, it has ended when this returns.
+    const offered = this.addWithoutBody(link, message);
+    this.post({kind: 'attemptOffered', attempt, ageMs, aheadMs, ownMs});
+    const isAccepted = this.received.get(attemptId) === offered;
+    if (isAccepted) {
+      this.received.delete(attemptId);
+    } else {
+      this.markSeen(attemptId);
+    }
+    return isAccepted;
+  }
+
+  /** Adds an attempt of which only the message was received. */
+  private addWithoutBody(
+    link: Link,
+    {attempt, method, path}: AttemptMessage,
+  ): ReceivedAttempt {
     const outbound = {method, path, headers: {}, body: EMPTY_BODY};
-    const claim = createClaim(attempt);
+    const claim = createAttemptClaim(attempt);
     const hold = new MemoryHold(this.budget);
-    this.received.set(attemptId, {attempt, claim, outbound, hold, link});
-    this.post({kind: 'attemptArrived', attempt, noMemory: true});
+    const received = {attempt, claim, outbound, hold, link};
+    this.received.set(attempt.attemptId, received);
+    return received;
   }
 
   private handleCancel(link: Link, attemptId: string): void {
@@ -426,9 +473,3 @@
     link.send({kind: 'resume', attemptId});
   }
 }
-
-/** Creates the claim of the bodies of an attempt that is sent or received now. */
-function createClaim({priority, nested, aimMs}: MeshAttempt): BodyClaim {
-  const aimAt = performance.now() + aimMs;
-  return {priority, nested: nested === true, aimAt};
-}
--- a/src/mesh/body_pacer.ts
+++ b/src/mesh/body_pacer.ts
@@ -5,6 +5,7 @@
  */
 import {WaitingBytes} from '../core/mesh/link_backlog.js';
 import {ServiceClaim, compareClaims} from '../core/mesh/service_order.js';
+import {MeshAttempt} from '../model/mesh.js';
 import {SendBudget} from './send_budget.js';
 
 /**
@@ -33,6 +34,19 @@
   aimAt: Infinity,
 };
 
+/**
+ * Creates the claim of the bodies of an attempt that is sent or received now.
+ * @param attempt - The attempt, with the time that it has left now.
+ */
+export function createAttemptClaim({
+  priority,
+  nested,
+  aimMs,
+}: MeshAttempt): BodyClaim {
+  const aimAt = performance.now() + aimMs;
+  return {priority, nested: nested === true, aimAt};
+}
+
 /** A body of which chunks are left to write. */
 export interface WaitingBody {
   readonly claim: BodyClaim;
--- a/src/mesh/body_transfers.ts
+++ b/src/mesh/body_transfers.ts
@@ -26,6 +26,8 @@
 class Outgoing implements WaitingBody {
   lastChunk = 0;
   sentBytes = 0;
+  /** The message was written. */
+  begun = false;
 
   constructor(
     readonly transfer: number,
@@ -37,6 +39,8 @@
     readonly turnAt: number,
     readonly hold: MemoryHold,
     readonly onDone: () => void,
+    /** Bytes of the body that the receiver lets this proxy send. */
+    public grantedBytes: number,
   ) {}
 
   get unsentBytes(): number {
@@ -46,6 +50,21 @@
 
 const NOTHING = new Uint8Array(0);
 
+/** Creates the next frame of a body, which ends before a byte of it. */
+function createChunk(outgoing: Outgoing, end: number) {
+  const {transfer, message, body, sentBytes, begun} = outgoing;
+  outgoing.begun = true;
+  outgoing.sentBytes = end;
+  return {
+    kind: 'chunk',
+    transfer,
+    bodyTotal: body.length,
+    message: begun ? NOTHING : message,
+    body: body.subarray(sentBytes, end),
+    last: end === body.length,
+  } as const satisfies Frame;
+}
+
 /** The bodies that one link sends in chunks. */
 export class BodyTransfers implements BodySource {
   private readonly outgoing: Outgoing[] = [];
@@ -58,9 +77,11 @@
     private readonly budget: MemoryBudget,
   ) {}
 
-  /** Bodies that are not sent whole. */
+  /** Bodies of which a part may be sent now. */
   get waiting(): readonly Outgoing[] {
-    return this.outgoing;
+    return this.outgoing.filter(
+      ({sentBytes, grantedBytes}) => sentBytes < grantedBytes,
+    );
   }
 
   /** Bytes of encoded messages whose bodies wait. */
@@ -71,6 +92,7 @@
   /**
    * Begins to send a message and its body.
    * @param key - With it, {@link discard} stops sending the body.
+   * @param isOffered - Only the message is sent until the receiver grants the body.
    * @param onDone - Called when the body was sent whole or discarded.
    */
   send(
@@ -78,6 +100,7 @@
     body: Uint8Array,
     claim: BodyClaim,
     key?: string,
+    isOffered = false,
     onDone: () => void = () => undefined,
   ): void {
     const transfer = this.nextTransfer;
@@ -87,21 +110,38 @@
     const isCounted = body.length > MAX_ORDINARY_BYTES;
     hold.add(message.length + (isCounted ? 0 : body.length));
     const {queuedAt, turnAt} = this.pacer.createTurn(body.length);
-    this.outgoing.push(
-      new Outgoing(
-        transfer,
-        key,
-        message,
-        body,
-        claim,
-        queuedAt,
-        turnAt,
-        hold,
-        onDone,
-      ),
+    const outgoing = new Outgoing(
+      transfer,
+      key,
+      message,
+      body,
+      claim,
+      queuedAt,
+      turnAt,
+      hold,
+      onDone,
+      isOffered ? 0 : body.length,
     );
+    this.outgoing.push(outgoing);
     this.waitingMessageBytes += message.length;
-    this.pacer.add(this);
+    if (isOffered) {
+      this.sink.write(createChunk(outgoing, 0));
+    } else {
+      this.pacer.add(this);
+    }
+  }
+
+  /**
+   * Sends more of an offered body; does nothing if it was discarded.
+   * @param transfer - The transfer.
+   * @param bytes - Bytes of the body that may be sent, from its start.
+   */
+  handleGrant(transfer: number, bytes: number): void {
+    const outgoing = this.outgoing.find(other => other.transfer === transfer);
+    if (outgoing !== undefined && bytes > outgoing.grantedBytes) {
+      outgoing.grantedBytes = Math.min(bytes, outgoing.body.length);
+      this.pacer.add(this);
+    }
   }
 
   /** Ends all sending; {@link hasUnsent} still tells what was not sent. */
@@ -115,21 +155,13 @@
   }
 
   writeChunk(outgoing: Outgoing): void {
-    const {transfer, message, body, sentBytes} = outgoing;
-    const end = Math.min(body.length, sentBytes + CHUNK_BYTES);
-    const last = end === body.length;
-    outgoing.sentBytes = end;
+    const {sentBytes, grantedBytes} = outgoing;
+    const end = Math.min(grantedBytes, sentBytes + CHUNK_BYTES);
+    const frame = createChunk(outgoing, end);
+    const {last} = frame;
     if (last) {
       this.remove(this.outgoing.indexOf(outgoing));
     }
-    const frame: Frame = {
-      kind: 'chunk',
-      transfer,
-      bodyTotal: body.length,
-      message: sentBytes === 0 ? message : NOTHING,
-      body: body.subarray(sentBytes, end),
-      last,
-    };
     this.sink.write(frame, err => {
       if (last) {
         outgoing.hold.release();
@@ -147,12 +179,12 @@
     if (index < 0) {
       return;
     }
-    const {transfer, sentBytes, hold, onDone} = this.remove(index);
+    const {transfer, begun, hold, onDone} = this.remove(index);
     hold.release();
-    if (this.outgoing.length === 0) {
+    if (this.waiting.length === 0) {
       this.pacer.remove(this);
     }
-    if (sentBytes > 0) {
+    if (begun) {
       this.sink.write({kind: 'discarded', transfer});
     }
     onDone();
--- a/src/mesh/call_message_check.ts
+++ b/src/mesh/call_message_check.ts
@@ -89,6 +89,7 @@
   coldPerSecond: {optional: isNotNegative},
   coldDelayMs: {optional: isNotNegative},
   linkDelayMs: {optional: isNotNegative},
+  requestDelayMs: {optional: isNotNegative},
   linkShare: {optional: isShare},
   upstreamLeaving: {optional: isBoolean},
 });
--- a/src/mesh/frames.ts
+++ b/src/mesh/frames.ts
@@ -2,8 +2,8 @@
  * Frames on a link between two proxies. A frame is a type (1 byte), the sender's time
  * (48 bits), how far behind it was with reading (16 bits), a transfer id, the length of
  * the message and that of the body in the frame (32 bits each), in chunks the length of
- * the whole body (32 bits), the encoded message, and the body or a part of it. All
- * numbers are big-endian.
+ * the whole body and in grants the bytes that may be sent (32 bits), the encoded
+ * message, and the body or a part of it. All numbers are big-endian.
  */
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
 
@@ -11,6 +11,7 @@
 const TYPE_CHUNK = 1;
 const TYPE_LAST_CHUNK = 2;
 const TYPE_DISCARDED = 3;
+const TYPE_GRANTED = 4;
 
 const LENGTH_BYTES = 4;
 const SENT_AT = 1;
@@ -22,7 +23,7 @@
 const BODY_LENGTH_AT = MESSAGE_LENGTH_AT + LENGTH_BYTES;
 const PREFIX_BYTES = BODY_LENGTH_AT + LENGTH_BYTES;
 
-/** In chunks. */
+/** In chunks and grants. */
 const BODY_TOTAL_AT = PREFIX_BYTES;
 
 const MAX_MESSAGE_BYTES = 8 * 1_048_576;
@@ -34,6 +35,7 @@
 const MAX_BEHIND_MS = 2 ** (8 * BEHIND_BYTES) - 1;
 
 const NOTHING = new Uint8Array(0);
+const EMPTY_FRAME = {message: NOTHING, body: NOTHING};
 
 /** The sender's state when it wrote a frame. */
 export interface FrameStamp {
@@ -63,7 +65,16 @@
       readonly last: boolean;
     }
   /** The sender stops the transfer; the message is not to be handled. */
-  | {readonly kind: 'discarded'; readonly transfer: number};
+  | {readonly kind: 'discarded'; readonly transfer: number}
+  | GrantFrame;
+
+/** The receiver of a body lets its sender send the first bytes of it. */
+export interface GrantFrame {
+  readonly kind: 'granted';
+  readonly transfer: number;
+  /** Bytes from the start of the body, those sent before included. */
+  readonly bytes: number;
+}
 
 export type Frame = WholeFrame | TransferFrame;
 
@@ -73,8 +84,7 @@
 export function encodeFrame(frame: Frame, stamp: FrameStamp): Buffer {
   const type = getType(frame);
   const transfer = frame.kind === 'whole' ? 0 : frame.transfer;
-  const message = frame.kind === 'discarded' ? NOTHING : frame.message;
-  const body = frame.kind === 'discarded' ? NOTHING : frame.body;
+  const {message, body} = 'message' in frame ? frame : EMPTY_FRAME;
   const headBytes = getHeadBytes(type);
   const bytes = Buffer.allocUnsafe(headBytes + message.length + body.length);
   bytes.writeUInt8(type, 0);
@@ -86,6 +96,8 @@
   bytes.writeUInt32BE(body.length, BODY_LENGTH_AT);
   if (frame.kind === 'chunk') {
     bytes.writeUInt32BE(frame.bodyTotal, BODY_TOTAL_AT);
+  } else if (frame.kind === 'granted') {
+    bytes.writeUInt32BE(frame.bytes, BODY_TOTAL_AT);
   }
   bytes.set(message, headBytes);
   bytes.set(body, headBytes + message.length);
@@ -100,13 +112,16 @@
       return frame.last ? TYPE_LAST_CHUNK : TYPE_CHUNK;
     case 'discarded':
       return TYPE_DISCARDED;
+    case 'granted':
+      return TYPE_GRANTED;
   }
 }
 
 /** Gets the number of bytes before the message. */
 function getHeadBytes(type: number): number {
-  const isChunk = type === TYPE_CHUNK || type === TYPE_LAST_CHUNK;
-  return isChunk ? BODY_TOTAL_AT + LENGTH_BYTES : PREFIX_BYTES;
+  const isLonger =
+    type === TYPE_CHUNK || type === TYPE_LAST_CHUNK || type === TYPE_GRANTED;
+  return isLonger ? BODY_TOTAL_AT + LENGTH_BYTES : PREFIX_BYTES;
 }
 
 /**
@@ -158,6 +173,10 @@
     }
     case TYPE_DISCARDED:
       return {kind: 'discarded', stamp, transfer};
+    case TYPE_GRANTED: {
+      const granted = bytes.readUInt32BE(BODY_TOTAL_AT);
+      return {kind: 'granted', stamp, transfer, bytes: granted};
+    }
     default:
       return {
         error: `unknown frame type ${type}; run the same build on all proxies`,
--- a/src/mesh/incoming_bodies.ts
+++ b/src/mesh/incoming_bodies.ts
@@ -5,7 +5,9 @@
 import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
 import {BodyBuffer} from '../proxy/body_buffer.js';
 import {MemoryBudget, MemoryHolder} from '../proxy/memory_budget.js';
-import {ReceivedFrame, WholeFrame} from './frames.js';
+import {BodyGrants, OfferedBody} from './body_grants.js';
+import {createAttemptClaim} from './body_pacer.js';
+import {GrantFrame, ReceivedFrame, WholeFrame} from './frames.js';
 import {MessageCodec} from './message_codec.js';
 
 /** Largest body of a call; the limits of callers and upstreams are below it. */
@@ -20,6 +22,8 @@
 /** What a body in progress takes beside its bytes and its encoded message. */
 const OVERHEAD_BYTES = 1_024;
 
+const NOTHING = new Uint8Array(0);
+
 const CALL_KINDS: ReadonlySet<string> = new Set(CALL_MESSAGE_KINDS);
 
 /** A message that was received whole. */
@@ -28,11 +32,24 @@
   readonly body: Uint8Array;
   /** When it was sent, on the peer's clock. */
   readonly sentAt: number;
+  /** Only the message has arrived; the body follows if it is accepted. */
+  readonly offer?: Offer;
+}
+
+/** An attempt whose body its sender sends when it is granted. */
+export interface Offer {
+  readonly transfer: number;
+  readonly bodyBytes: number;
 }
 
+/** Why a body is not received. */
+export type BodyRefusalReason = 'memory_full' | 'link_saturated';
+
 export interface IncomingHandlers {
-  /** There is no room for the body of a message; what arrives of it is dropped. */
-  onRefused(message: LinkMessage): void;
+  /** The body of a message is not received; what arrives of it is dropped. */
+  onRefused(message: LinkMessage, reason: BodyRefusalReason): void;
+  /** Lets the sender of a body send its first bytes. */
+  sendGrant(transfer: number, bytes: number): void;
   onBadFrame(detail: string): void;
 }
 
@@ -40,12 +57,15 @@
 
 /** A body of which chunks are to come. */
 class IncomingBody implements MemoryHolder {
+  /** Absent: the sender sends it without being granted. */
+  offered?: OfferedBody;
+
   constructor(
     readonly message: LinkMessage,
     readonly sentAt: number,
     readonly bodyTotal: number,
     readonly buffer: BodyBuffer,
-    private readonly refuse: () => void,
+    readonly refuse: (reason: BodyRefusalReason) => void,
   ) {}
 
   get heldBytes(): number {
@@ -57,7 +77,7 @@
   }
 
   evict(): void {
-    this.refuse();
+    this.refuse('memory_full');
   }
 }
 
@@ -69,15 +89,17 @@
     private readonly budget: MemoryBudget,
     private readonly codec: MessageCodec,
     private readonly handlers: IncomingHandlers,
+    private readonly grants: BodyGrants,
   ) {}
 
   /**
    * Handles a received part of a message. Chunks of a message that was refused or
    * discarded are ignored.
-   * @returns The message with its body, once its last chunk has arrived.
+   * @returns The message with its body, once its last chunk has arrived, or with an
+   *     offer to be answered by {@link accept} or {@link decline}.
    */
   receive(
-    frame: Exclude<ReceivedFrame, WholeFrame>,
+    frame: Exclude<ReceivedFrame, WholeFrame | GrantFrame>,
   ): ReceivedMessage | undefined {
     if (frame.kind === 'discarded') {
       this.drop(frame.transfer);
@@ -90,6 +112,11 @@
     if (incoming === undefined) {
       return undefined;
     }
+    if (frame.message.length > 0 && isOffer(frame, incoming)) {
+      const {message, sentAt, bodyTotal: bodyBytes} = incoming;
+      const {transfer} = frame;
+      return {message, sentAt, body: NOTHING, offer: {transfer, bodyBytes}};
+    }
     const appended = incoming.buffer.append(frame.body);
     const {length} = incoming.buffer;
     const {bodyTotal, message, sentAt} = incoming;
@@ -104,6 +131,9 @@
       this.refuse(frame.transfer);
       return undefined;
     }
+    if (incoming.offered !== undefined) {
+      this.grants.recordReceived(incoming.offered);
+    }
     if (!frame.last) {
       return undefined;
     }
@@ -112,6 +142,36 @@
     return {message, body, sentAt};
   }
 
+  /** Lets the sender of an offered body send it, when its turn comes. */
+  accept({transfer}: Offer): void {
+    const incoming = this.bodies.get(transfer);
+    if (incoming === undefined || incoming.message.kind !== 'attempt') {
+      return;
+    }
+    const {attempt} = incoming.message;
+    const now = this.grants.now();
+    const {buffer} = incoming;
+    incoming.offered = {
+      claim: createAttemptClaim(attempt),
+      offeredAt: now,
+      timeoutMs: attempt.timeoutMs,
+      totalBytes: incoming.bodyTotal,
+      get receivedBytes() {
+        return buffer.length;
+      },
+      grantedBytes: 0,
+      progressAt: now,
+      grant: bytes => this.handlers.sendGrant(transfer, bytes),
+      refuse: () => incoming.refuse('link_saturated'),
+    };
+    this.grants.add(incoming.offered);
+  }
+
+  /** Receives nothing of an offered body. */
+  decline({transfer}: Offer): void {
+    this.drop(transfer);
+  }
+
   /** Drops all bodies; their messages are not refused. */
   close(): void {
     [...this.bodies.keys()].forEach(transfer => this.drop(transfer));
@@ -151,7 +211,7 @@
       stamp.sentAt,
       bodyTotal,
       buffer,
-      () => this.refuse(transfer),
+      reason => this.refuse(transfer, reason),
     );
     this.bodies.set(transfer, incoming);
     if (isCall) {
@@ -166,19 +226,33 @@
       this.bodies.delete(transfer);
       this.budget.removeHolder(incoming);
       incoming.buffer.discard();
+      if (incoming.offered !== undefined) {
+        this.grants.remove(incoming.offered);
+      }
     }
     return incoming;
   }
 
-  private refuse(transfer: number): void {
+  private refuse(
+    transfer: number,
+    reason: BodyRefusalReason = 'memory_full',
+  ): void {
     const incoming = this.drop(transfer);
     if (incoming !== undefined) {
-      this.reportRefused(incoming.message);
+      this.reportRefused(incoming.message, reason);
     }
   }
 
   /** Reports a refusal later: a reservation for something else may have caused it. */
-  private reportRefused(message: LinkMessage): void {
-    queueMicrotask(() => this.handlers.onRefused(message));
+  private reportRefused(
+    message: LinkMessage,
+    reason: BodyRefusalReason = 'memory_full',
+  ): void {
+    queueMicrotask(() => this.handlers.onRefused(message, reason));
   }
 }
+
+/** Reports whether a first chunk has only the message of an attempt. */
+function isOffer({body, last}: ChunkFrame, {message}: IncomingBody): boolean {
+  return message.kind === 'attempt' && body.length === 0 && !last;
+}
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -6,11 +6,22 @@
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
 import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
 import {MemoryBudget} from '../proxy/memory_budget.js';
-import {BodyClaim, BodyPacer, CONTROL_CLAIM} from './body_pacer.js';
+import {BodyGrants} from './body_grants.js';
+import {
+  BodyClaim,
+  BodyPacer,
+  CONTROL_CLAIM,
+  createAttemptClaim,
+} from './body_pacer.js';
 import {BodyTransfers} from './body_transfers.js';
 import {FrameReader} from './frame_reader.js';
 import {Frame, ReceivedFrame, encodeFrame} from './frames.js';
-import {IncomingBodies, ReceivedMessage} from './incoming_bodies.js';
+import {
+  BodyRefusalReason,
+  IncomingBodies,
+  Offer,
+  ReceivedMessage,
+} from './incoming_bodies.js';
 import {MessageCodec} from './message_codec.js';
 import {PeerClock} from './peer_clock.js';
 import {ReadDelays} from './turn_clock.js';
@@ -56,14 +67,38 @@
     body: Uint8Array,
     ageMs: number,
   ): void;
-  /** There is no memory for the body of a message, which is not delivered. */
-  onBodyRefused(link: Link, message: LinkMessage): void;
+  /** The body of a message is not received, so the message is not delivered. */
+  onBodyRefused(
+    link: Link,
+    message: LinkMessage,
+    reason: BodyRefusalReason,
+  ): void;
+  /**
+   * A peer offers the body of an attempt.
+   * @param ageMs - As for {@link onMessage}.
+   * @param arrival - When its body would have arrived.
+   * @returns Whether it is to be sent; if not, the attempt has been refused.
+   */
+  onBodyOffered(
+    link: Link,
+    message: LinkMessage,
+    ageMs: number,
+    arrival: BodyArrival,
+  ): boolean;
   /** The peer has replied to {@link Link.askForCallers}. */
   onConfirmed(link: Link): void;
   onClose(link: Link): void;
   onBadFrame(detail: string): void;
 }
 
+/** How long a body that is offered now would take, in milliseconds. */
+export interface BodyArrival {
+  /** The bodies that arrive before it. */
+  readonly aheadMs: number;
+  /** The body itself. */
+  readonly ownMs: number;
+}
+
 /** Bytes sent and received over all links of this proxy. */
 export interface LinkTraffic {
   sentBytes: number;
@@ -111,13 +146,21 @@
     private readonly pacer: BodyPacer,
     private readonly delays: ReadDelays,
     budget: MemoryBudget,
+    private readonly grants: BodyGrants,
   ) {
     this.lastReceivedAt = now();
     this.reader = new FrameReader(budget);
-    this.incoming = new IncomingBodies(budget, codec, {
-      onRefused: message => this.refuseBody(message),
-      onBadFrame: detail => handlers.onBadFrame(detail),
-    });
+    this.incoming = new IncomingBodies(
+      budget,
+      codec,
+      {
+        onRefused: (message, reason) => this.refuseBody(message, reason),
+        sendGrant: (transfer, bytes) =>
+          this.write({kind: 'granted', transfer, bytes}),
+        onBadFrame: detail => handlers.onBadFrame(detail),
+      },
+      grants,
+    );
     this.transfers = new BodyTransfers(
       {
         write: (frame, onFlushed) => this.write(frame, onFlushed),
@@ -161,7 +204,8 @@
       this.write({kind: 'whole', message: encoded, body});
       return;
     }
-    this.transfers.send(encoded, body, claim, key, onDone);
+    const isOffered = message.kind === 'attempt';
+    this.transfers.send(encoded, body, claim, key, isOffered, onDone);
   }
 
   /**
@@ -313,6 +357,10 @@
 
   /** Decodes the message that a frame completes, if it does and is valid. */
   private decode(frame: ReceivedFrame): ReceivedMessage | undefined {
+    if (frame.kind === 'granted') {
+      this.transfers.handleGrant(frame.transfer, frame.bytes);
+      return undefined;
+    }
     if (frame.kind !== 'whole') {
       return this.incoming.receive(frame);
     }
@@ -327,9 +375,23 @@
     return {message: decoded.value, body, sentAt: frame.stamp.sentAt};
   }
 
-  private refuseBody(message: LinkMessage): void {
+  private refuseBody(message: LinkMessage, reason: BodyRefusalReason): void {
     if (!this.closed) {
-      this.handlers.onBodyRefused(this, message);
+      this.handlers.onBodyRefused(this, message, reason);
+    }
+  }
+
+  private handleOffer(message: LinkMessage, offer: Offer, ageMs: number): void {
+    const {grants} = this;
+    const aheadMs =
+      message.kind === 'attempt'
+        ? grants.estimateAheadMs(createAttemptClaim(message.attempt))
+        : 0;
+    const arrival = {aheadMs, ownMs: grants.getBytesMs(offer.bodyBytes)};
+    if (this.handlers.onBodyOffered(this, message, ageMs, arrival)) {
+      this.incoming.accept(offer);
+    } else {
+      this.incoming.decline(offer);
     }
   }
 
@@ -347,7 +409,7 @@
             ...messages.filter(received => !isCancellation(received)),
           ]
         : messages;
-    for (const {message, body, sentAt} of ordered) {
+    for (const {message, body, sentAt, offer} of ordered) {
       if (this.closed) {
         return;
       }
@@ -357,6 +419,10 @@
         this.handlePong(message.id, sentAt);
       } else {
         const ageMs = this.peerClock.getLeastAgeMs(sentAt, this.now());
+        if (offer !== undefined) {
+          this.handleOffer(message, offer, ageMs);
+          continue;
+        }
         this.handlers.onMessage(this, message, body, ageMs);
       }
     }
--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -4,6 +4,7 @@
 import {parseAddress} from '../proxy/addresses.js';
 import {MemoryBudget} from '../proxy/memory_budget.js';
 import {MemoryHold} from '../proxy/memory_hold.js';
+import {BodyGrants} from './body_grants.js';
 import {BodyPacer} from './body_pacer.js';
 import {MessageCodec} from './message_codec.js';
 import {Link, LinkHandlers, LinkTraffic} from './link.js';
@@ -23,7 +24,7 @@
 
 export interface LinkManagerHandlers extends Pick<
   LinkHandlers,
-  'onMessage' | 'onBodyRefused' | 'onBadFrame'
+  'onMessage' | 'onBodyRefused' | 'onBodyOffered' | 'onBadFrame'
 > {
   /** Creates the first message on each link, which identifies this proxy. */
   createHello(): Hello;
@@ -59,12 +60,16 @@
     private readonly pacer: BodyPacer,
     private readonly delays: ReadDelays,
     private readonly budget: MemoryBudget,
+    private readonly grants: BodyGrants,
   ) {
     this.unsent = new MemoryHold(budget);
     this.linkHandlers = {
       onMessage: (link, message, body, ageMs) =>
         this.handleMessage(link, message, body, ageMs),
-      onBodyRefused: (link, message) => handlers.onBodyRefused(link, message),
+      onBodyRefused: (link, message, reason) =>
+        handlers.onBodyRefused(link, message, reason),
+      onBodyOffered: (link, message, ageMs, arrival) =>
+        handlers.onBodyOffered(link, message, ageMs, arrival),
       onConfirmed: () => handlers.onConfirmed(),
       onClose: link => this.handleClose(link),
       onBadFrame: detail => handlers.onBadFrame(detail),
@@ -92,6 +97,7 @@
       this.checkedAt = now;
       this.allLinks.forEach(link => link.checkAlive(now));
       this.countUnsent();
+      this.grants.refresh();
     }
   }
 
@@ -176,6 +182,7 @@
       this.pacer,
       this.delays,
       this.budget,
+      this.grants,
     );
     this.allLinks.add(link);
     link.send(this.handlers.createHello());
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -37,6 +37,7 @@
 import {CoreLoop} from '../proxy/core_loop.js';
 import {Listener, listen} from '../proxy/listener.js';
 import {AttemptTransport} from './attempt_transport.js';
+import {BodyGrants} from './body_grants.js';
 import {BodyPacer} from './body_pacer.js';
 import {BoundedLog} from './bounded_log.js';
 import {FleetSource, SourceListener} from './fleet_source.js';
@@ -131,6 +132,7 @@
     () => this.settings.linkMbps,
     waitedMs => this.metrics.observe('link_wait_seconds', waitedMs / 1_000),
   );
+  private readonly grants = new BodyGrants(() => this.settings.linkMbps);
   private readonly links: LinkManager;
   private readonly attempts: AttemptTransport;
   private readonly callers: MeshCallerHandler;
@@ -172,8 +174,10 @@
         onClose: (address, link) => this.handleLinkClosed(address, link),
         onMessage: (link, message, body, ageMs) =>
           this.handleMessage(link, message, body, ageMs),
-        onBodyRefused: (link, message) =>
-          this.attempts.handleBodyRefused(link, message),
+        onBodyRefused: (link, message, reason) =>
+          this.attempts.handleBodyRefused(link, message, reason),
+        onBodyOffered: (link, message, ageMs, arrival) =>
+          this.attempts.handleOffer(link, message, ageMs, arrival),
         onConfirmed: () => this.confirmCallers(),
         onBadFrame: detail => this.reportBadInput('peer_frame', detail),
       },
@@ -185,6 +189,7 @@
       this.pacer,
       this.turns,
       this.memory,
+      this.grants,
     );
     this.attempts = new AttemptTransport(
       this.links,
@@ -300,7 +305,9 @@
       this.confirmCallers();
       const {receivedBytes: received, sentBytes: sent} = this.links.traffic;
       const waiting = this.pacer.getWaiting();
-      this.loop.post({kind: 'tick', linkBytes: {received, sent, waiting}});
+      const arrivingMs = this.grants.getWaitingMs();
+      const linkBytes = {received, sent, waiting, arrivingMs};
+      this.loop.post({kind: 'tick', linkBytes});
       this.links.checkIfDue();
       this.memory.recordProgress();
     } finally {
@@ -672,6 +679,7 @@
       link_sent_bytes: sentBytes,
       link_received_bytes: receivedBytes,
       link_waiting_bytes: this.pacer.countWaitingBytes(),
+      link_arriving_ms: this.grants.getWaitingMs(),
       memory_held_bytes: this.memory.usedBytes,
       processor_seconds: (userCPUTime + systemCPUTime) / 1e6,
       peak_resident_bytes: maxRSS * 1_024,
--- a/src/model/peer.ts
+++ b/src/model/peer.ts
@@ -38,6 +38,8 @@
   coldDelayMs: z.number().min(0).optional(),
   /** Time that waiting answers take on the VM's network connection. */
   linkDelayMs: z.number().min(0).optional(),
+  /** Time that the bodies of requests take which are to arrive there. */
+  requestDelayMs: z.number().min(0).optional(),
   /** Used share of the bandwidth of the upstream's VM; absent: little. */
   linkShare: z.number().min(0).max(1).optional(),
   /** The upstream that was asked has reported that it is leaving. */
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -9,6 +9,7 @@
 import {createRefusal} from '../../src/core/refusals.js';
 import {LinkMessage} from '../../src/model/mesh.js';
 import {AttemptTransport} from '../../src/mesh/attempt_transport.js';
+import {BodyGrants} from '../../src/mesh/body_grants.js';
 import {BodyPacer} from '../../src/mesh/body_pacer.js';
 import {LinkManager} from '../../src/mesh/link_manager.js';
 import {MessageCodec} from '../../src/mesh/message_codec.js';
@@ -55,8 +56,10 @@
         onClose: (_address, link) => this.attempts.handleLinkClosed(link),
         onMessage: (link, message: LinkMessage, body, ageMs) =>
           this.attempts.handleMessage(link, message, body, ageMs),
-        onBodyRefused: (link, message) =>
-          this.attempts.handleBodyRefused(link, message),
+        onBodyRefused: (link, message, reason) =>
+          this.attempts.handleBodyRefused(link, message, reason),
+        onBodyOffered: (link, message, ageMs, arrival) =>
+          this.attempts.handleOffer(link, message, ageMs, arrival),
         onConfirmed: () => undefined,
         onBadFrame: detail => {
           throw new Error(detail);
@@ -67,6 +70,7 @@
       this.pacer,
       NO_DELAYS,
       this.budget,
+      new BodyGrants(() => linkMbps),
     );
     // In a proxy, ticks do this.
     setInterval(() => this.links.checkIfDue(), LINK_CHECK_MS).unref();
@@ -354,7 +358,7 @@
     const outbound = {...OUTBOUND, body: Buffer.alloc(1_000_000, 7)};
     void entry.attempts.send(address, attempt, outbound);
     const event = await owner.waitForEvent('attemptArrived');
-    expect(event).to.include({noMemory: true});
+    expect(event).to.include({unreceived: 'memory_full'});
     const refusal = createRefusal('memory_full', 500);
     owner.attempts.finish(attemptId, {result: refusal, reachedUpstream: false});
     expect(describeOutcome(await entry.waitForEvent('attemptEnded'))).to.equal(
--- a/test/mesh/call_message_check.test.ts
+++ b/test/mesh/call_message_check.test.ts
@@ -23,6 +23,7 @@
   coldPerSecond: 14.6,
   coldDelayMs: 9,
   linkDelayMs: 8,
+  requestDelayMs: 9,
   linkShare: 1,
   upstreamLeaving: true,
 };
--- a/test/mesh/incoming_bodies.test.ts
+++ b/test/mesh/incoming_bodies.test.ts
@@ -1,4 +1,5 @@
 /** Bodies that a link receives in chunks, within a memory budget of a few KiB. */
+import {BodyGrants} from '../../src/mesh/body_grants.js';
 import {FrameStamp, ReceivedFrame} from '../../src/mesh/frames.js';
 import {IncomingBodies} from '../../src/mesh/incoming_bodies.js';
 import {MessageCodec} from '../../src/mesh/message_codec.js';
@@ -41,10 +42,17 @@
   beforeEach(() => {
     budget = new MemoryBudget(MAX_BYTES, 0);
     events = [];
-    incoming = new IncomingBodies(budget, codec, {
-      onRefused: message => events.push(`refused ${message.kind}`),
-      onBadFrame: () => events.push('bad frame'),
-    });
+    incoming = new IncomingBodies(
+      budget,
+      codec,
+      {
+        onRefused: message => events.push(`refused ${message.kind}`),
+        sendGrant: (transfer, bytes) =>
+          events.push(`granted ${transfer} ${bytes}`),
+        onBadFrame: () => events.push('bad frame'),
+      },
+      new BodyGrants(() => 1_000),
+    );
   });
 
   /** Creates the chunks of a message. */
@@ -69,7 +77,9 @@
   function receive(chunks: readonly ReceivedFrame[]): number[] {
     return chunks.flatMap(chunk => {
       const received =
-        chunk.kind === 'whole' ? undefined : incoming.receive(chunk);
+        chunk.kind === 'whole' || chunk.kind === 'granted'
+          ? undefined
+          : incoming.receive(chunk);
       return received === undefined ? [] : [received.body.length];
     });
   }
@@ -123,9 +133,14 @@
   it('have what is garbage collected when they are refused', async () => {
     const events: string[] = [];
     const full = new MemoryBudget(MAX_BYTES, 0, event => events.push(event));
-    const handlers = {onRefused: () => undefined, onBadFrame: () => undefined};
+    const handlers = {
+      onRefused: () => undefined,
+      sendGrant: () => undefined,
+      onBadFrame: () => undefined,
+    };
     const [first] = createChunks(1, UPLOAD, 20e6);
-    new IncomingBodies(full, codec, handlers).receive(first);
+    const grants = new BodyGrants(() => 1_000);
+    new IncomingBodies(full, codec, handlers, grants).receive(first);
     while (!events.includes('collected')) {
       await new Promise(resolve => setImmediate(resolve));
     }
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -1,6 +1,7 @@
 /** Links between proxies: messages beside large bodies on a slow connection. */
 import {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
+import {BodyGrants} from '../../src/mesh/body_grants.js';
 import {BodyPacer} from '../../src/mesh/body_pacer.js';
 import {Link} from '../../src/mesh/link.js';
 import {MessageCodec} from '../../src/mesh/message_codec.js';
@@ -17,6 +18,8 @@
   peer?: SlowConnection;
   /** Whether written bytes are held until {@link passHeld}. */
   holds = false;
+  /** Whether written bytes reach the peer at once. */
+  isFast = false;
   /** Number of frames in each piece that is written to the socket. */
   readonly pieces: number[] = [];
   readonly held: Buffer[] = [];
@@ -36,6 +39,11 @@
   override _read(): void {}
 
   override _write(bytes: Buffer, _encoding: string, done: () => void): void {
+    if (this.isFast) {
+      this.peer?.push(bytes);
+      done();
+      return;
+    }
     if (this.holds) {
       this.pieces.push(1);
       this.held.push(bytes);
@@ -97,6 +105,7 @@
       {
         onMessage: (_link, message, body) => onMessage(message, body),
         onBodyRefused: () => undefined,
+        onBodyOffered: () => true,
         onConfirmed: () => undefined,
         onClose: () => undefined,
         onBadFrame: detail => {
@@ -112,6 +121,10 @@
       }),
       NO_DELAYS,
       new MemoryBudget(10e6, 0),
+      new BodyGrants(
+        () => 10_000,
+        () => now,
+      ),
     );
   }
 
@@ -128,7 +141,11 @@
     });
   });
 
+  /** Sends a body that the receiver grants without delay. */
   function sendUpload(attemptId: string): void {
+    const granting = connection.peer as SlowConnection;
+    granting.peer = connection;
+    granting.isFast = true;
     const message: LinkMessage = {
       kind: 'attempt',
       attempt: createAttempt({attemptId}),
--- a/test/mesh/link_manager.test.ts
+++ b/test/mesh/link_manager.test.ts
@@ -1,6 +1,7 @@
 /** The links of one proxy: what they hold together for peers that read nothing. */
 import {AddressInfo, Server, Socket, createServer} from 'node:net';
 import {once} from 'node:events';
+import {BodyGrants} from '../../src/mesh/body_grants.js';
 import {BodyPacer} from '../../src/mesh/body_pacer.js';
 import {encodeFrame} from '../../src/mesh/frames.js';
 import {Link} from '../../src/mesh/link.js';
@@ -45,6 +46,7 @@
         createHello: () => createHello({address: '127.0.0.1:1000'}),
         onMessage: () => undefined,
         onBodyRefused: () => undefined,
+        onBodyOffered: () => true,
         onConfirmed: () => undefined,
         onClose: () => undefined,
         onBadFrame: () => undefined,
@@ -54,6 +56,7 @@
       new BodyPacer(() => 10_000),
       NO_DELAYS,
       budget,
+      new BodyGrants(() => 10_000),
     );
     const {port} = server.address() as AddressInfo;
     const opened: Link[] = [];
--- a/test/mesh/owner.test.ts
+++ b/test/mesh/owner.test.ts
@@ -60,7 +60,7 @@
   it('refuses an attempt for whose request there is no memory', () => {
     const owner = createOwner();
     const attempt = createAttempt({attemptId: 'a'});
-    owner.post({kind: 'attemptArrived', attempt, noMemory: true});
+    owner.post({kind: 'attemptArrived', attempt, unreceived: 'memory_full'});
     expect(owner.drainEffects()).to.deep.equal([
       'finishAttempt a memory_full reached=false',
     ]);
