--- a/test/platform/process_life.test.ts
+++ b/test/platform/process_life.test.ts
@@ -12,6 +12,9 @@
 import {BUNDLE, ProcessMachine} from './process_machine.js';
 import {StoreStandin} from './store_standin.js';
 
+/** Flags of the deploy file. */
+const FLAGS = ['--max-old-space-size=200', '--liftoff-only'];
+
 const SIGNAL_AT_LOAD = './test/platform/signal_at_load.cjs';
 const HOST = '127.0.3.1';
 
@@ -60,7 +63,7 @@
 
   function start(stdout: number | 'ignore' = 'ignore', signal?: string): void {
     const preload = signal === undefined ? [] : ['--require', SIGNAL_AT_LOAD];
-    const args = [...preload, '--max-old-space-size=200', BUNDLE];
+    const args = [...preload, ...FLAGS, BUNDLE];
     child = spawn(process.execPath, args, {
       stdio: ['ignore', stdout, 'ignore'],
       env: {
