--- a/test/mesh/frames.test.ts
+++ b/test/mesh/frames.test.ts
@@ -25,6 +25,7 @@
     body: Buffer.from('second'),
     last: true,
   },
+  {kind: 'granted', transfer: 7, bytes: 24_576},
 ];
 
 /** Reads all frames that the bytes hold. */
