Offers: one reason type, one claim, one forecast

Tests of links, owners, admission, frames, the replay of scarce slots and the fleet on real processes passed (157); no test is changed.

--- a/src/core/mesh/body_offers.ts
+++ b/src/core/mesh/body_offers.ts
@@ -6,14 +6,18 @@
 import {Refusal, createRefusal} from '../refusals.js';
 import {MeshState, getOwnInstance} from './mesh_state.js';
 import {LogFields, MeshEmit, MeshEventBody} from './mesh_types.js';
-import {clampRetryAfterMs, forecastAttempt} from './overload_admission.js';
 import {
+  Forecast,
+  clampRetryAfterMs,
+  forecastAttempt,
+} from './overload_admission.js';
+import {
+  createArriving,
   getAdmissionRefusal,
   getSlots,
   refuseAttempt,
 } from './owner_attempts.js';
-import {estimateRunMs} from './run_estimates.js';
-import {QueuedAttempt, estimateWaitMs} from './work_queue.js';
+import {QueuedAttempt} from './work_queue.js';
 
 type Offer = Extract<MeshEventBody, {kind: 'attemptOffered'}>;
 
@@ -52,41 +56,23 @@
   const {work, estimates} = state;
   const {attempt, ageMs, aheadMs, ownMs} = offer;
   const slots = getSlots(getOwnInstance(state));
-  const arriving: QueuedAttempt = {
-    attempt,
-    arrivedAt: at,
-    aimAt: at - ageMs + attempt.aimMs,
-    deadlineAt: at - ageMs + attempt.timeoutMs,
-    callerSeenAt: at,
-    suspect: false,
-  };
-  const waitMs = estimateWaitMs(work, estimates, slots, arriving, at);
-  const runMs = estimateRunMs(estimates, attempt);
-  const lateMs = estimateLateMs(arriving, {waitMs, runMs, aheadMs, ownMs}, at);
-  if (lateMs > 0) {
-    return createRefusal('link_saturated', clampRetryAfterMs(lateMs));
-  }
-  const arrivalMs = aheadMs + ownMs;
-  const {refusal} = forecastAttempt(
+  const arriving = createArriving(state, at, attempt, ageMs, 0);
+  const forecast = forecastAttempt(
     work,
     estimates,
     slots,
     arriving,
     at,
-    arrivalMs,
+    aheadMs + ownMs,
   );
+  const lateMs = estimateLateMs(arriving, offer, forecast, at);
+  if (lateMs > 0) {
+    return createRefusal('link_saturated', clampRetryAfterMs(lateMs));
+  }
+  const {refusal} = forecast;
   return refusal && createRefusal(refusal.reason, refusal.retryAfterMs);
 }
 
-/** Times of an offered attempt, in milliseconds. */
-interface OfferTimes {
-  /** Until a slot is free. */
-  readonly waitMs: number;
-  readonly runMs: number;
-  readonly aheadMs: number;
-  readonly ownMs: number;
-}
-
 /**
  * Estimates by how much other bodies make an attempt too late: for its aim, or for its
  * deadline where it would miss its aim without them.
@@ -94,11 +80,12 @@
  */
 function estimateLateMs(
   {aimAt, deadlineAt}: QueuedAttempt,
-  {waitMs, runMs, aheadMs, ownMs}: OfferTimes,
+  {aheadMs, ownMs}: Offer,
+  {slotWaitMs, runMs}: Forecast,
   at: number,
 ): number {
-  const aloneEndAt = at + Math.max(waitMs, ownMs) + runMs;
-  const endAt = at + Math.max(waitMs, aheadMs + ownMs) + runMs;
+  const aloneEndAt = at + Math.max(slotWaitMs, ownMs) + runMs;
+  const endAt = at + Math.max(slotWaitMs, aheadMs + ownMs) + runMs;
   const limitAt = aloneEndAt > aimAt ? deadlineAt : aimAt;
   return endAt > aloneEndAt ? Math.max(0, endAt - limitAt) : 0;
 }
--- a/src/core/mesh/link_rate.ts
+++ b/src/core/mesh/link_rate.ts
@@ -32,5 +32,5 @@
 
 /** Returns the bytes of large bodies that are sent within a time in milliseconds. */
 export function getPacedBytes(ms: number, mbps: number): number {
-  return (ms * mbps * USABLE_SHARE * BITS_PER_MS_OF_MBPS) / BITS_PER_BYTE;
+  return getSendBytes(ms, mbps * USABLE_SHARE);
 }
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -121,6 +121,9 @@
   readonly report?: UpstreamReport;
 }
 
+/** Why an owner does not receive the body of an attempt. */
+export type UnreceivedReason = 'memory_full' | 'link_saturated';
+
 export type MeshEventBody =
   | {
       readonly kind: 'started';
@@ -183,7 +186,7 @@
        */
       readonly unconfirmedMs?: number;
       /** Why its request was not received; absent: it was. */
-      readonly unreceived?: 'memory_full' | 'link_saturated';
+      readonly unreceived?: UnreceivedReason;
     }
   | {
       /** An entry asks whether it is to send an attempt with a large body. */
--- a/src/core/mesh/overload_admission.ts
+++ b/src/core/mesh/overload_admission.ts
@@ -101,6 +101,9 @@
 export interface Forecast {
   /** When it would end, in milliseconds. */
   readonly endAt: number;
+  /** Time until a slot is free, and that of its run, in milliseconds. */
+  readonly slotWaitMs: number;
+  readonly runMs: number;
   /** Why it is not to be queued, if so. */
   readonly refusal?: QueueRefusal;
 }
@@ -131,9 +134,10 @@
   const retryAfterMs = clampRetryAfterMs(waitMs);
   const startMs = Math.max(waitMs, arrivalMs);
   const endAt = at + startMs + runMs;
+  const times = {endAt, slotWaitMs, runMs};
   if (at + startMs + runMs * MIN_RUN_SHARE > arriving.deadlineAt) {
     const reason = isRateLimited ? 'rate_limited' : 'deadline_too_short';
-    return {endAt, refusal: {reason, retryAfterMs}};
+    return {...times, refusal: {reason, retryAfterMs}};
   }
   const marginMs = getFinishMarginMs(work.finishErrors, routeAimMs);
   const meetsAim = endAt + marginMs <= arriving.aimAt;
@@ -144,16 +148,16 @@
   const mayWaitLate =
     !isRateLimited &&
     (keepsSlotsBusy || mayWaitForSpareSlot(arriving, punctual, slots, at));
-  const idleWaitMs = startMs - arrivalMs;
+  const waitAfterArrivalMs = startMs - arrivalMs;
   if (
     !meetsAim &&
     !mayWaitLate &&
-    idleWaitMs > routeAimMs * MAX_LATE_WAIT_SHARE
+    waitAfterArrivalMs > routeAimMs * MAX_LATE_WAIT_SHARE
   ) {
     const reason = isRateLimited ? 'rate_limited' : 'queue_full';
-    return {endAt, refusal: {reason, retryAfterMs}};
+    return {...times, refusal: {reason, retryAfterMs}};
   }
-  return {endAt};
+  return times;
 }
 
 /**
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -19,6 +19,7 @@
   LogFields,
   MeshEmit,
   MeshEventBody,
+  UnreceivedReason,
 } from './mesh_types.js';
 import {adoptRateLimitHint, getRateDelayMs} from './rate_limit.js';
 import {roundToHundredths} from './rounding.js';
@@ -64,14 +65,7 @@
     refuseAttempt(state, at, attempt, refusal, emit);
     return;
   }
-  const arriving: QueuedAttempt = {
-    attempt,
-    arrivedAt: at,
-    aimAt: at - ageMs + attempt.aimMs,
-    deadlineAt: at - ageMs + attempt.timeoutMs,
-    callerSeenAt: at - unconfirmedMs,
-    suspect: isSuspect(state.suspects, attempt.fingerprint),
-  };
+  const arriving = createArriving(state, at, attempt, ageMs, unconfirmedMs);
   logIfUnconfirmed(arriving, at, emit);
   const {work, estimates} = state;
   updateColdLimit(state, at, emit);
@@ -90,10 +84,33 @@
   dispatchWaiting(state, at, emit);
 }
 
+/**
+ * Creates the entry of an attempt in the queue.
+ * @param ageMs - Time since it was sent, at least, in milliseconds.
+ * @param unconfirmedMs - Longest time for which its caller may have left unnoticed, in
+ *     milliseconds.
+ */
+export function createArriving(
+  {suspects}: MeshState,
+  at: number,
+  attempt: MeshAttempt,
+  ageMs: number,
+  unconfirmedMs: number,
+): QueuedAttempt {
+  return {
+    attempt,
+    arrivedAt: at,
+    aimAt: at - ageMs + attempt.aimMs,
+    deadlineAt: at - ageMs + attempt.timeoutMs,
+    callerSeenAt: at - unconfirmedMs,
+    suspect: isSuspect(suspects, attempt.fingerprint),
+  };
+}
+
 /** Refuses an attempt whose request was not received. */
 function getUnreceivedRefusal(
   {linkLoad}: MeshState,
-  reason: 'memory_full' | 'link_saturated' | undefined,
+  reason: UnreceivedReason | undefined,
 ): Refusal | undefined {
   if (reason === undefined) {
     return undefined;
--- a/src/mesh/attempt_transport.ts
+++ b/src/mesh/attempt_transport.ts
@@ -6,16 +6,19 @@
  */
 import {createRefusal} from '../core/refusals.js';
 import {ASK_AFTER_MS} from '../core/mesh/caller_presence.js';
-import {AttemptOutcome, MeshEventBody} from '../core/mesh/mesh_types.js';
+import {
+  AttemptOutcome,
+  MeshEventBody,
+  UnreceivedReason,
+} from '../core/mesh/mesh_types.js';
 import {roundToHundredths} from '../core/mesh/rounding.js';
-import {LinkMessage, MeshAttempt} from '../model/mesh.js';
+import {AttemptMessage, LinkMessage, MeshAttempt} from '../model/mesh.js';
 import {MAX_ORDINARY_BYTES, MemoryBudget} from '../proxy/memory_budget.js';
 import {MemoryHold} from '../proxy/memory_hold.js';
 import {OutboundRequest} from '../proxy/pending_calls.js';
 import {BodyClaim, createAttemptClaim} from './body_pacer.js';
 import {countRequestBytes} from './held_bytes.js';
 import {KeptOutcome, KeptOutcomes} from './kept_outcomes.js';
-import {BodyRefusalReason} from './incoming_bodies.js';
 import {BodyArrival, Link} from './link.js';
 import {LinkManager} from './link_manager.js';
 import {OutcomeMessage, readOutcome, sendOutcome} from './outcome_messages.js';
@@ -61,8 +64,6 @@
   link?: Link;
 }
 
-type AttemptMessage = Extract<LinkMessage, {kind: 'attempt'}>;
-
 /** Tracks attempts that this proxy has sent as entry or received as owner. */
 export class AttemptTransport {
   private readonly sent = new Map<string, SentAttempt>();
@@ -284,7 +285,7 @@
     }
     const hold = new MemoryHold(this.budget);
     if (!hold.tryAdd(countRequestBytes(headers, body))) {
-      this.handleBodyRefused(link, message);
+      this.handleBodyRefused(link, message, 'memory_full');
       return;
     }
     this.markSeen(attemptId);
@@ -306,7 +307,7 @@
   handleBodyRefused(
     link: Link,
     message: LinkMessage,
-    reason: BodyRefusalReason = 'memory_full',
+    reason: UnreceivedReason,
   ): void {
     if (message.kind === 'answer') {
       const detail = 'no memory for the answer';
@@ -335,13 +336,10 @@
    */
   handleOffer(
     link: Link,
-    message: LinkMessage,
+    message: AttemptMessage,
     ageMs: number,
     {aheadMs, ownMs}: BodyArrival,
   ): boolean {
-    if (message.kind !== 'attempt') {
-      return true;
-    }
     const {attempt} = message;
     const {attemptId} = attempt;
     if (this.seenIds.has(attemptId)) {
--- a/src/mesh/incoming_bodies.ts
+++ b/src/mesh/incoming_bodies.ts
@@ -2,11 +2,16 @@
  * Bodies that one link receives in chunks. Whether there is room for a body is decided
  * with its first chunk; it is assembled in place.
  */
-import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
+import {UnreceivedReason} from '../core/mesh/mesh_types.js';
+import {
+  AttemptMessage,
+  CALL_MESSAGE_KINDS,
+  LinkMessage,
+} from '../model/mesh.js';
 import {BodyBuffer} from '../proxy/body_buffer.js';
 import {MemoryBudget, MemoryHolder} from '../proxy/memory_budget.js';
 import {BodyGrants, OfferedBody} from './body_grants.js';
-import {createAttemptClaim} from './body_pacer.js';
+import {BodyClaim, createAttemptClaim} from './body_pacer.js';
 import {GrantFrame, ReceivedFrame, WholeFrame} from './frames.js';
 import {MessageCodec} from './message_codec.js';
 
@@ -39,15 +44,14 @@
 /** An attempt whose body its sender sends when it is granted. */
 export interface Offer {
   readonly transfer: number;
+  readonly message: AttemptMessage;
   readonly bodyBytes: number;
+  readonly claim: BodyClaim;
 }
 
-/** Why a body is not received. */
-export type BodyRefusalReason = 'memory_full' | 'link_saturated';
-
 export interface IncomingHandlers {
   /** The body of a message is not received; what arrives of it is dropped. */
-  onRefused(message: LinkMessage, reason: BodyRefusalReason): void;
+  onRefused(message: LinkMessage, reason: UnreceivedReason): void;
   /** Lets the sender of a body send its first bytes. */
   sendGrant(transfer: number, bytes: number): void;
   onBadFrame(detail: string): void;
@@ -65,7 +69,7 @@
     readonly sentAt: number,
     readonly bodyTotal: number,
     readonly buffer: BodyBuffer,
-    readonly refuse: (reason: BodyRefusalReason) => void,
+    readonly refuse: (reason: UnreceivedReason) => void,
   ) {}
 
   get heldBytes(): number {
@@ -112,10 +116,10 @@
     if (incoming === undefined) {
       return undefined;
     }
-    if (frame.message.length > 0 && isOffer(frame, incoming)) {
-      const {message, sentAt, bodyTotal: bodyBytes} = incoming;
-      const {transfer} = frame;
-      return {message, sentAt, body: NOTHING, offer: {transfer, bodyBytes}};
+    const offer = findOffer(frame, incoming);
+    if (offer !== undefined) {
+      const {message, sentAt} = incoming;
+      return {message, sentAt, body: NOTHING, offer};
     }
     const appended = incoming.buffer.append(frame.body);
     const {length} = incoming.buffer;
@@ -124,11 +128,11 @@
       this.handlers.onBadFrame(
         `body is not as long as announced (${bodyTotal} bytes); run the same build on all proxies`,
       );
-      this.refuse(frame.transfer);
+      this.refuse(frame.transfer, 'memory_full');
       return undefined;
     }
     if (appended !== 'ok') {
-      this.refuse(frame.transfer);
+      this.refuse(frame.transfer, 'memory_full');
       return undefined;
     }
     if (incoming.offered !== undefined) {
@@ -143,19 +147,18 @@
   }
 
   /** Lets the sender of an offered body send it, when its turn comes. */
-  accept({transfer}: Offer): void {
+  accept({transfer, message, bodyBytes, claim}: Offer): void {
     const incoming = this.bodies.get(transfer);
-    if (incoming === undefined || incoming.message.kind !== 'attempt') {
+    if (incoming === undefined) {
       return;
     }
-    const {attempt} = incoming.message;
     const now = this.grants.now();
     const {buffer} = incoming;
     incoming.offered = {
-      claim: createAttemptClaim(attempt),
+      claim,
       offeredAt: now,
-      timeoutMs: attempt.timeoutMs,
-      totalBytes: incoming.bodyTotal,
+      timeoutMs: message.attempt.timeoutMs,
+      totalBytes: bodyBytes,
       get receivedBytes() {
         return buffer.length;
       },
@@ -192,7 +195,7 @@
       this.handlers.onBadFrame(
         `body of ${bodyTotal} bytes is too large (limit ${maxBytes}); lower the limits of callers`,
       );
-      this.reportRefused(message);
+      this.reportRefused(message, 'memory_full');
       return;
     }
     const heldBytes = bodyTotal + frame.message.length + OVERHEAD_BYTES;
@@ -201,7 +204,7 @@
     } else if (!this.budget.tryReserve(heldBytes)) {
       // Bodies that have ended may hold the room; a repetition finds it free.
       void this.budget.reclaim();
-      this.reportRefused(message);
+      this.reportRefused(message, 'memory_full');
       return;
     }
     const limits = {maxBytes: bodyTotal, announcedBytes: bodyTotal};
@@ -233,10 +236,7 @@
     return incoming;
   }
 
-  private refuse(
-    transfer: number,
-    reason: BodyRefusalReason = 'memory_full',
-  ): void {
+  private refuse(transfer: number, reason: UnreceivedReason): void {
     const incoming = this.drop(transfer);
     if (incoming !== undefined) {
       this.reportRefused(incoming.message, reason);
@@ -244,15 +244,20 @@
   }
 
   /** Reports a refusal later: a reservation for something else may have caused it. */
-  private reportRefused(
-    message: LinkMessage,
-    reason: BodyRefusalReason = 'memory_full',
-  ): void {
+  private reportRefused(message: LinkMessage, reason: UnreceivedReason): void {
     queueMicrotask(() => this.handlers.onRefused(message, reason));
   }
 }
 
-/** Reports whether a first chunk has only the message of an attempt. */
-function isOffer({body, last}: ChunkFrame, {message}: IncomingBody): boolean {
-  return message.kind === 'attempt' && body.length === 0 && !last;
+/** Returns the offer that a first chunk with only the message of an attempt is. */
+function findOffer(
+  {transfer, message: encoded, body, last}: ChunkFrame,
+  {message, bodyTotal}: IncomingBody,
+): Offer | undefined {
+  const isOffer = encoded.length > 0 && body.length === 0 && !last;
+  if (!isOffer || message.kind !== 'attempt') {
+    return undefined;
+  }
+  const claim = createAttemptClaim(message.attempt);
+  return {transfer, message, bodyBytes: bodyTotal, claim};
 }
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -4,24 +4,19 @@
  */
 import {Socket} from 'node:net';
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
-import {CALL_MESSAGE_KINDS, LinkMessage} from '../model/mesh.js';
+import {UnreceivedReason} from '../core/mesh/mesh_types.js';
+import {
+  AttemptMessage,
+  CALL_MESSAGE_KINDS,
+  LinkMessage,
+} from '../model/mesh.js';
 import {MemoryBudget} from '../proxy/memory_budget.js';
 import {BodyGrants} from './body_grants.js';
-import {
-  BodyClaim,
-  BodyPacer,
-  CONTROL_CLAIM,
-  createAttemptClaim,
-} from './body_pacer.js';
+import {BodyClaim, BodyPacer, CONTROL_CLAIM} from './body_pacer.js';
 import {BodyTransfers} from './body_transfers.js';
 import {FrameReader} from './frame_reader.js';
 import {Frame, ReceivedFrame, encodeFrame} from './frames.js';
-import {
-  BodyRefusalReason,
-  IncomingBodies,
-  Offer,
-  ReceivedMessage,
-} from './incoming_bodies.js';
+import {IncomingBodies, Offer, ReceivedMessage} from './incoming_bodies.js';
 import {MessageCodec} from './message_codec.js';
 import {PeerClock} from './peer_clock.js';
 import {ReadDelays} from './turn_clock.js';
@@ -71,7 +66,7 @@
   onBodyRefused(
     link: Link,
     message: LinkMessage,
-    reason: BodyRefusalReason,
+    reason: UnreceivedReason,
   ): void;
   /**
    * A peer offers the body of an attempt.
@@ -81,7 +76,7 @@
    */
   onBodyOffered(
     link: Link,
-    message: LinkMessage,
+    message: AttemptMessage,
     ageMs: number,
     arrival: BodyArrival,
   ): boolean;
@@ -375,19 +370,19 @@
     return {message: decoded.value, body, sentAt: frame.stamp.sentAt};
   }
 
-  private refuseBody(message: LinkMessage, reason: BodyRefusalReason): void {
+  private refuseBody(message: LinkMessage, reason: UnreceivedReason): void {
     if (!this.closed) {
       this.handlers.onBodyRefused(this, message, reason);
     }
   }
 
-  private handleOffer(message: LinkMessage, offer: Offer, ageMs: number): void {
+  private handleOffer(offer: Offer, ageMs: number): void {
     const {grants} = this;
-    const aheadMs =
-      message.kind === 'attempt'
-        ? grants.estimateAheadMs(createAttemptClaim(message.attempt))
-        : 0;
-    const arrival = {aheadMs, ownMs: grants.getBytesMs(offer.bodyBytes)};
+    const {message, bodyBytes, claim} = offer;
+    const arrival = {
+      aheadMs: grants.estimateAheadMs(claim),
+      ownMs: grants.getBytesMs(bodyBytes),
+    };
     if (this.handlers.onBodyOffered(this, message, ageMs, arrival)) {
       this.incoming.accept(offer);
     } else {
@@ -420,7 +415,7 @@
       } else {
         const ageMs = this.peerClock.getLeastAgeMs(sentAt, this.now());
         if (offer !== undefined) {
-          this.handleOffer(message, offer, ageMs);
+          this.handleOffer(offer, ageMs);
           continue;
         }
         this.handlers.onMessage(this, message, body, ageMs);
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -89,6 +89,7 @@
   readonly link_received_bytes: number;
   /** Bytes of large bodies that wait for the VM's bandwidth or their reader. */
   readonly link_waiting_bytes: number;
+  /** Time that the request bodies take which peers have offered. */
   readonly link_arriving_ms: number;
   /** Bytes held for callers, peers and upstreams. */
   readonly memory_held_bytes: number;
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -323,4 +323,7 @@
 export type ConfigDelta = z.infer<typeof ConfigDeltaSchema>;
 export type MeshAttempt = z.infer<typeof MeshAttemptSchema>;
 export type LinkMessage = z.infer<typeof LinkMessageSchema>;
+
+/** The message of an attempt. */
+export type AttemptMessage = Extract<LinkMessage, {kind: 'attempt'}>;
 export type Hello = Extract<LinkMessage, {kind: 'hello'}>;
