Tests: one fixture for links on connections that tests control

link.test and body_grants.test built the same link; both call createTestLink. The uploads of all entries are offered in one place of body_grants.

--- a/test/mesh/body_grants.test.ts
+++ b/test/mesh/body_grants.test.ts
@@ -2,16 +2,13 @@
  * Bodies that the entries of a fleet send to an owner behind a narrow connection, at the
  * same time.
  */
+import {Duplex} from 'node:stream';
 import {BodyGrants} from '../../src/mesh/body_grants.js';
-import {BodyPacer} from '../../src/mesh/body_pacer.js';
 import {Link, LinkHandlers} from '../../src/mesh/link.js';
-import {MessageCodec} from '../../src/mesh/message_codec.js';
 import {LinkMessage} from '../../src/model/mesh.js';
-import {MemoryBudget} from '../../src/proxy/memory_budget.js';
 import {expect} from '../support/chai_setup.js';
-import {NO_DELAYS, createAttempt} from './mesh_fixture.js';
-import {Socket} from 'node:net';
-import {Duplex} from 'node:stream';
+import {createTestLink} from './link_fixture.js';
+import {createAttempt} from './mesh_fixture.js';
 
 const ENTRIES = 20;
 const UPLOAD_BYTES = 60_000;
@@ -59,37 +56,12 @@
   let received: string[];
   let refused: string[];
 
-  const codec = new MessageCodec([]);
-
   function createLink(
     socket: End,
-    grants: BodyGrants,
-    handlers: Partial<LinkHandlers> = {},
+    grants?: BodyGrants,
+    handlers?: Partial<LinkHandlers>,
   ): Link {
-    return new Link(
-      socket as unknown as Socket,
-      {
-        onMessage: () => undefined,
-        onBodyRefused: () => undefined,
-        onBodyOffered: () => true,
-        onConfirmed: () => undefined,
-        onClose: () => undefined,
-        onBadFrame: detail => {
-          throw new Error(detail);
-        },
-        ...handlers,
-      },
-      codec,
-      {sentBytes: 0, receivedBytes: 0},
-      () => now,
-      new BodyPacer(() => 10_000, undefined, {
-        now: () => now,
-        setTimer: () => () => undefined,
-      }),
-      NO_DELAYS,
-      new MemoryBudget(100e6, 0),
-      grants,
-    );
+    return createTestLink(socket, () => now, handlers, grants);
   }
 
   function createUpload(attemptId: string): LinkMessage {
@@ -127,7 +99,7 @@
         onBodyRefused: (_link, message, reason) =>
           refused.push(`${getId(message)} ${reason}`),
       });
-      return createLink(near, new BodyGrants(() => 10_000));
+      return createLink(near);
     });
   });
 
@@ -147,6 +119,15 @@
     return most;
   }
 
+  /** Lets all entries offer an upload, and the owner grant what it may. */
+  async function offerAll(): Promise<void> {
+    const body = Buffer.alloc(UPLOAD_BYTES);
+    entries.forEach((entry, n) => entry.send(createUpload(`a-${n}`), body));
+    await settle();
+    queue.splice(0, ENTRIES).forEach(pass => pass());
+    await settle();
+  }
+
   // Guards against SHORT: small messages wait behind the bodies of all entries, so that
   // owners get no news of their callers in time and run nothing.
   it('do not fill its connection, and arrive whole', async () => {
@@ -163,11 +144,7 @@
   });
 
   it('go on where an entry does not send what it was granted', async () => {
-    const body = Buffer.alloc(UPLOAD_BYTES);
-    entries.forEach((entry, n) => entry.send(createUpload(`a-${n}`), body));
-    await settle();
-    queue.splice(0, ENTRIES).forEach(pass => pass());
-    await settle();
+    await offerAll();
     expect(queue).not.to.have.lengthOf(0);
     queue.length = 0;
     now += 300;
@@ -178,11 +155,7 @@
   });
 
   it('are refused at half of their time where they were granted nothing', async () => {
-    const body = Buffer.alloc(UPLOAD_BYTES);
-    entries.forEach((entry, n) => entry.send(createUpload(`a-${n}`), body));
-    await settle();
-    queue.splice(0, ENTRIES).forEach(pass => pass());
-    await settle();
+    await offerAll();
     now = 1_600;
     grants.refresh();
     await settle();
--- a/test/mesh/link.test.ts
+++ b/test/mesh/link.test.ts
@@ -1,14 +1,10 @@
 /** Links between proxies: messages beside large bodies on a slow connection. */
-import {Socket} from 'node:net';
 import {Duplex} from 'node:stream';
-import {BodyGrants} from '../../src/mesh/body_grants.js';
-import {BodyPacer} from '../../src/mesh/body_pacer.js';
 import {Link} from '../../src/mesh/link.js';
-import {MessageCodec} from '../../src/mesh/message_codec.js';
 import {LinkMessage} from '../../src/model/mesh.js';
-import {MemoryBudget} from '../../src/proxy/memory_budget.js';
 import {expect} from '../support/chai_setup.js';
-import {NO_DELAYS, createAttempt} from './mesh_fixture.js';
+import {createTestLink} from './link_fixture.js';
+import {createAttempt} from './mesh_fixture.js';
 
 const UPLOAD_BYTES = 360_000;
 
@@ -100,32 +96,9 @@
     socket: SlowConnection,
     onMessage: (message: LinkMessage, body: Uint8Array) => void,
   ): Link {
-    return new Link(
-      socket as unknown as Socket,
-      {
-        onMessage: (_link, message, body) => onMessage(message, body),
-        onBodyRefused: () => undefined,
-        onBodyOffered: () => true,
-        onConfirmed: () => undefined,
-        onClose: () => undefined,
-        onBadFrame: detail => {
-          throw new Error(detail);
-        },
-      },
-      new MessageCodec([]),
-      {sentBytes: 0, receivedBytes: 0},
-      () => now,
-      new BodyPacer(() => 10_000, undefined, {
-        now: () => now,
-        setTimer: () => () => undefined,
-      }),
-      NO_DELAYS,
-      new MemoryBudget(10e6, 0),
-      new BodyGrants(
-        () => 10_000,
-        () => now,
-      ),
-    );
+    return createTestLink(socket, () => now, {
+      onMessage: (_link, message, body) => onMessage(message, body),
+    });
   }
 
   beforeEach(() => {
