--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -32,11 +32,11 @@
 /** Disruption on (default) or off (`TROUBLE=0`). */
 export const TROUBLE = process.env.TROUBLE !== '0';
 
-/** Writes `record.txt` beside the script that runs. */
+/** Writes the record of a run beside its script. */
 export class Recorder {
-  constructor(dir) {
+  constructor(dir, name) {
     this.startedAt = performance.now();
-    this.out = createWriteStream(join(dir, 'record.txt'));
+    this.out = createWriteStream(join(dir, name));
     this.write(`trouble: ${TROUBLE ? 'on' : 'off'}`);
   }
   write(text) {
@@ -486,8 +486,8 @@
 }
 
 /** Runs a case and exits with 1 if its rule was broken, 0 if it held, 2 if it could not run. */
-export async function runCase(dir, play) {
-  const recorder = new Recorder(dir);
+export async function runCase(dir, play, recordName = 'record.txt') {
+  const recorder = new Recorder(dir, recordName);
   const fleet = new Fleet(recorder);
   let code = 2;
   const limit = setTimeout(() => {
