--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,6 +1,6 @@
 /**
- * A proxy gets SIGTERM while callers on its machine read answers slowly. All runs have
- * ended before the signal; the rest of each answer lies in the proxy.
+ * A proxy gets SIGTERM. Callers send requests 0.9 s later and read the answers slowly. All
+ * runs end at once; the rest of each answer lies in the proxy.
  */
 import {Buffer} from 'node:buffer';
 import net from 'node:net';
@@ -11,19 +11,22 @@
 const BODY = Buffer.alloc(15_000_000, 'abcdefgh');
 const CALLERS = 3;
 /** The callers read 4 Mbit/s at first, and what is left at once after that. */
-const SLOW_FOR_MS = 4_800;
+const SLOW_FOR_MS = 2_100;
 const SLOW_STEP_BYTES = 50_000;
 const STEP_MS = 100;
-const TERM_AFTER_MS = 700;
-/** `X-Deadline-Ms` of `dose-history` in vitalita-mesh. */
-const BUDGET_MS = 8_000;
+/** Time from the signal to the requests; the machine still gets callers then. */
+const SENT_AFTER_MS = 900;
+const STABLE_WINDOW_MS = 3_000;
+/** `X-Deadline-Ms` of `firmware-pull` in norrvik-mesh-grown. */
+const BUDGET_MS = 2_789;
+const TIMEOUT_MS = 2_600;
 
 const routes = {
   'r-pull': {
     host: 'files.example',
     prefix: '/pull/',
     kind: 'download',
-    timeout: `${BUDGET_MS}ms`,
+    timeout: `${TIMEOUT_MS}ms`,
     aim: '1200ms',
     priority: 1,
     service: 'files',
@@ -57,7 +60,7 @@
         `caller ${id}: ${isWhole ? 'whole answer' : `connection ends ${cause}`} after ${ms} ms, ` +
           `${received} of ${total} bytes with the head`,
       );
-      done(!isWhole && ms < BUDGET_MS);
+      done(!isWhole && ms < TIMEOUT_MS);
     };
     const take = chunk => {
       if (total === Infinity) {
@@ -116,13 +119,14 @@
       return true;
     };
   }
-  const ends = Array.from({length: CALLERS}, (_, n) =>
-    pull(`pull-${n + 1}`, machine.callers, recorder),
-  );
-  await sleep(TERM_AFTER_MS);
+  await sleep(STABLE_WINDOW_MS + 500);
   if (TROUBLE) {
     machine.signal('SIGTERM');
   }
+  await sleep(SENT_AFTER_MS);
+  const ends = Array.from({length: CALLERS}, (_, n) =>
+    pull(`pull-${n + 1}`, machine.callers, recorder),
+  );
   const results = await Promise.all(ends);
   const broken = results.filter(Boolean).length;
   recorder.write(
