Configuration: accept every value that the store accepts

Cause: the schema had upper bounds that the store does not have (16 attempts), and an error in one value refuses the whole document. The same class: long names, times below a millisecond or with an exponent, limits of 0 or beyond 2^53, absent fields as null.

Change: no upper bounds on what the operator and upstreams set, in documents and in the messages that carry them. What contradicts the platform's pages is still refused whole.

--- a/src/mesh/call_message_check.ts
+++ b/src/mesh/call_message_check.ts
@@ -38,6 +38,7 @@
   typeof value === 'string' &&
   value.length > 0 &&
   value.length <= MAX_ID_LENGTH;
+const isName: Check = value => isString(value) && value !== '';
 const isFingerprint: Check = value =>
   typeof value === 'string' && value.length <= MAX_FINGERPRINT_LENGTH;
 
@@ -97,9 +98,9 @@
 const isAttempt = createCheck<MeshAttempt>({
   attemptId: isId,
   requestId: isString,
-  service: isId,
+  service: isName,
   instanceId: isId,
-  route: isId,
+  route: isName,
   callerService: isString,
   idempotent: isBoolean,
   nested: {optional: isBoolean},
--- a/src/model/durations.ts
+++ b/src/model/durations.ts
@@ -1,7 +1,7 @@
 /** Parses durations with a unit, such as `1500ms` or `2.5s`. */
 import * as z from 'zod';
 
-const DURATION_PATTERN = /^(\d+(?:\.\d+)?)(ms|s)$/;
+const DURATION_PATTERN = /^(\d+(?:\.\d+)?(?:[eE][+-]?\d+)?)(ms|s)$/;
 const MS_PER_SECOND = 1_000;
 
 /** Transforms a duration with a unit into milliseconds. */
--- a/test/platform/documents.test.ts
+++ b/test/platform/documents.test.ts
@@ -2,9 +2,35 @@
 import {Result} from 'neverthrow';
 import {parseConfig, parseInstance} from '../../platform/documents.js';
 import {parseSettings} from '../../platform/settings.js';
+import {createConfigDelta} from '../../src/core/mesh/config_delta.js';
+import {MessageCodec} from '../../src/mesh/message_codec.js';
+import {LinkMessage, MeshConfig} from '../../src/model/mesh.js';
+import {createAttempt} from '../mesh/mesh_fixture.js';
 import {expect} from '../support/chai_setup.js';
 import {createConfigDocument, createInstanceEntry} from './store_standin.js';
 
+/** Messages in which peers send a configuration and the calls of its routes. */
+function createPeerMessages(config: MeshConfig): LinkMessage[] {
+  const before = {...config, routes: [], services: []};
+  const deltas = [
+    createConfigDelta(before, config),
+    createConfigDelta(config, before),
+  ];
+  const {version, routes} = config;
+  const ages = {ageMs: 0, configAgeMs: 0, versionAgeMs: 0};
+  const state = {revision: 1, version, configRevision: 1, hasConfig: false};
+  return [
+    {kind: 'state', ...state, ...ages, deltas},
+    ...routes.map(({name, aimMs, backends: [{service}]}): LinkMessage => ({
+      kind: 'attempt',
+      attempt: {...createAttempt(), route: name, service, routeAimMs: aimMs},
+      method: 'GET',
+      path: '/',
+      headers: {},
+    })),
+  ];
+}
+
 function formatResult(result: Result<unknown, string>): unknown {
   return result.match(
     value => value,
@@ -50,6 +76,82 @@
     expect(shown).toMatchSnapshot();
   });
 
+  // A bound that the store does not have stops all changes of the configuration (inc16).
+  it('accepts every value that the store accepts, and so do peers', () => {
+    const route = {
+      host: 'a.example',
+      prefix: '/a/',
+      kind: 'safe',
+      timeout: '1s',
+      aim: '1s',
+      attempts: 2,
+      priority: 0,
+      service: 'desk',
+    };
+    const longName = 'n'.repeat(1_000);
+    const createWithRoute = (overrides: object, name = 'r') => ({
+      routes: {[name]: {...route, ...overrides}},
+    });
+    const createWithService = (overrides: object, name = 'desk') => ({
+      ...createWithRoute({service: name}),
+      services: {[name]: {'max-conns': 120, ...overrides}},
+    });
+    const createWithLimits = (overrides: object) => ({
+      limits: {
+        'max-header-bytes': 16_384,
+        'max-body-bytes': 1_048_576,
+        'header-timeout': '3s',
+        'idle-timeout': '15s',
+        ...overrides,
+      },
+    });
+    const backends = [{service: 'desk', weight: 1}];
+    const overrides: Readonly<Record<string, object>> = {
+      '17 attempts': createWithRoute({attempts: 17}),
+      '1,000 attempts': createWithRoute({attempts: 1_000}),
+      'long route name': createWithRoute({}, longName),
+      'long service name': createWithService({}, longName),
+      'time below a millisecond': createWithRoute({timeout: '0.4ms'}),
+      'aim of nothing': createWithRoute({aim: '0ms'}),
+      'time with an exponent': createWithRoute({timeout: '1.5e-1s'}),
+      'large priority': createWithRoute({priority: 1_000_000}),
+      'absent service as null': createWithRoute({service: null, backends}),
+      'absent backends as null': createWithRoute({backends: null}),
+      'absent backends as an empty list': createWithRoute({backends: []}),
+      'absent cold start as null': createWithService({
+        'cold-start': null,
+        'cold-per-s': null,
+      }),
+      'no connections': createWithService({'max-conns': 0}),
+      'no bodies': createWithLimits({'max-body-bytes': 0}),
+      'no head': createWithLimits({'max-header-bytes': 0}),
+      'largest integers': createWithLimits({
+        'max-header-bytes': 2 ** 63,
+        'max-body-bytes': 2 ** 63,
+      }),
+      'no times': createWithLimits({
+        'header-timeout': '0s',
+        'idle-timeout': '0s',
+      }),
+    };
+    const codec = new MessageCodec([]);
+    const shown = Object.entries(overrides).map(([name, changed]) => {
+      const text = JSON.stringify(createConfigDocument(7, changed));
+      const read = parseConfig(text);
+      if (read.isErr()) {
+        return `${name} -> refused: ${read.error}`;
+      }
+      const refusals = createPeerMessages(read.value.config).flatMap(message =>
+        codec.decode(codec.encode(message, true)).match(
+          () => [],
+          error => [`${message.kind} refused: ${error}`],
+        ),
+      );
+      return `${name} -> ${['accepted', ...refusals].join(', ')}`;
+    });
+    expect(shown).toMatchSnapshot();
+  });
+
   it('parses the entry of an upstream', () => {
     const text = JSON.stringify(
       createInstanceEntry('10.0.0.1:80', {'cold-left': '2.5s'}),
