Listener: never run what is read behind a rejection

Cause: rejecting input ended only the writing side, so what was read afterwards was handled. And the timeouts of Node.js count from the opening of the connection, fire before sockets are read, and limit every request to a fixed time instead of its own time budget.

Evidence: only the listener writes 408 (bad_input ERR_HTTP_REQUEST_TIMEOUT); the tests show it on a listener alone.

Change: each connection knows the last request that can be answered, and nothing behind it is accepted. Own timeouts measure heads from their first byte and silence by the idle timeout, don't count time in which the process stood still, and look at the sockets before they act. Bodies are limited by the time budget of their request (receive_timeout, 408), which now includes the time that the body took. Ruled out: closing the socket at once with the 408, as the reset discards the response.

--- a/src/core/mesh/create_call.ts
+++ b/src/core/mesh/create_call.ts
@@ -26,7 +26,7 @@
   {at, entropy}: Pick<MeshEvent, 'at' | 'entropy'>,
   arrival: Extract<MeshEventBody, {kind: 'callArrived'}>,
 ): MeshCall | Refusal {
-  const {callId, call: info, unreadMs = 0} = arrival;
+  const {callId, call: info, receiveMs = 0, unreadMs = 0} = arrival;
   const found = findRouteOrRefusal(state, info);
   if ('reason' in found) {
     return found;
@@ -37,8 +37,13 @@
   }
   const expectedMs =
     state.answerMsByRoute.get(route.name) ?? getPriorRunMs(route.aimMs);
-  const timeoutMs = Math.min(route.timeoutMs, info.timeoutMs ?? Infinity);
-  const deadlineAt = at - unreadMs + timeoutMs;
+  const wholeAt = at - unreadMs;
+  // The caller counts from when it began to send, the operator from the whole request.
+  const sentAt = wholeAt - receiveMs;
+  const deadlineAt = Math.min(
+    wholeAt + route.timeoutMs,
+    sentAt + (info.timeoutMs ?? Infinity),
+  );
   const toleratedForMs = ACCEPT_CALLS_MS;
   if (mayBeCutByStop(state, {deadlineAt, expectedMs, toleratedForMs}, at)) {
     return createRefusal('proxy_stopping', STOPPING_RETRY_AFTER_MS);
@@ -58,7 +63,7 @@
     repeated: parent?.attempt.repeated === true,
     arrivedAt: at,
     unreadMs,
-    aimAt: at - unreadMs + route.aimMs - spentMs,
+    aimAt: sentAt + route.aimMs - spentMs,
     deadlineAt,
     tried: new Set(),
     inFlight: new Map(),
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -153,6 +153,8 @@
       readonly kind: 'callArrived';
       readonly callId: string;
       readonly call: MeshCallInfo;
+      /** Time from its head to its last byte, in milliseconds; absent: none. */
+      readonly receiveMs?: number;
       /** Time for which it is known to have lain unread; absent: none. */
       readonly unreadMs?: number;
     }
--- a/src/core/refusals.ts
+++ b/src/core/refusals.ts
@@ -53,6 +53,10 @@
     413,
     'The request body exceeds the limit; send less or raise limits.maxRequestBytes.',
   ),
+  receive_timeout: notRun(
+    408,
+    'The request did not arrive before its deadline; send it faster or allow more time.',
+  ),
   deadline_too_short: notRun(
     503,
     'The request cannot finish before its deadline; allow more time or retry after the given time.',
--- a/src/mesh/mesh_caller_handler.ts
+++ b/src/mesh/mesh_caller_handler.ts
@@ -10,6 +10,7 @@
   computeFingerprint,
   parseDurationHeader,
 } from '../proxy/caller_server.js';
+import {isBehindEnd} from '../proxy/closing_connections.js';
 import {HeaderRecord, copyEndToEndHeaders} from '../proxy/headers.js';
 import {
   createBodyRefusal,
@@ -103,8 +104,10 @@
       this.refuseUnread(req, res, headRefusal);
       return;
     }
+    const headAt = performance.now() - this.turns.getTurnMs();
     const maxBytes = this.limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const received = await readBody(req, maxBytes, this.memory);
+    const timeoutMs = this.parseTimeoutMs(req);
+    const received = await readBody(req, maxBytes, this.memory, timeoutMs);
     if (received.isErr()) {
       const refusal = createBodyRefusal(received.error);
       if (refusal !== undefined) {
@@ -114,12 +117,15 @@
     }
     const {bytes, release} = received.value;
     request.onEnd(release);
-    const readAt = performance.now() - this.turns.getTurnMs();
+    const wholeAt = performance.now() - this.turns.getTurnMs();
     if (this.mayHaveLainUnread(req.socket)) {
       this.host.onLateRead('request_deferred');
       await this.turns.catchUp();
     }
-    this.accept(req, res, bytes, performance.now() - readAt);
+    this.accept(req, res, bytes, {
+      receiveMs: Math.max(0, wholeAt - headAt),
+      unreadMs: performance.now() - wholeAt,
+    });
   }
 
   /** Finds why a request is refused by its head. */
@@ -185,9 +191,13 @@
     req: IncomingMessage,
     res: ServerResponse,
     body: Uint8Array,
-    unreadMs: number,
+    delays: {readonly receiveMs: number; readonly unreadMs: number},
   ): void {
     const {socket} = req;
+    if (isBehindEnd(req)) {
+      this.host.onBadInput('after_close');
+      return;
+    }
     if (res.destroyed || socket.destroyed || socket.readableEnded) {
       this.host.onLateRead('caller_gone');
       return;
@@ -201,7 +211,7 @@
     const {path} = call;
     const outbound = {method: req.method ?? 'GET', path, headers, body};
     this.pending.add(callId, res, outbound);
-    this.host.post({kind: 'callArrived', callId, call, unreadMs});
+    this.host.post({kind: 'callArrived', callId, call, ...delays});
   }
 
   /** Refuses a request of which the body, if any, has not been read whole. */
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -36,6 +36,7 @@
 import {Clock, SystemClock} from '../proxy/clock.js';
 import {CoreLoop} from '../proxy/core_loop.js';
 import {Listener, listen} from '../proxy/listener.js';
+import {ReceiveLimits} from '../proxy/receive_timeouts.js';
 import {AttemptTransport} from './attempt_transport.js';
 import {BodyGrants} from './body_grants.js';
 import {BodyPacer} from './body_pacer.js';
@@ -244,6 +245,7 @@
         addresses.callers,
         MAX_CALLER_CONNECTIONS,
         (req, res) => void this.callers.handle(req, res),
+        {bodyMs: undefined},
       ),
       this.listenHttp(addresses.ready, MAX_OPERATOR_CONNECTIONS, (req, res) =>
         handleReadinessRequest(
@@ -369,6 +371,9 @@
     address: string,
     maxConnections: number,
     handle: Parameters<typeof listen>[4],
+    receiveLimits: Partial<ReceiveLimits> = {
+      idleMs: DEFAULT_RECEIVE_TIMEOUT_MS,
+    },
   ): Promise<Listener> {
     return listen(
       address,
@@ -376,7 +381,7 @@
       maxConnections,
       kind => this.metrics.count('bad_input', kind),
       handle,
-      {maxHeaderBytes: DEFAULT_MAX_HEADER_BYTES},
+      {maxHeaderBytes: DEFAULT_MAX_HEADER_BYTES, receiveLimits},
     );
   }
 
@@ -650,7 +655,8 @@
     const [callers] = this.listeners;
     if (callers !== undefined) {
       callers.server.keepAliveTimeout = limits.idleTimeoutMs;
-      callers.server.headersTimeout = limits.headerTimeoutMs;
+      callers.receiveLimits.headMs = limits.headerTimeoutMs;
+      callers.receiveLimits.idleMs = limits.idleTimeoutMs;
       // For connections that are accepted from now on.
       const maxHeaderSize = limits.maxHeaderBytes * HEAD_FRAMING_FACTOR;
       Object.assign(callers.server, {maxHeaderSize});
--- a/src/proxy/caller_server.ts
+++ b/src/proxy/caller_server.ts
@@ -6,6 +6,7 @@
 import {Answer, CallInfo, EventBody} from '../core/types.js';
 import {Settings} from '../model/settings.js';
 import {MemoryBudget} from './memory_budget.js';
+import {isBehindEnd} from './closing_connections.js';
 import {createBodyRefusal, readBody, releaseAfter} from './read_body.js';
 import {
   copyEndToEndHeaders,
@@ -52,6 +53,10 @@
     }
     const {bytes, release} = body.value;
     releaseAfter(res, release);
+    if (isBehindEnd(req)) {
+      this.count('after_close');
+      return;
+    }
     const call = parseCall(req, bytes);
     if (call.kind === 'refusal') {
       this.refuse(req, res, call, false);
--- a/src/proxy/http_results.ts
+++ b/src/proxy/http_results.ts
@@ -4,7 +4,7 @@
 import {Refusal, REFUSALS, isRefusalReason} from '../core/refusals.js';
 import {Answer} from '../core/types.js';
 import {LoadReport, LoadReportSchema} from '../model/peer.js';
-import {markClosing} from './closing_connections.js';
+import {endConnectionAfter, isBehindEnd} from './closing_connections.js';
 import {
   copyEndToEndHeaders,
   HeaderRecord,
@@ -164,11 +164,11 @@
   headers: Readonly<Record<string, string | readonly string[]>>,
   unframed = false,
 ): void {
-  if (res.headersSent || res.destroyed) {
+  if (res.headersSent || res.destroyed || isBehindEnd(res.req)) {
     return;
   }
   if (unframed || headers.connection === 'close') {
-    markClosing(res.req.socket);
+    endConnectionAfter(res.req);
   }
   if (unframed) {
     res.useChunkedEncodingByDefault = false;
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -12,13 +12,23 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Settings} from '../model/settings.js';
 import {formatAddress, parseAddress} from './addresses.js';
-import {closeAfterReading, isClosing} from './closing_connections.js';
+import {
+  closeAfterReading,
+  isBehindEnd,
+  recordRequest,
+  rejectInput,
+} from './closing_connections.js';
+import {ReceiveLimits, ReceiveTimeouts} from './receive_timeouts.js';
 
 /** Longer than the clients' keep-alive timeout, so clients close first. */
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 const MAX_HEADER_BYTES = 16_384;
-/** Interval at which Node checks connections for exceeded timeouts. */
-const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
+
+/** Longest interval of a timer. */
+const NEVER_MS = 2 ** 31 - 1;
+
+/** Code of input that a client takes too long to send. */
+const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 /** How long an idle connection stays open for a last request at shutdown. */
 const IDLE_CONNECTION_GRACE_MS = 1_000;
@@ -26,18 +36,22 @@
 /** HTTP status for input that Node's parser rejects, by error code. */
 const STATUS_BY_ERROR_CODE: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  [TIMEOUT_CODE]: '408 Request Timeout',
 };
 
 /** Overrides of the defaults of a listener. */
 export interface ListenerOptions {
   readonly maxHeaderBytes?: number;
+  /** Overrides of the time limits, which otherwise follow `receiveTimeoutMs`. */
+  readonly receiveLimits?: Partial<ReceiveLimits>;
 }
 
 export interface Listener {
   readonly server: Server;
   /** The address on which the server listens, with the actual port. */
   readonly address: string;
+  /** Time limits for what clients send; they may be changed. */
+  readonly receiveLimits: ReceiveLimits;
   /** Resolves once the server has stopped and its last connection has ended. */
   readonly closed: Promise<unknown>;
 }
@@ -65,14 +79,17 @@
   const server = createServer(
     {
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      requestTimeout: limits.receiveTimeoutMs,
-      headersTimeout: limits.receiveTimeoutMs,
-      connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+      // `ReceiveTimeouts` limits these instead: the timeouts of Node.js count the time
+      // before a connection's first request, and leave the connection readable.
+      requestTimeout: 0,
+      headersTimeout: 0,
+      connectionsCheckingInterval: NEVER_MS,
       maxHeaderSize: options.maxHeaderBytes ?? MAX_HEADER_BYTES,
       noDelay: true,
     },
     (req, res) => {
-      if (isClosing(req.socket)) {
+      recordRequest(req);
+      if (isBehindEnd(req)) {
         onMalformedInput('after_close');
         req.resume();
         return;
@@ -82,7 +99,29 @@
     },
   );
   server.maxConnections = maxConnections;
+  const {receiveTimeoutMs} = limits;
+  const receiveLimits = {
+    headMs: receiveTimeoutMs,
+    idleMs: KEEP_ALIVE_TIMEOUT_MS,
+    bodyMs: receiveTimeoutMs,
+    ...options.receiveLimits,
+  };
+  const timeouts = new ReceiveTimeouts(
+    receiveLimits,
+    socket => lastResponses.get(socket),
+    (socket, part) => {
+      if (part === 'first-request') {
+        rejectInput(socket, false);
+        closeAfterReading(socket);
+        return;
+      }
+      onMalformedInput(TIMEOUT_CODE);
+      rejectMalformedInput(socket, lastResponses.get(socket), TIMEOUT_CODE);
+    },
+  );
+  server.on('close', () => timeouts.stop());
   server.on('connection', socket => {
+    timeouts.add(socket);
     // The HTTP server calls it after a response that closes the connection.
     socket.destroySoon = () => {
       if (isLastRequest(lastResponses.get(socket)?.req)) {
@@ -110,6 +149,7 @@
   return {
     server,
     address: formatAddress(server.address() as AddressInfo),
+    receiveLimits,
     closed: once(server, 'close'),
   };
 }
@@ -120,19 +160,22 @@
 }
 
 /**
- * Ends a connection after malformed input. Sends the error only if the client
- * cannot mistake it for the answer to an earlier request, which may be running.
+ * Ends a connection after malformed or overdue input, behind which nothing is handled.
+ * Sends the error only if the client cannot mistake it for the answer to an earlier
+ * request, which may be running.
  */
 function rejectMalformedInput(
   socket: Duplex,
   lastResponse: ServerResponse | undefined,
   code: string,
 ): void {
+  const isBody = lastResponse?.req.complete === false;
+  rejectInput(socket, isBody);
   if (lastResponse === undefined || lastResponse.closed) {
     endWithError(socket, code);
     return;
   }
-  if (lastResponse.req.complete) {
+  if (!isBody) {
     lastResponse.once('close', () => socket.end());
     return;
   }
--- a/src/proxy/peer_server.ts
+++ b/src/proxy/peer_server.ts
@@ -11,6 +11,7 @@
 } from '../model/peer.js';
 import {Settings} from '../model/settings.js';
 import {MemoryBudget} from './memory_budget.js';
+import {isBehindEnd} from './closing_connections.js';
 import {createBodyRefusal, readBody, releaseAfter} from './read_body.js';
 import {OutboundRequest} from './pending_calls.js';
 import {
@@ -134,6 +135,10 @@
       return;
     }
     releaseAfter(res, body.value.release);
+    if (isBehindEnd(req)) {
+      this.countBadInput('after_close');
+      return;
+    }
     this.attempts.set(attemptId, {
       key: attempt.key,
       outbound: {
--- a/src/proxy/read_body.ts
+++ b/src/proxy/read_body.ts
@@ -9,11 +9,14 @@
   MemoryHolder,
 } from './memory_budget.js';
 
-export type BodyError = 'too-large' | 'no-memory' | 'aborted';
+export type BodyError = 'too-large' | 'no-memory' | 'timeout' | 'aborted';
 
 /** Retry delay that is advised where there is no memory for a request. */
 const MEMORY_RETRY_AFTER_MS = 500;
 
+/** Longest delay of a timer. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 const EMPTY_BODY = new Uint8Array(0);
 
 /** A whole body. */
@@ -41,17 +44,20 @@
  * @param req - The request.
  * @param maxBytes - Largest body that is accepted, in bytes.
  * @param budget - Counts the body.
+ * @param timeoutMs - Time within which it must arrive, in milliseconds.
  * @returns The body, or why it was not received; never rejects.
  */
 export async function readBody(
   req: IncomingMessage,
   maxBytes: number,
   budget: MemoryBudget,
+  timeoutMs = Infinity,
 ): Promise<Received> {
   if (!hasBody(req)) {
     req.resume();
     return ok(NO_BODY);
   }
+  const startedAt = performance.now();
   const length = req.headers['content-length'];
   const announcedBytes = length === undefined ? undefined : Number(length);
   if (announcedBytes !== undefined && announcedBytes > maxBytes) {
@@ -65,7 +71,10 @@
   }
   const limits = {maxBytes, announcedBytes};
   const buffer = new BodyBuffer(budget, limits, reservedBytes);
-  return new Promise(resolve => new Upload(req, buffer, budget, resolve));
+  const endsAt = startedAt + timeoutMs;
+  return new Promise(
+    resolve => new Upload(req, buffer, budget, endsAt, resolve),
+  );
 }
 
 type Received = Result<ReceivedBody, BodyError>;
@@ -86,6 +95,8 @@
       return createRefusal('body_too_large');
     case 'no-memory':
       return createMemoryRefusal();
+    case 'timeout':
+      return createRefusal('receive_timeout');
     case 'aborted':
       return undefined;
   }
@@ -102,12 +113,28 @@
 
 /** One body in progress. */
 class Upload implements MemoryHolder {
+  private readonly timer?: NodeJS.Timeout;
+
+  /**
+   * @param req - The request.
+   * @param buffer - Holds what has arrived.
+   * @param budget - Counts it.
+   * @param endsAt - When it must be whole, by `performance.now()`.
+   * @param resolve - Called once, at the end.
+   */
   constructor(
     private readonly req: IncomingMessage,
     private readonly buffer: BodyBuffer,
     private readonly budget: MemoryBudget,
+    endsAt: number,
     private resolve: ((result: Received) => void) | undefined,
   ) {
+    if (endsAt < Infinity) {
+      // Timers come before input that arrived meanwhile; read it first.
+      const fail = () => setImmediate(() => this.fail('timeout'));
+      const leftMs = Math.max(0, endsAt - performance.now());
+      this.timer = setTimeout(fail, Math.min(leftMs, MAX_TIMER_MS));
+    }
     budget.addHolder(this);
     req.on('data', (chunk: Buffer) => this.append(chunk));
     req.on('end', () => this.finish());
@@ -186,6 +213,7 @@
     // The request refers to this object for as long as its connection is open, so that
     // the body must not be reachable from here.
     this.resolve = undefined;
+    clearTimeout(this.timer);
     this.budget.removeHolder(this);
     resolve?.(result);
   }
