Planned stop: wait until answers are written

Cause: a call ended for the core when its answer was handed to the socket, and the server's own closeIdleConnections counts a connection as idle once its response was handed over.

Evidence: the process exits with 0 at 2.8 s, the targets had written their answers 1.6 s before, and the connections end in order, so neither a kill nor a reset.

Change: ticks tell the core the unsent bytes of answers to callers and peers, and the stop isn't idle before they are written; the process waits for them until shortly before the end of the grace. Links are ended instead of reset. Idle connections are those without a response to write, in both daemons. What is cut is logged and counted.

--- a/src/core/mesh/graceful_shutdown.ts
+++ b/src/core/mesh/graceful_shutdown.ts
@@ -55,14 +55,19 @@
 }
 
 /**
- * Ends a planned stop once the proxy is idle, or at the stop deadline, where the
+ * Ends a planned stop once the proxy is idle and its answers are written, or at the stop deadline, where the
  * remaining calls and waiting attempts are refused. From then on nothing is taken,
  * so that no run begins whose connection the end of the process would close.
  * Peers are told, and what they have sent before is refused.
+ * @param state - This proxy's state.
+ * @param event - The tick.
+ * @param unsentBytes - Bytes of answers that are still to be written.
+ * @param emit - Receives effects.
  */
 export function endStopIfDue(
   state: MeshState,
   event: Pick<MeshEvent, 'at' | 'entropy'>,
+  unsentBytes: number,
   emit: MeshEmit,
 ): void {
   const {stopRequestedAt, work, calls, linkBacklog, settings} = state;
@@ -75,8 +80,9 @@
     return;
   }
   const {at} = event;
-  // Answers that are ready can wait for the bandwidth long after their runs.
+  // Answers can wait for the bandwidth, or for their readers, long after their runs.
   const idle =
+    unsentBytes === 0 &&
     calls.size === 0 &&
     work.running.size === 0 &&
     work.queue.length === 0 &&
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -154,7 +154,7 @@
   event: Extract<MeshEvent, {kind: 'tick'}>,
   emit: MeshEmit,
 ): void {
-  const {at, entropy, linkBytes} = event;
+  const {at, entropy, linkBytes, unsentBytes = 0} = event;
   recordLinkBytes(state, linkBytes, at);
   readSourceIfDue(state, at, entropy, emit);
   pullIfBehind(state, at, emit);
@@ -167,7 +167,7 @@
   tickMeshOwner(state, at, emit);
   tickCalls(state, event, emit);
   announceLeavingIfDue(state, at, emit);
-  endStopIfDue(state, event, emit);
+  endStopIfDue(state, event, unsentBytes, emit);
 }
 
 function reduceSourceAnswered(
--- a/src/core/mesh/mesh_types.ts
+++ b/src/core/mesh/mesh_types.ts
@@ -130,7 +130,15 @@
       /** Time since the process was started, in milliseconds. */
       readonly bootMs?: number;
     }
-  | {readonly kind: 'tick'; readonly linkBytes: LinkBytes}
+  | {
+      readonly kind: 'tick';
+      readonly linkBytes: LinkBytes;
+      /**
+       * Bytes of answers to callers and peers that are still to be written, while the
+       * proxy stops; absent: none.
+       */
+      readonly unsentBytes?: number;
+    }
   | {
       readonly kind: 'sourceAnswered';
       readonly request: SourceRequest;
--- a/src/mesh/link.ts
+++ b/src/mesh/link.ts
@@ -3,6 +3,7 @@
  * Small messages overtake the remaining chunks of large bodies.
  */
 import {Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {MAX_WHOLE_BODY_BYTES} from '../core/mesh/link_rate.js';
 import {UnreceivedReason} from '../core/mesh/mesh_types.js';
 import {
@@ -44,6 +45,9 @@
 const UPDATE_PING_AFTER_MS = 500;
 const UPDATE_PONG_TIMEOUT_MS = 1_000;
 
+/** Time in which a peer may end its side of a connection that this proxy has ended. */
+const LINGER_MS = 60;
+
 /** Least time between two questions to a peer for its callers. */
 const MIN_CONFIRMATION_GAP_MS = 60;
 
@@ -251,12 +255,34 @@
     if (this.closed) {
       return;
     }
+    this.release();
+    this.socket.destroy();
+    this.handlers.onClose(this);
+  }
+
+  /**
+   * Ends the connection after what was written. Input that is not read when a connection
+   * closes resets it, which discards what the peer has not received yet.
+   * @returns A promise that resolves once the peer has ended its side, too, or after
+   *     {@link LINGER_MS}.
+   */
+  async end(): Promise<void> {
+    if (this.closed) {
+      return;
+    }
+    this.release();
+    this.handlers.onClose(this);
+    const ended = new Promise(resolve => this.socket.once('close', resolve));
+    this.socket.end();
+    await Promise.race([ended, sleep(LINGER_MS)]);
+    this.socket.destroy();
+  }
+
+  private release(): void {
     this.closed = true;
     this.transfers.close();
     this.incoming.close();
     this.reader.close();
-    this.socket.destroy();
-    this.handlers.onClose(this);
   }
 
   /**
@@ -312,6 +338,9 @@
   }
 
   private receive(chunk: Buffer): void {
+    if (this.closed) {
+      return;
+    }
     this.delays.enter();
     this.lastReceivedAt = this.now();
     this.pingSentAt = undefined;
--- a/src/mesh/link_manager.ts
+++ b/src/mesh/link_manager.ts
@@ -101,10 +101,15 @@
     }
   }
 
+  /** Counts the bytes that were written and the operating system has not taken yet. */
+  countUnsentBytes(): number {
+    return [...this.allLinks].reduce((sum, link) => sum + link.unsentBytes, 0);
+  }
+
   /** Counts what is to be sent, and closes the slowest link if that is too much. */
   private countUnsent(): void {
     const links = [...this.allLinks];
-    const total = links.reduce((sum, {unsentBytes}) => sum + unsentBytes, 0);
+    const total = this.countUnsentBytes();
     this.unsent.release();
     this.unsent.add(total);
     if (total > MAX_UNSENT_BYTES) {
@@ -145,11 +150,11 @@
     return opening;
   }
 
-  /** Closes all links and stops listening. */
-  close(): void {
+  /** Stops listening and ends all links; resolves once they are closed. */
+  async close(): Promise<void> {
     this.closed = true;
     this.server?.close();
-    this.allLinks.forEach(link => link.close());
+    await Promise.all([...this.allLinks].map(link => link.end()));
   }
 
   private dial(address: string): Promise<Link | undefined> {
--- a/src/mesh/mesh_metrics.ts
+++ b/src/mesh/mesh_metrics.ts
@@ -24,7 +24,7 @@
   late_read:
     'Requests and attempts that were read late, by what was done with them.',
   source_call: 'Calls to the source, by kind or failure.',
-  stop_cut: 'Requests that the end of a planned stop cut, by role.',
+  stop_cut: 'Requests and answers that the end of a planned stop cut, by role.',
   version_adopted: 'Versions put in force, by where they came from.',
   update_ignored: 'Updates that changed nothing, by reason.',
   update_repaired: 'Questions to peers for missed updates, by cause.',
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -1,4 +1,5 @@
 /** Connects the core of a fleet proxy to sockets, timers and logs. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {isDeepStrictEqual} from 'node:util';
 import {brotliCompressSync, brotliDecompressSync, constants} from 'node:zlib';
 import {getEvacuatedZones} from '../core/mesh/evacuations.js';
@@ -35,7 +36,7 @@
 import {findUnconfirmed} from '../core/mesh/caller_presence.js';
 import {Clock, SystemClock} from '../proxy/clock.js';
 import {CoreLoop} from '../proxy/core_loop.js';
-import {Listener, listen} from '../proxy/listener.js';
+import {Listener, listen, stopAccepting} from '../proxy/listener.js';
 import {ReceiveLimits} from '../proxy/receive_timeouts.js';
 import {AttemptTransport} from './attempt_transport.js';
 import {BodyGrants} from './body_grants.js';
@@ -74,6 +75,10 @@
  */
 const FINAL_WRITES_MS = 150;
 
+/** Time left for the exit once nothing is waited for any more. */
+const EXIT_RESERVE_MS = 150;
+const WRITE_CHECK_INTERVAL_MS = 20;
+
 /** Platform-specific parts of a proxy, provided by an adapter. */
 export interface MeshAdapter {
   readonly headerNames: HeaderNames;
@@ -309,7 +314,8 @@
       const waiting = this.pacer.getWaiting();
       const arrivingMs = this.grants.getWaitingMs();
       const linkBytes = {received, sent, waiting, arrivingMs};
-      this.loop.post({kind: 'tick', linkBytes});
+      const unsentBytes = this.callers.stopping ? this.countUnsentBytes() : 0;
+      this.loop.post({kind: 'tick', linkBytes, unsentBytes});
       this.links.checkIfDue();
       this.memory.recordProgress();
     } finally {
@@ -391,23 +397,53 @@
     this.post({kind: 'stopRequested'});
   }
 
+  /** Counts the bytes of answers to callers and peers that are still to be written. */
+  private countUnsentBytes(): number {
+    const [callers] = this.listeners;
+    return (
+      callers.countUnsentBytes() +
+      this.links.countUnsentBytes() +
+      this.pacer.countWaitingBytes()
+    );
+  }
+
   /** Closes all sockets and timers, after the last responses are written. */
   async close(): Promise<void> {
     clearTimeout(this.timer);
     this.timer = undefined;
-    await new Promise(resolve => setTimeout(resolve, FINAL_WRITES_MS));
+    await sleep(FINAL_WRITES_MS);
+    await this.finishWrites();
     await this.closeSockets();
     this.log.write('daemon', 'info', 'Planned stop is complete.');
     await this.log.drain();
   }
 
+  /** Waits until answers in progress are written, until shortly before the grace ends. */
+  private async finishWrites(): Promise<void> {
+    const {stopRequestedAt = -Infinity, settings} = this.loop.state;
+    const endsAt = stopRequestedAt + settings.graceMs - EXIT_RESERVE_MS;
+    while (this.countUnsentBytes() > 0 && this.clock.now() < endsAt) {
+      await sleep(WRITE_CHECK_INTERVAL_MS);
+    }
+    const unsentBytes = this.countUnsentBytes();
+    if (stopRequestedAt > -Infinity && unsentBytes > 0) {
+      this.metrics.count('stop_cut', 'answer');
+      const message = 'Planned stop cuts answers that are still read.';
+      this.log.write('daemon', 'warn', message, {unsentBytes});
+    }
+  }
+
   private async closeSockets(): Promise<void> {
-    this.links.close();
-    for (const {server} of this.listeners) {
-      server.close();
-      server.closeIdleConnections();
+    const linksClosed = this.links.close();
+    for (const listener of this.listeners) {
+      stopAccepting(listener);
+      listener.closeIdle();
     }
-    await Promise.all([this.upstream.destroy(), this.source.close()]);
+    await Promise.all([
+      linksClosed,
+      this.upstream.destroy(),
+      this.source.close(),
+    ]);
   }
 
   /**
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -32,6 +32,7 @@
 
 /** How long an idle connection stays open for a last request at shutdown. */
 const IDLE_CONNECTION_GRACE_MS = 1_000;
+const IDLE_CHECK_INTERVAL_MS = 50;
 
 /** HTTP status for input that Node's parser rejects, by error code. */
 const STATUS_BY_ERROR_CODE: Readonly<Record<string, string>> = {
@@ -54,6 +55,10 @@
   readonly receiveLimits: ReceiveLimits;
   /** Resolves once the server has stopped and its last connection has ended. */
   readonly closed: Promise<unknown>;
+  /** Counts the bytes of responses that the operating system has not taken yet. */
+  countUnsentBytes(): number;
+  /** Closes the connections that have no response to write. */
+  closeIdle(): void;
 }
 
 /**
@@ -75,6 +80,7 @@
   handle: RequestListener,
   options: ListenerOptions = {},
 ): Promise<Listener> {
+  const sockets = new Set<NetSocket>();
   const lastResponses = new WeakMap<Duplex, ServerResponse>();
   const server = createServer(
     {
@@ -121,6 +127,8 @@
   );
   server.on('close', () => timeouts.stop());
   server.on('connection', socket => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
     timeouts.add(socket);
     // The HTTP server calls it after a response that closes the connection.
     socket.destroySoon = () => {
@@ -151,6 +159,16 @@
     address: formatAddress(server.address() as AddressInfo),
     receiveLimits,
     closed: once(server, 'close'),
+    countUnsentBytes: () =>
+      [...sockets].reduce((sum, {writableLength}) => sum + writableLength, 0),
+    closeIdle: () => {
+      for (const socket of sockets) {
+        const response = lastResponses.get(socket);
+        if (response === undefined || response.closed) {
+          socket.destroy();
+        }
+      }
+    },
   };
 }
 
@@ -219,12 +237,17 @@
 
 /**
  * Stops accepting connections, waits a grace period in which connections end
- * with their next answer, closes idle ones and waits for the rest.
+ * with their next answer, then closes those that are idle until none is left. The
+ * server's own method counts a connection as idle while its response is still written.
  * @param listener - The listener.
  */
 export async function closeGracefully(listener: Listener): Promise<void> {
   stopAccepting(listener);
-  await Promise.race([listener.closed, sleep(IDLE_CONNECTION_GRACE_MS)]);
-  listener.server.closeIdleConnections();
-  await listener.closed;
+  let isClosed = false;
+  const closed = listener.closed.then(() => (isClosed = true));
+  await Promise.race([closed, sleep(IDLE_CONNECTION_GRACE_MS)]);
+  while (!isClosed) {
+    listener.closeIdle();
+    await Promise.race([closed, sleep(IDLE_CHECK_INTERVAL_MS)]);
+  }
 }
--- a/test/mesh/attempt_transport.test.ts
+++ b/test/mesh/attempt_transport.test.ts
@@ -168,8 +168,8 @@
   });
 
   afterEach(() => {
-    entry.links.close();
-    owner.links.close();
+    void entry.links.close();
+    void owner.links.close();
     relay.stop();
   });
 
@@ -226,7 +226,7 @@
     const earlierOwner = owner;
     owner = new TestProxy(address, 2);
     await owner.links.listen('127.0.0.1:0');
-    earlierOwner.links.close();
+    void earlierOwner.links.close();
     relay.closeConnections();
     expect(await entry.waitForEvent('attemptLost')).to.deep.equal({
       kind: 'attemptLost',
@@ -236,7 +236,7 @@
   });
 
   it('reports that nothing was sent if no owner listens', async () => {
-    owner.links.close();
+    void owner.links.close();
     relay.stop();
     await entry.attempts.send(address, attempt, OUTBOUND);
     expect(await entry.waitForEvent('attemptLost')).to.deep.equal({
@@ -300,7 +300,7 @@
   });
 
   it('counts the time that an upload takes, though its caller is there', async () => {
-    entry.links.close();
+    void entry.links.close();
     entry = new TestProxy('127.0.0.1:1', 1, 2);
     const outbound = {...OUTBOUND, body: Buffer.alloc(60_000, 7)};
     const startedAt = performance.now();
@@ -333,7 +333,7 @@
 
   // It would take the bandwidth of answers that somebody waits for.
   it('drops the rest of an answer whose entry has cancelled', async () => {
-    owner.links.close();
+    void owner.links.close();
     owner = new TestProxy(address, 2, 0.1);
     await owner.links.listen('127.0.0.1:0');
     void entry.attempts.send(address, attempt, OUTBOUND);
@@ -352,7 +352,7 @@
   });
 
   it('never runs an upload for which there was no memory, and stops sending it', async () => {
-    entry.links.close();
+    void entry.links.close();
     entry = new TestProxy('127.0.0.1:1', 1, 2);
     owner.budget.add(MAX_HELD_BYTES);
     const outbound = {...OUTBOUND, body: Buffer.alloc(1_000_000, 7)};
@@ -398,7 +398,7 @@
   });
 
   it('sends a large answer again after its link broke halfway', async () => {
-    owner.links.close();
+    void owner.links.close();
     owner = new TestProxy(address, 2, 100);
     await owner.links.listen('127.0.0.1:0');
     void entry.attempts.send(address, attempt, OUTBOUND);
@@ -423,7 +423,7 @@
   it('cancels the attempt of an entry that does not reconnect', async () => {
     void entry.attempts.send(address, attempt, OUTBOUND);
     await owner.waitForEvent('attemptArrived');
-    entry.links.close();
+    void entry.links.close();
     expect(await owner.waitForEvent('attemptCancelled')).to.deep.equal({
       kind: 'attemptCancelled',
       attemptId,
--- a/test/mesh/link_manager.test.ts
+++ b/test/mesh/link_manager.test.ts
@@ -78,6 +78,6 @@
       ...[false, false, false, false],
       true,
     ]);
-    links.close();
+    void links.close();
   });
 });
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -145,6 +145,8 @@
 };
 
 export class MeshFixture {
+  /** Bytes of answers that the process has not written yet. */
+  unsentBytes = 0;
   at = 1_000;
   readonly state: MeshState;
   private effects: MeshEffect[] = [];
@@ -166,7 +168,10 @@
     const effects: MeshEffect[] = [];
     for (let remaining = ms; remaining > 0; remaining -= 25) {
       this.at += Math.min(25, remaining);
-      effects.push(...this.post({kind: 'tick', linkBytes: NO_BYTES}));
+      const {unsentBytes} = this;
+      effects.push(
+        ...this.post({kind: 'tick', linkBytes: NO_BYTES, unsentBytes}),
+      );
     }
     return effects;
   }
--- a/test/mesh/planned_stop.test.ts
+++ b/test/mesh/planned_stop.test.ts
@@ -44,6 +44,21 @@
 }
 
 describe('planned stop of a proxy', () => {
+  // Guards against LOST: the process ends while callers still read their answers.
+  it('lasts while answers are written, but not beyond its deadline', () => {
+    const durations = [0, 4_000, 60_000].map(writtenAfterMs => {
+      const proxy = createStopping();
+      const {at} = proxy;
+      proxy.unsentBytes = 1;
+      while (!proxy.state.stopped) {
+        proxy.advance(25);
+        proxy.unsentBytes = proxy.at - at >= writtenAfterMs ? 0 : 1;
+      }
+      return proxy.at - at;
+    });
+    expect(durations).toMatchSnapshot();
+  });
+
   it('dispatches nothing after it has decided to end, and tells its peers', () => {
     const proxy = createStopping();
     expect(endStop(proxy)).to.deep.equal([
