Connections: an end of input that a reset caused is an error

Callers saw: an upstream answers a long upload at once without a length, sends a part of the body and resets the connection; the part reaches the caller as a complete 200 (MIXED).

Cause: where the last bytes and the reset are there before the socket is read, Node.js emits the end of the stream and no error, or the error of the upload's write only after it, and the HTTP client completes the answer.

Evidence: a plain socket emits data, end, close for a request without a body, and data, end, "ECONNRESET write", close for one of 8 MB.

Change: before an end is passed on, the socket is asked for its peer, which a connection that was reset has no more; then it is destroyed with the error of a reset. Ruled out: comparing the order of errors, as no error comes for a request that was written whole.

--- a/src/proxy/connection_pools.ts
+++ b/src/proxy/connection_pools.ts
@@ -45,6 +45,28 @@
   });
 }
 
+/**
+ * Reports an end of input that a reset caused as an error. Where the last bytes and a
+ * reset arrive together, Node.js reads the bytes and reports an end instead of the error.
+ */
+function detectResetAtEnd(socket: Socket): void {
+  const push = socket.push.bind(socket);
+  socket.push = (chunk, encoding) => {
+    // A connection that was reset has no peer any more; one that was ended has.
+    if (chunk === null && socket.remoteAddress === undefined) {
+      socket.destroy(createResetError());
+      return false;
+    }
+    return push(chunk, encoding);
+  };
+}
+
+function createResetError(): NodeJS.ErrnoException {
+  const error: NodeJS.ErrnoException = new Error('The connection was reset.');
+  error.code = RESET_ERROR_CODE;
+  return error;
+}
+
 /** Creates a connector whose sockets report every reset as an error. */
 function createConnector(maxAnswerBytes: number): buildConnector.connector {
   const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
@@ -59,6 +81,7 @@
           cause.code = RESET_ERROR_CODE;
         }
       });
+      detectResetAtEnd(socket);
       limitAnswers(socket, maxAnswerBytes);
       callback(null, socket);
     });
--- a/test/proxy/unframed_answer.test.ts
+++ b/test/proxy/unframed_answer.test.ts
@@ -40,6 +40,54 @@
   );
 }
 
+interface ResetCase {
+  readonly uploadBytes: number;
+  readonly partBytes: number;
+  /** Time from the part to the reset; undefined: both are sent together. */
+  readonly delayMs?: number;
+}
+
+/** Gets a part of an answer from a server that reads nothing more and then resets. */
+async function exchangeCutByReset({
+  uploadBytes,
+  partBytes,
+  delayMs,
+}: ResetCase): Promise<string> {
+  const part = 'x'.repeat(partBytes);
+  const server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.pause();
+      socket.write(`HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n${part}`);
+      const reset = () => socket.resetAndDestroy();
+      if (delayMs === undefined) {
+        reset();
+      } else {
+        setTimeout(reset, delayMs);
+      }
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const pools = new ConnectionPools(1);
+  const {result} = startExchange(pools.get(`127.0.0.1:${port}`), {
+    method: 'POST',
+    path: '/',
+    headers: {},
+    body: new Uint8Array(uploadBytes),
+    timeoutMs: 5_000,
+    maxAnswerBytes: 20_000_000,
+  });
+  const answer = await result;
+  await pools.destroy();
+  server.close();
+  return answer.match(
+    ({body}) => `whole, ${body.length} of ${partBytes} bytes`,
+    failure => failure,
+  );
+}
+
 describe('answer without length', () => {
   it('is whole when the connection closes', async () => {
     expect(await exchangeEndedBy('close')).to.equal('whole half');
@@ -48,4 +96,23 @@
   it('is cut short when the connection is reset', async () => {
     expect(await exchangeEndedBy('reset')).to.equal('truncated');
   });
+
+  // Guards against MIXED: the end of input that a reset causes looks like a close.
+  it('is never whole where a reset ends it, whatever arrives first', async () => {
+    const ends = new Set<string>();
+    for (const uploadBytes of [0, 1_000, 8_000_000]) {
+      for (const partBytes of [4, 60_000, 3_000_000]) {
+        for (const delayMs of [undefined, 0, 2, 30]) {
+          const end = await exchangeCutByReset({
+            uploadBytes,
+            partBytes,
+            delayMs,
+          });
+          // A reset may also overtake the head.
+          ends.add(end === 'reset' ? 'truncated' : end);
+        }
+      }
+    }
+    expect([...ends]).to.deep.equal(['truncated']);
+  });
 });
