Crash suspects: send them to proxies whose links open later

Cause: suspects were broadcast once, over the links that were open at the crash.

Change: whoever a link opens to is sent the newest suspects, if there are any.

--- a/src/core/mesh/crash_detection.ts
+++ b/src/core/mesh/crash_detection.ts
@@ -205,3 +205,23 @@
     .slice(0, MAX_SUSPECTS_PER_MESSAGE);
   broadcastToPeers(state, {kind: 'suspects', suspects}, emit);
 }
+
+/**
+ * Sends the newest suspects to a proxy whose link has opened: it may have started, or
+ * was cut off, since they were broadcast.
+ * @param state - This proxy's state.
+ * @param to - The proxy.
+ * @param emit - Receives effects.
+ */
+export function sendSuspects(
+  {suspects: {byFingerprint}}: MeshState,
+  to: string,
+  emit: MeshEmit,
+): void {
+  if (byFingerprint.size > 0) {
+    const suspects = [...byFingerprint.values()].slice(
+      -MAX_SUSPECTS_PER_MESSAGE,
+    );
+    emit({kind: 'sendMessage', to, message: {kind: 'suspects', suspects}});
+  }
+}
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -33,7 +33,7 @@
   handleUpstreamAnswer,
   handleDispatchFailure,
 } from './dispatch_results.js';
-import {handleConnectProbe} from './crash_detection.js';
+import {sendSuspects, handleConnectProbe} from './crash_detection.js';
 import {recordLinkBytes} from './link_load.js';
 import {takeLinksToPrepare} from './link_preparation.js';
 import {getNeighbours} from './broadcast_tree.js';
@@ -266,6 +266,7 @@
   const heardRevision = isListCurrent(state, at) ? 0 : revision;
   const heard = {from, version, revision: heardRevision};
   pullHeardState(state, heard, at, emit);
+  sendSuspects(state, from, emit);
 }
 
 /**
--- a/test/mesh/owner.test.ts
+++ b/test/mesh/owner.test.ts
@@ -167,6 +167,32 @@
     expect(owner.state.suspects.byFingerprint.size).to.equal(0);
   });
 
+  // Guards against BUDGET: a restarted proxy lets a quarantined request crash upstreams.
+  it('sends the requests of crashes to proxies whose links open later', () => {
+    const owner = createOwner();
+    for (const attemptId of ['a', 'b']) {
+      deliverAttempt(owner, attemptId, {fingerprint: 'poison'});
+      owner.post({kind: 'upstreamFailed', attemptId, failure: 'reset'});
+      owner.post({kind: 'connectProbed', accepted: false});
+      owner.post({kind: 'connectProbed', accepted: true});
+    }
+    const restarted = createOwner();
+    const from = '10.0.0.9:7000';
+    const hello = createHello({address: from, incarnation: 2});
+    const effects = owner.post({kind: 'messageReceived', from, message: hello});
+    for (const effect of effects) {
+      if (effect.kind === 'sendMessage' && effect.to === from) {
+        const {message} = effect;
+        restarted.post({kind: 'messageReceived', from, message});
+      }
+    }
+    restarted.drainEffects();
+    deliverAttempt(restarted, 'c', {fingerprint: 'poison'});
+    expect(restarted.drainEffects()).to.deep.equal([
+      'finishAttempt c crash_suspected reached=false',
+    ]);
+  });
+
   it('refuses only the request that was running at two crashes', () => {
     const owner = createOwner();
     for (const attemptId of ['a', 'b']) {
