Listener: the rest of a slow body is no head of a next request

A body that spanned a check of the receive timeouts, with its answer before the next check, left a connection that was taken to have begun a head: it got 408 while idle. Bytes count as a head only on a connection that was idle at the check before.

Also the bytes of a connection that keeps many requests open follow what is counted for them.

--- a/src/core/mesh/graceful_shutdown.ts
+++ b/src/core/mesh/graceful_shutdown.ts
@@ -55,9 +55,10 @@
 }
 
 /**
- * Ends a planned stop once the proxy is idle and its answers are written, or at the stop deadline, where the
- * remaining calls and waiting attempts are refused. From then on nothing is taken,
- * so that no run begins whose connection the end of the process would close.
+ * Ends a planned stop once the proxy is idle and its answers are written, or at the stop
+ * deadline, where the remaining calls and waiting attempts are refused. From then on
+ * nothing is taken, so that no run begins whose connection the end of the process would
+ * close.
  * Peers are told, and what they have sent before is refused.
  * @param state - This proxy's state.
  * @param event - The tick.
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -33,7 +33,7 @@
   handleUpstreamAnswer,
   handleDispatchFailure,
 } from './dispatch_results.js';
-import {sendSuspects, handleConnectProbe} from './crash_detection.js';
+import {handleConnectProbe, sendSuspects} from './crash_detection.js';
 import {recordLinkBytes} from './link_load.js';
 import {takeLinksToPrepare} from './link_preparation.js';
 import {getNeighbours} from './broadcast_tree.js';
--- a/src/mesh/caller_connections.ts
+++ b/src/mesh/caller_connections.ts
@@ -188,7 +188,10 @@
       endedRequests: 0,
       holder: {
         get heldBytes() {
-          return connection.requests.size * REQUEST_BYTES;
+          return [...connection.requests].reduce(
+            (sum, {hold}) => sum + hold.heldBytes,
+            0,
+          );
         },
         getProgress: () => connection.endedRequests,
         evict: () => socket.destroy(),
--- a/src/proxy/memory_hold.ts
+++ b/src/proxy/memory_hold.ts
@@ -7,6 +7,11 @@
 
   constructor(private readonly budget: MemoryBudget) {}
 
+  /** Bytes that are counted now. */
+  get heldBytes(): number {
+    return this.bytes;
+  }
+
   /**
    * Reserves further bytes.
    * @returns False if there is no room.
--- a/src/proxy/receive_timeouts.ts
+++ b/src/proxy/receive_timeouts.ts
@@ -18,11 +18,11 @@
   bodyMs?: number;
 }
 
-/** What a client is to send next. */
-type Phase = 'first-request' | 'head' | 'body' | 'next-request';
-
 /** What a client took too long to send. */
-export type OverduePart = Exclude<Phase, 'next-request'>;
+export type OverduePart = 'first-request' | 'head' | 'body';
+
+/** What a client is to send next; nothing while it waits for an answer. */
+type Phase = OverduePart | 'nothing' | 'next-request';
 
 interface Progress {
   phase: Phase;
@@ -102,6 +102,7 @@
       latest !== response ||
       getPhase(socket, latest, progress) !== phase ||
       (overdue === 'silence' && socket.bytesRead !== bytesRead) ||
+      phase === 'nothing' ||
       phase === 'next-request'
     ) {
       return;
@@ -127,8 +128,9 @@
           return 'phase';
         }
         return silentMs >= idleMs ? 'silence' : undefined;
+      case 'nothing':
       case 'next-request':
-        // The keep-alive timeout of the server limits it.
+        // The keep-alive timeout of the server limits the latter.
         return undefined;
     }
   }
@@ -146,9 +148,11 @@
     return 'body';
   }
   if (response !== known || !response.closed) {
-    return 'next-request';
+    return 'nothing';
   }
-  // A head that began before the last check is not recognized until more of it arrives.
-  const hasBegun = phase === 'head' || socket.bytesRead > bytesRead;
-  return hasBegun ? 'head' : 'next-request';
+  // Bytes since the last check may belong to the request that was answered meanwhile. A
+  // head that began before this check is not recognized until more of it arrives.
+  const wasIdle = phase === 'next-request';
+  const hasBegun = wasIdle && socket.bytesRead > bytesRead;
+  return phase === 'head' || hasBegun ? 'head' : 'next-request';
 }
--- a/test/proxy/receive_timeouts.test.ts
+++ b/test/proxy/receive_timeouts.test.ts
@@ -29,7 +29,7 @@
   let client: Socket;
   let received: string;
 
-  async function start(idleMs?: number): Promise<void> {
+  async function start(idleMs?: number, bodyMs?: number): Promise<void> {
     handled = [];
     malformed = [];
     received = '';
@@ -46,7 +46,12 @@
           res.end('done');
         }
       },
-      idleMs === undefined ? {} : {receiveLimits: {idleMs}},
+      {
+        receiveLimits: {
+          ...(idleMs === undefined ? {} : {idleMs}),
+          ...(bodyMs === undefined ? {} : {bodyMs}),
+        },
+      },
     );
     const {port} = listener.server.address() as AddressInfo;
     client = connect({port, host: '127.0.0.1', allowHalfOpen: true});
@@ -85,6 +90,18 @@
     expect(handled).to.deep.equal(['/charge']);
   });
 
+  // The rest of a body that arrives between two checks is no head of a next request.
+  it('is answered on a connection that was idle after a slow body', async () => {
+    await start(undefined, 10_000);
+    client.write(`${HEAD}bo`);
+    await delay(1_200);
+    client.write('dy');
+    await delay(2 * LATE_MS);
+    client.write(`${HEAD}body`);
+    const statuses = await readStatuses();
+    expect(statuses).to.deep.equal(['HTTP/1.1 200', 'HTTP/1.1 200']);
+  });
+
   it('is not run after a 408 for its head', async () => {
     await start();
     client.write(HEAD.slice(0, 30));
