--- a/test/mesh/owner.test.ts
+++ b/test/mesh/owner.test.ts
@@ -25,6 +25,16 @@
   owner.post({kind: 'attemptArrived', attempt});
 }
 
+/** Lets the upstream crash in two runs of a request. */
+function crashTwice(owner: MeshFixture, fingerprint: string): void {
+  for (const attemptId of ['a', 'b']) {
+    deliverAttempt(owner, attemptId, {fingerprint});
+    owner.post({kind: 'upstreamFailed', attemptId, failure: 'reset'});
+    owner.post({kind: 'connectProbed', accepted: false});
+    owner.post({kind: 'connectProbed', accepted: true});
+  }
+}
+
 function answerAttempt(
   owner: MeshFixture,
   attemptId: string,
@@ -170,12 +180,7 @@
   // Guards against BUDGET: a restarted proxy lets a quarantined request crash upstreams.
   it('sends the requests of crashes to proxies whose links open later', () => {
     const owner = createOwner();
-    for (const attemptId of ['a', 'b']) {
-      deliverAttempt(owner, attemptId, {fingerprint: 'poison'});
-      owner.post({kind: 'upstreamFailed', attemptId, failure: 'reset'});
-      owner.post({kind: 'connectProbed', accepted: false});
-      owner.post({kind: 'connectProbed', accepted: true});
-    }
+    crashTwice(owner, 'poison');
     const restarted = createOwner();
     const from = '10.0.0.9:7000';
     const hello = createHello({address: from, incarnation: 2});
@@ -195,12 +200,7 @@
 
   it('refuses only the request that was running at two crashes', () => {
     const owner = createOwner();
-    for (const attemptId of ['a', 'b']) {
-      deliverAttempt(owner, attemptId, {fingerprint: 'poison'});
-      owner.post({kind: 'upstreamFailed', attemptId, failure: 'reset'});
-      owner.post({kind: 'connectProbed', accepted: false});
-      owner.post({kind: 'connectProbed', accepted: true});
-    }
+    crashTwice(owner, 'poison');
     owner.drainEffects();
     deliverAttempt(owner, 'c', {fingerprint: 'poison'});
     deliverAttempt(owner, 'd', {fingerprint: 'other'});
