--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -86,6 +86,8 @@
   revision = 100;
   items = new Map();
   changes = [];
+  /** Readings of lists: `{prefix, at}`. */
+  readings = [];
 
   async start() {
     this.server = http.createServer((req, res) => {
@@ -129,6 +131,7 @@
       return item ? send(200, {...item, ...at}) : send(404, {});
     }
     if (url.pathname === '/kv-range') {
+      this.readings.push({prefix: get('prefix'), at: performance.now()});
       const all = [...this.items.values()]
         .filter(({key}) => key.startsWith(get('prefix')) && key > get('after'))
         .sort((a, b) => (a.key < b.key ? -1 : 1));
--- a/review/lib-3/target.mjs
+++ b/review/lib-3/target.mjs
@@ -11,11 +11,14 @@
   /** Runs that have begun: `{id, path, at, ended}`. */
   runs = [];
   sockets = new Set();
+  /** Whole answers that were written on each connection. */
+  answers = new WeakMap();
 
   /**
    * @param machine - Its machine.
-   * @param work - Returns `{ms, body, unframed}` for a request: how long it takes, its
-   *     answer's body, and whether the answer ends with its connection.
+   * @param work - Returns `{ms, body, unframed, stray, crash}` for a request: how long it
+   *     takes, its answer's body, whether the answer ends with its connection, bytes that
+   *     come before it and belong to no request, and what is done in place of an answer.
    */
   constructor(machine, work) {
     this.machine = machine;
@@ -47,6 +50,8 @@
       id,
       path: req.url,
       target: this.machine.n,
+      /** Whole answers before it on its connection. */
+      answersBefore: this.answers.get(req.socket) ?? 0,
       at: performance.now(),
       ended: undefined,
     };
@@ -55,14 +60,20 @@
       ms = 0,
       body = `whole answer to ${id}`,
       unframed = false,
+      stray,
       crash,
-    } = this.work(req, run) ?? {};
+    } = this.work(req, run);
     if (crash !== undefined) {
       crash(res, head);
       return;
     }
+    if (stray !== undefined) {
+      req.socket.write(stray);
+    }
+    const {socket} = req;
     const timer = setTimeout(() => {
       run.ended = 'answered';
+      this.answers.set(socket, run.answersBefore + 1);
       const headers = {...head, 'x-response-signature': `signature-of-${id}`};
       if (unframed) {
         res.useChunkedEncodingByDefault = false;
