--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -23,7 +23,7 @@
 const DRAIN_MS = 2_000;
 /** With four of nine targets left, most of their slots are in use. */
 const WORK_MS = 100;
-const CALL_EVERY_MS = 15;
+const CALL_EVERY_MS = 12;
 const SERVES_ON_MS = 6_000;
 const HOUR_MS = 3_600_000;
 
@@ -94,6 +94,10 @@
           `${id} reached target ${leaving.n} ${Math.round(at - removedAt)} ms after the removal`,
         ),
       );
+    const readings = store.readings
+      .filter(({prefix, at}) => prefix === 'servers/' && at > removedAt - 1_000)
+      .map(({at}) => Math.round(at - removedAt));
+    record(`the list was read ${readings.slice(0, 12).join(', ')} ms after it`);
     const last = Math.max(0, ...target.runs.map(({at}) => at - removedAt));
     record(
       `${late.length} requests reached it later than ${DRAIN_MS} ms after it; the last one after ${Math.round(last)} ms`,
