--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -5,6 +5,7 @@
 import {getEvacuatedZones} from '../core/mesh/evacuations.js';
 import {getColdRate} from '../core/mesh/cold_limit.js';
 import {reduceMesh} from '../core/mesh/mesh_core.js';
+import {addAge} from '../core/mesh/message_ages.js';
 import {MeshSettings} from '../core/mesh/mesh_settings.js';
 import {
   MeshState,
@@ -568,7 +569,8 @@
         message.kind === 'state' && message.hasConfig
           ? this.decodeConfig(body)
           : undefined;
-      this.loop.post({kind: 'messageReceived', from, message, config});
+      const aged = addAge(message, ageMs);
+      this.loop.post({kind: 'messageReceived', from, message: aged, config});
     }
   }
 
@@ -647,11 +649,13 @@
     if (to === this.settings.listen.peers) {
       return;
     }
+    const createdAt = this.clock.now();
     const link = this.links.find(to) ?? (await this.links.open(to));
     if (link === undefined) {
       return;
     }
-    link.send(message, config === undefined ? undefined : this.encode(config));
+    const sent = addAge(message, this.clock.now() - createdAt);
+    link.send(sent, config === undefined ? undefined : this.encode(config));
   }
 
   /** Compresses a configuration once for all peers that ask for it. */
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -5,6 +5,7 @@
  */
 import {findUnconfirmed} from '../../../src/core/mesh/caller_presence.js';
 import {reduceMesh} from '../../../src/core/mesh/mesh_core.js';
+import {addAge} from '../../../src/core/mesh/message_ages.js';
 import {MeshState, createMeshState} from '../../../src/core/mesh/mesh_state.js';
 import {
   EvacuationReading,
@@ -445,12 +446,7 @@
           if (to.silentPeers.has(node)) {
             return;
           }
-          this.postLater(to, LINK_LATENCY_MS + ms, {
-            kind: 'messageReceived',
-            from: node.address,
-            message,
-            config,
-          });
+          this.deliver(node, to, LINK_LATENCY_MS + ms, message, config);
         }
         return;
       }
@@ -511,6 +507,38 @@
     }
   }
 
+  /**
+   * Delivers a message after a delay. A process that stands still reads it later, and
+   * knows from its links how long it was on its way.
+   */
+  private deliver(
+    from: Node,
+    to: Node,
+    ms: number,
+    message: PeerMessage,
+    config: MeshConfig | undefined,
+  ): void {
+    const {state} = to;
+    const sentAt = this.clock.now;
+    const read = () => {
+      const {now} = this.clock;
+      if (to.state !== state) {
+        return;
+      }
+      if (now < to.frozenUntil) {
+        this.after(to.frozenUntil - now, read);
+        return;
+      }
+      this.post(to, {
+        kind: 'messageReceived',
+        from: from.address,
+        message: addAge(message, now - sentAt - LINK_LATENCY_MS),
+        config,
+      });
+    };
+    this.after(ms, read);
+  }
+
   /** Ends a stopped process as late as its runtime, which writes last answers. */
   private endAfterFinalWrites(node: Node): void {
     const {state} = node;
