--- a/src/core/hashing.ts
+++ b/src/core/hashing.ts
@@ -83,6 +83,16 @@
   return winner;
 }
 
+/**
+ * Draws a fraction that is the same whenever it is drawn again for the same subject.
+ * @param subject - What it is drawn for.
+ * @param id - Who draws.
+ * @returns A fraction from 0 to below 1, evenly distributed.
+ */
+export function getHashFraction(subject: string, id: string): number {
+  return getRendezvousScore(subject, id) / 2 ** 32;
+}
+
 function getRendezvousScore(subject: string, id: string): number {
   return murmur(subject).hash('\u0000').hash(id).result();
 }
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -84,11 +84,11 @@
 }
 
 function reduceEvent(state: MeshState, event: MeshEvent, emit: MeshEmit): void {
-  const {at, entropy} = event;
+  const {at} = event;
   switch (event.kind) {
     case 'started':
       markProxyStarted(state, event.bootMs ?? 0, at);
-      return readSourceIfDue(state, at, entropy, emit);
+      return readSourceIfDue(state, at, emit);
     case 'tick':
       return reduceTick(state, event, emit);
     case 'sourceAnswered':
@@ -156,7 +156,7 @@
 ): void {
   const {at, entropy, linkBytes, unsentBytes = 0} = event;
   recordLinkBytes(state, linkBytes, at);
-  readSourceIfDue(state, at, entropy, emit);
+  readSourceIfDue(state, at, emit);
   pullIfBehind(state, at, emit);
   pullIfSilent(state, at, entropy, emit);
   announceVersionIfDue(state, at, entropy, emit);
--- a/src/core/mesh/mesh_settings.ts
+++ b/src/core/mesh/mesh_settings.ts
@@ -30,6 +30,11 @@
   readonly linkMbps: number;
   /** Interval of the reads of the fleet while the source answers. */
   readonly readIntervalMs: number;
+  /**
+   * Age of the list of upstreams, in milliseconds, at which this proxy reads it itself,
+   * however many others were to read it before.
+   */
+  readonly maxListAgeMs: number;
   /** Time for which requests that crash upstreams are refused. */
   readonly quarantineMs: number;
   readonly policy: Pick<Policy, 'chooser'>;
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -38,16 +38,11 @@
   recordReadFailure,
   recordReadSuccess,
 } from './source_read_state.js';
+import {OutageEvidence, findOutage} from './source_outage.js';
 import {isReadDue, recordReading} from './source_schedule.js';
 import {broadcastUpdate} from './peer_updates.js';
 import {getEra} from './source_position.js';
 
-/**
- * Knowledge age in heartbeat intervals above which registrations may have expired
- * although their upstreams still run: the source expires them after three.
- */
-const EXPIRY_SUSPECTED_HEARTBEATS = 2;
-
 /**
  * At startup, a proxy waits this long per position in its zone's order for a
  * peer to send the configuration before it reads the source itself. A large
@@ -77,10 +72,9 @@
 export function readSourceIfDue(
   state: MeshState,
   at: number,
-  entropy: number,
   emit: MeshEmit,
 ): void {
-  if (isReadDue(state, at, entropy)) {
+  if (isReadDue(state, at)) {
     state.sourceReads.fleetReadPending = true;
     // Until peers are known, each proxy has to read by itself.
     const mayBeStale = state.fleet.instances.size === 0;
@@ -192,11 +186,11 @@
   logSourceRecovery(state, at, emit);
   const {freshAt} = sourceReads;
   const knowledgeAgeMs = at - freshAt;
-  const mayHaveExpired =
-    Number.isFinite(freshAt) &&
-    knowledgeAgeMs > settings.heartbeatMs * EXPIRY_SUSPECTED_HEARTBEATS;
-  if (fleet.revision > 0 && mayHaveExpired) {
+  const {heartbeatMs} = settings;
+  const outage = findOutage(fleet, answer, knowledgeAgeMs, heartbeatMs);
+  if (outage !== undefined) {
     fleet.removalsHeldUntil = at + REREGISTRATION_MS;
+    logOutage(outage, knowledgeAgeMs, emit);
   }
   recordReadSuccess(sourceReads, at, mayBeStale);
   sourceReads.firstListedAt ??= at;
@@ -224,6 +218,28 @@
   broadcastUpdate(state, update, ids.size > 0, at, emit);
 }
 
+/** Logs that upstreams which the source no longer lists are kept for a while. */
+function logOutage(
+  {writes, expectedWrites}: OutageEvidence,
+  ageMs: number,
+  emit: MeshEmit,
+): void {
+  emit({kind: 'count', counter: 'source_call', reason: 'outage_suspected'});
+  emit({
+    kind: 'log',
+    level: 'info',
+    part: 'source',
+    message:
+      'Source may have been away; keeping upstreams until they register again.',
+    fields: {
+      knowledgeAgeMs: Math.round(ageMs),
+      writes,
+      expectedWrites,
+      heldMs: REREGISTRATION_MS,
+    },
+  });
+}
+
 /** Logs that the source continues from an earlier copy of its data. */
 function logRestore(known: number, revision: number, emit: MeshEmit): void {
   if (known === 0 || getEra(revision) === getEra(known)) {
--- a/src/core/mesh/source_schedule.ts
+++ b/src/core/mesh/source_schedule.ts
@@ -5,28 +5,65 @@
  * broadcasts an update, which restarts the others' delays. If it cannot read or
  * has gone, the delay of rank 1 ends next. Who has read in place of others goes on
  * without a delay until another proxy reads: the source may not answer those.
+ *
+ * Any number of those that rank first may be gone, so all delays end by the age at
+ * which a list may no longer be used. The proxies without a delay of their own share
+ * the rest of the time: most draw a delay near its end, so that few read at once even
+ * in a large fleet.
  */
+import {getHashFraction} from '../hashing.js';
 import {isEarlier} from './fleet_view.js';
+import {MeshSettings} from './mesh_settings.js';
 import {MeshState, getLinkAddress, getOwnInstance} from './mesh_state.js';
 
-/** Delay that each rank adds; covers a read and the broadcast of its update. */
-const RANK_DELAY_MS = 250;
+/** Largest delay that a rank adds; covers a read and the broadcast of its update. */
+const MAX_RANK_DELAY_MS = 250;
 
-/** Ranks are capped at this one, whose delay has a random part. */
-const MAX_RANK = 5;
-const MAX_RANK_JITTER_MS = 600;
+/** Ranks from this one on draw their delays. */
+const FIRST_DRAWN_RANK = 2;
+
+/** Part of the time for delays that each rank before those adds at most. */
+const RANK_DELAY_SHARE = 1 / 3;
 
 /**
- * Records a reading of the fleet. One that came late enough for the delay of a rank
- * stands in for a proxy that ranks first and did not read.
+ * Factor on the largest delay while this proxy has only a list that may be stale. It has
+ * just started, like all others perhaps, and need not be up to date yet.
+ */
+const START_DELAY_FACTOR = 2;
+
+/** Gets the time after the read interval at which the last proxy reads. */
+function getMaxDelayMs({maxListAgeMs, readIntervalMs}: MeshSettings): number {
+  return Math.max(0, maxListAgeMs - readIntervalMs);
+}
+
+function getRankDelayMs(settings: MeshSettings): number {
+  return Math.min(
+    MAX_RANK_DELAY_MS,
+    getMaxDelayMs(settings) * RANK_DELAY_SHARE,
+  );
+}
+
+/**
+ * Reports whether a reading comes late enough for the delay of a rank: a proxy that
+ * ranks first did not read.
+ * @param ageMs - Age of what is known, in milliseconds.
+ */
+function isInPlaceOfOthers(settings: MeshSettings, ageMs: number): boolean {
+  return (
+    Number.isFinite(ageMs) &&
+    ageMs >= settings.readIntervalMs + getRankDelayMs(settings)
+  );
+}
+
+/**
+ * Records a reading of the fleet.
  * @param ageMs - Age of what was known until now, in milliseconds.
  */
 export function recordReading(state: MeshState, ageMs: number): void {
   const {sourceReads, settings} = state;
-  const isInPlace =
-    Number.isFinite(ageMs) && ageMs >= settings.readIntervalMs + RANK_DELAY_MS;
   sourceReads.standsIn =
-    isInPlace || (sourceReads.standsIn && isLatestReader(state));
+    isInPlaceOfOthers(settings, ageMs) ||
+    (sourceReads.standsIn && isLatestReader(state));
 }
 
 /** Reports whether this proxy made the latest reading that it knows of. */
@@ -41,7 +78,7 @@
 function getReaderRank(state: MeshState): number {
   const own = getOwnInstance(state);
   if (own === undefined || state.stopRequestedAt !== undefined) {
-    return MAX_RANK;
+    return FIRST_DRAWN_RANK;
   }
   if (state.sourceReads.standsIn && isLatestReader(state)) {
     return 0;
@@ -55,20 +92,40 @@
       rank += 1;
     }
   }
-  return Math.min(rank, MAX_RANK);
+  return Math.min(rank, FIRST_DRAWN_RANK);
+}
+
+/** Gets the delay after the read interval, in milliseconds. */
+function getDelayMs(state: MeshState): number {
+  const {settings, sourceReads} = state;
+  const rank = getReaderRank(state);
+  const rankedMs = rank * getRankDelayMs(settings);
+  if (rank < FIRST_DRAWN_RANK) {
+    return rankedMs;
+  }
+  const isStarting = !Number.isFinite(sourceReads.freshAt);
+  const maxMs = getMaxDelayMs(settings) * (isStarting ? START_DELAY_FACTOR : 1);
+  return rankedMs + drawDelayMs(state, maxMs - rankedMs);
+}
+
+/**
+ * Draws a delay whose density grows exponentially up to its bound, the faster the
+ * larger the fleet: whatever its size, about equally few proxies read before the
+ * update of the first one has arrived. The draw stays the same until the next list.
+ * @param boundMs - Largest delay, in milliseconds.
+ */
+function drawDelayMs({settings, fleet}: MeshState, boundMs: number): number {
+  const growth = 1 + Math.log(Math.max(1, fleet.instances.size));
+  const fraction = getHashFraction(`${fleet.revision}`, settings.address);
+  return (boundMs * Math.log1p(fraction * Math.expm1(growth))) / growth;
 }
 
 /**
  * Reports whether a read of the fleet is due.
  * @param state - This proxy's state.
  * @param at - Now, in milliseconds.
- * @param entropy - A random unsigned 32-bit integer.
  */
-export function isReadDue(
-  state: MeshState,
-  at: number,
-  entropy: number,
-): boolean {
+export function isReadDue(state: MeshState, at: number): boolean {
   const {sourceReads, settings} = state;
   // A listing that may be stale is to be replaced soon, but not by all proxies of a
   // fleet that has just started: it restarts the delays, without the interval.
@@ -84,9 +141,5 @@
   ) {
     return false;
   }
-  const rank = getReaderRank(state);
-  const jitterMs =
-    rank < MAX_RANK ? 0 : (entropy / 2 ** 32) * MAX_RANK_JITTER_MS;
-  const waitMs = settings.readIntervalMs + rank * RANK_DELAY_MS + jitterMs;
-  return ageMs >= waitMs;
+  return ageMs >= settings.readIntervalMs + getDelayMs(state);
 }
--- a/src/mesh/mesh_runtime.ts
+++ b/src/mesh/mesh_runtime.ts
@@ -116,6 +116,12 @@
  */
 const READ_INTERVAL_SHARE = 0.3;
 
+/**
+ * Age of the list at which every proxy reads it, as a share of the same time. The rest is
+ * for the reading itself on a busy VM.
+ */
+const MAX_LIST_AGE_SHARE = 0.7;
+
 type Loop = CoreLoop<MeshState, MeshEventBody, MeshEffect>;
 
 /** A running proxy: performs the effects of its core and posts events to it. */
@@ -750,6 +756,7 @@
   startedAt: number,
 ): MeshSettings {
   const {listen: addresses, retries} = settings;
+  const boundMs = Math.min(settings.drainMs, settings.configApplyMs);
   return {
     address: addresses.peers,
     zone: settings.zone,
@@ -765,9 +772,8 @@
     scarceSlots: settings.scarceSlots,
     graceMs: settings.graceMs,
     linkMbps: settings.linkMbps,
-    readIntervalMs:
-      settings.readIntervalMs ??
-      Math.min(settings.drainMs, settings.configApplyMs) * READ_INTERVAL_SHARE,
+    readIntervalMs: settings.readIntervalMs ?? boundMs * READ_INTERVAL_SHARE,
+    maxListAgeMs: boundMs * MAX_LIST_AGE_SHARE,
     quarantineMs: settings.quarantineMs,
     policy: DEFAULT_POLICY,
   };
--- a/test/mesh/mesh_fixture.ts
+++ b/test/mesh/mesh_fixture.ts
@@ -140,6 +140,7 @@
   graceMs: 6_000,
   linkMbps: 1_000,
   readIntervalMs: 600,
+  maxListAgeMs: 1_400,
   quarantineMs: 60_000,
   policy: DEFAULT_POLICY,
 };
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -185,6 +185,7 @@
     {revision: number; readonly at: number}
   >();
   private readonly drainedAt = new Map<string, number>();
+  private readonly removedAt = new Map<string, number>();
   readonly lags: Lag[] = [];
   /** Reads of the source, by kind. */
   readonly sourceCalls = new Map<string, number>();
@@ -324,6 +325,11 @@
             this.addLag(node, `drain of ${id}`, since);
           }
         }
+        for (const [id, since] of this.removedAt) {
+          if (node.state.fleet.instances.has(id)) {
+            this.addLag(node, `removal of ${id}`, since);
+          }
+        }
       }
     }
   }
@@ -458,6 +464,13 @@
             this.addLag(node, `drain of ${id}`, since);
           }
         }
+        if (effect.message === 'Upstream removed.') {
+          const id = String(effect.fields.instance);
+          const since = this.removedAt.get(id);
+          if (since !== undefined) {
+            this.addLag(node, `removal of ${id}`, since);
+          }
+        }
         return;
       case 'sendAttempt':
         return this.sendAttempt(node, effect.to, effect.attempt);
@@ -950,6 +963,26 @@
     this.revision += 1;
   }
 
+  /** Removes an upstream's registration without a drain; the upstream serves on. */
+  deregister(node: Node): void {
+    node.registered = false;
+    this.removedAt.set(node.instance.id, this.clock.now);
+    this.revision += 1;
+  }
+
+  /** Lets each upstream that is registered and runs renew its registration. */
+  startHeartbeats(intervalMs: number): void {
+    for (const node of this.nodes) {
+      const beat = () => {
+        if (node.registered && !node.upstreamDown && this.sourceUp) {
+          this.register(node, {});
+        }
+        this.after(intervalMs, beat);
+      };
+      this.after(intervalMs * this.chance.getFraction(), beat);
+    }
+  }
+
   /** Names, changes or ends the rate limit of an upstream. */
   setLimit(node: Node, perSecond: number | undefined): void {
     node.limitPerSecond = perSecond;
--- a/test/mesh/soak/soak.test.ts
+++ b/test/mesh/soak/soak.test.ts
@@ -12,17 +12,11 @@
   STOPS_IN_TURN,
   runSoak,
 } from './run_soak.js';
+import {getSeeds} from './seeds.js';
 
 /** 35: a restart replaced a running process of the simulation, and its calls. */
 const DEFAULT_SEEDS = '1-6,35';
 
-function getSeeds(ranges: string): number[] {
-  return ranges.split(',').flatMap(range => {
-    const [first, last = first] = range.split('-').map(Number);
-    return Array.from({length: last - first + 1}, (_, n) => first + n);
-  });
-}
-
 describe('mesh soak', () => {
   for (const seed of getSeeds(process.env.SOAK_SEEDS ?? DEFAULT_SEEDS)) {
     it(`violates no invariant with seed ${seed}`, () => {
