--- a/src/core/mesh/config_polling.ts
+++ b/src/core/mesh/config_polling.ts
@@ -21,7 +21,7 @@
  * Longest waits of the first and of the other pollers. The first one's also bounds
  * how long a version is late when the answers to both polls are lost.
  */
-const FIRST_WAIT_MS = 1_000;
+export const FIRST_WAIT_MS = 1_000;
 const OTHER_WAIT_MS = 3_000;
 
 /** Time beyond the wait within which a poll must have been reported. */
--- a/src/core/mesh/peer_updates.ts
+++ b/src/core/mesh/peer_updates.ts
@@ -54,6 +54,8 @@
   readonly ageMs: number;
   readonly delta?: ConfigDelta;
   readonly appointment?: Appointment;
+  /** Version that a peer has told of; absent: none. */
+  readonly heardVersion?: number;
 }
 
 /**
@@ -105,13 +107,14 @@
 
 function createUpdateMessage(
   state: MeshState,
-  update: Update,
+  {heardVersion = 0, ...update}: Update,
   at: number,
 ): UpdateMessage {
   return {
     kind: 'news',
     ...update,
-    version: state.config?.version ?? 0,
+    // Receivers wait for the next update; one that hides a version would delay it.
+    version: Math.max(state.config?.version ?? 0, heardVersion),
     configRevision: state.sourceReads.configRevision,
     ...getConfigAges(state, at),
     ...getSentEvacuations(state),
@@ -179,7 +182,13 @@
   // Who had the version before has got it on another way, and so have most others;
   // they pull what they lack.
   const delta = isNewVersion ? message.delta : undefined;
-  const update = {fleet: message.fleet, ageMs, delta, appointment};
+  const update = {
+    fleet: message.fleet,
+    ageMs,
+    delta,
+    appointment,
+    heardVersion: version,
+  };
   sendUpdate(state, update, others, at, emit);
 }
 
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -12,6 +12,7 @@
 import {noteCurrentRegistration} from './cold_detection.js';
 import {confirmVersion, getConfigAges} from './config_freshness.js';
 import {
+  FIRST_WAIT_MS,
   appointPollers,
   excludePoller,
   getPollWaitMs,
@@ -39,7 +40,11 @@
   recordReadSuccess,
 } from './source_read_state.js';
 import {OutageEvidence, findOutage} from './source_outage.js';
-import {isReadDue, recordReading} from './source_schedule.js';
+import {
+  isInPlaceOfOthers,
+  isReadDue,
+  recordReading,
+} from './source_schedule.js';
 import {broadcastUpdate} from './peer_updates.js';
 import {getEra} from './source_position.js';
 
@@ -75,6 +80,7 @@
   emit: MeshEmit,
 ): void {
   if (isReadDue(state, at)) {
+    pollInPlaceOfOthers(state, at, emit);
     state.sourceReads.fleetReadPending = true;
     // Until peers are known, each proxy has to read by itself.
     const mayBeStale = state.fleet.instances.size === 0;
@@ -119,16 +125,42 @@
   }
 }
 
+/**
+ * Asks for the next configuration before the list, where this proxy reads in place of
+ * others: those that waited for it may be gone, too. The update with the list makes
+ * everybody wait for the next one, so it has to name a version that was missed.
+ */
+function pollInPlaceOfOthers(
+  state: MeshState,
+  at: number,
+  emit: MeshEmit,
+): void {
+  const {settings, sourceReads} = state;
+  if (isInPlaceOfOthers(settings, at - sourceReads.freshAt)) {
+    pollConfig(state, FIRST_WAIT_MS, at, emit);
+  }
+}
+
 /** Waits for the next configuration if this proxy was appointed to. */
 function awaitNextConfigIfAppointed(
   state: MeshState,
   at: number,
   emit: MeshEmit,
 ): void {
-  const {sourceReads} = state;
   const waitMs = getPollWaitMs(state, at);
+  if (waitMs !== undefined) {
+    pollConfig(state, waitMs, at, emit);
+  }
+}
+
+/** Waits for the next configuration unless a read of it is under way or too early. */
+function pollConfig(
+  {sourceReads}: MeshState,
+  waitMs: number,
+  at: number,
+  emit: MeshEmit,
+): void {
   if (
-    waitMs === undefined ||
     at < sourceReads.configNotBefore ||
     sourceReads.configReadPending ||
     sourceReads.configRevision === 0
--- a/src/core/mesh/source_schedule.ts
+++ b/src/core/mesh/source_schedule.ts
@@ -48,7 +48,10 @@
  * ranks first did not read.
  * @param ageMs - Age of what is known, in milliseconds.
  */
-function isInPlaceOfOthers(settings: MeshSettings, ageMs: number): boolean {
+export function isInPlaceOfOthers(
+  settings: MeshSettings,
+  ageMs: number,
+): boolean {
   return (
     Number.isFinite(ageMs) &&
     ageMs >= settings.readIntervalMs + getRankDelayMs(settings)
--- a/src/model/mesh.ts
+++ b/src/model/mesh.ts
@@ -235,7 +235,7 @@
     /** Time since the source was read, in milliseconds. */
     ageMs: z.number().min(0),
     fleet: FleetUpdateSchema,
-    /** Version of the sender's configuration. */
+    /** Latest version that the sender has or has heard of. */
     version: SequenceSchema,
     /** Revision up to which the sender cannot have missed a configuration. */
     configRevision: SequenceSchema,
--- a/test/mesh/lost_readers.test.ts
+++ b/test/mesh/lost_readers.test.ts
@@ -97,6 +97,7 @@
     const lags = measureLags({...options, seed, changeAfterMs});
     const where = `seed ${seed}, change after ${changeAfterMs} ms`;
     expect(lags.removal, `removal, ${where}`).to.be.within(1, MAX_LAG_MS);
+    expect(lags.version, `version, ${where}`).to.be.within(1, MAX_LAG_MS);
   }
 }
 
