--- a/src/core/mesh/crash_detection.ts
+++ b/src/core/mesh/crash_detection.ts
@@ -1,10 +1,14 @@
 /**
- * Detects crashes of the upstream beside this proxy. Notifies peers when it
- * goes down or comes back, and of the requests that were running at a crash.
+ * Detects crashes of the upstream beside this proxy, and notifies peers when it goes
+ * down or comes back.
  */
 import {createUnknownOutcomeRefusal} from '../failure_refusals.js';
-import {recordCrash} from '../owner/crash_suspects.js';
+import {Refusal} from '../refusals.js';
+import {Answer} from '../types.js';
+import {broadcastToPeers} from './broadcast_to_peers.js';
 import {markAcceptingAgain} from './cold_detection.js';
+import {finishAnsweredRun} from './completed_runs.js';
+import {recordUpstreamCrash} from './crash_records.js';
 import {MeshState} from './mesh_state.js';
 import {MeshEmit} from './mesh_types.js';
 import {
@@ -15,32 +19,45 @@
 } from './owner_attempts.js';
 import {resetRateLimit} from './rate_limit.js';
 import {recordOutcome} from './run_estimates.js';
-import {broadcastToPeers} from './broadcast_to_peers.js';
-import {clearLostRuns, tryStartProbe} from './upstream_health.js';
+import {
+  BrokenRun,
+  LostRun,
+  scheduleRecheck,
+  tryStartProbe,
+} from './upstream_health.js';
 import {RunningAttempt} from './work_queue.js';
 
-/** Largest number of suspects that the schema of a `suspects` message allows. */
-const MAX_SUSPECTS_PER_MESSAGE = 64;
-
 /**
- * Defers the outcome of a run whose connection was reset until a connection
- * attempt shows whether the upstream crashed. An earlier outcome would let the
- * entry repeat the request before other proxies know that it is suspected.
+ * Defers the outcome of a run whose connection the upstream ended, at whatever point of
+ * the answer, until a connection attempt shows whether the upstream crashed. An earlier
+ * outcome would let the entry repeat the request before other proxies know that it is
+ * suspected.
+ * @param result - The outcome if the upstream has not crashed.
  */
-export function deferLostRun(
+export function deferBrokenRun(
   state: MeshState,
   at: number,
   run: RunningAttempt,
+  result: Answer | Refusal,
   emit: MeshEmit,
 ): void {
-  const {attemptId, fingerprint} = run.attempt;
-  const {suspect} = run;
-  state.health.lost.push({attemptId, fingerprint, suspect, lostAt: at});
-  if (tryStartProbe(state.health, at, true)) {
+  const {health} = state;
+  health.broken.push({...createLostRun(run, at), result});
+  // A probe before this one says nothing of the time after it.
+  health.recheckAt = undefined;
+  if (tryStartProbe(health, at, true)) {
     emit({kind: 'probeConnect'});
   }
 }
 
+/** Creates the record of a run that ended without an answer. */
+export function createLostRun(
+  {attempt: {attemptId, fingerprint}, suspect}: RunningAttempt,
+  at: number,
+): LostRun {
+  return {attemptId, fingerprint, suspect, lostAt: at};
+}
+
 /** Handles the result of a connection attempt to the upstream. */
 export function handleConnectProbe(
   state: MeshState,
@@ -50,44 +67,75 @@
 ): void {
   const {health} = state;
   health.probing = false;
-  const lostRuns = [...health.lost];
+  const deferred = health.broken.filter(({result}) => result !== undefined);
   if (accepted) {
     if (!health.down && hasLostAllRuns(state)) {
       markAcceptingAgain(state, at);
     }
-    health.lost = [];
     markUpstreamUp(state, at, emit);
   } else {
     recordUpstreamCrash(state, at, emit);
     markUpstreamDown(state, at, emit);
   }
-  for (const {attemptId} of lostRuns) {
+  for (const broken of deferred) {
+    const {attemptId, result} = broken;
+    broken.result = undefined;
     const run = removeRun(state, attemptId);
-    if (run !== undefined) {
-      recordOutcome(state.estimates, true);
-      finishRun(state, at, run, createUnknownOutcomeRefusal('reset'), emit);
+    if (run !== undefined && result !== undefined) {
+      finishBrokenRun(state, at, run, result, accepted, emit);
     }
   }
+  if (accepted) {
+    scheduleRecheck(health, at);
+  }
   dispatchWaiting(state, at, emit);
 }
 
+/**
+ * Finishes a run whose outcome was deferred. An answer that only the end of its
+ * connection delimits is not known to be whole if the upstream ended with it.
+ */
+function finishBrokenRun(
+  state: MeshState,
+  at: number,
+  run: RunningAttempt,
+  result: Answer | Refusal,
+  isUpstreamRunning: boolean,
+  emit: MeshEmit,
+): void {
+  if (result.kind === 'answer' && isUpstreamRunning) {
+    finishAnsweredRun(state, at, run, result, emit);
+    return;
+  }
+  recordOutcome(state.estimates, true);
+  const refusal =
+    result.kind === 'answer'
+      ? createUnknownOutcomeRefusal('truncated')
+      : result;
+  finishRun(state, at, run, refusal, emit);
+}
+
 /**
  * Reports whether several runs, and no others that ran beside them, were reset: the
  * upstream has probably restarted before the connection attempt. A single reset may
  * concern one request only.
  */
 function hasLostAllRuns({health, work}: MeshState): boolean {
-  const {lost} = health;
+  const lost = health.broken.filter(({result}) => result !== undefined);
   const lostIds = new Set(lost.map(({attemptId}) => attemptId));
   const firstLostAt = Math.min(...lost.map(({lostAt}) => lostAt));
   return (
-    lost.length > 1 &&
+    lost.filter(isReset).length > 1 &&
     [...work.running].every(
       ([id, {startedAt}]) => lostIds.has(id) || startedAt >= firstLostAt,
     )
   );
 }
 
+function isReset({result}: BrokenRun): boolean {
+  return result?.kind === 'refusal' && result.reason === 'attempt_lost';
+}
+
 /** Marks the upstream as up and notifies peers, if it was down. */
 export function markUpstreamUp(
   state: MeshState,
@@ -151,77 +199,3 @@
   }
   broadcastToPeers(state, {kind: 'upstreamState', instanceId, up}, emit);
 }
-
-/** Records every request whose run was reset by the crash as a suspect. */
-function recordUpstreamCrash(
-  state: MeshState,
-  at: number,
-  emit: MeshEmit,
-): void {
-  const {health, settings, suspects} = state;
-  const lost = clearLostRuns(health, at);
-  if (lost.length === 0) {
-    return;
-  }
-  health.crashCount += 1;
-  const crash = `${settings.address}/${settings.startedAt}/${health.crashCount}`;
-  const expiresAt = at + settings.quarantineMs;
-  for (const {fingerprint, suspect} of lost) {
-    const isOnlySuspect = suspect || lost.length === 1;
-    recordCrash(
-      suspects,
-      fingerprint,
-      {crash, isOnlySuspect, expiresAt},
-      effect => {
-        if (effect.kind === 'count') {
-          const {reason} = effect;
-          emit({kind: 'count', counter: 'crash_suspected', reason});
-        } else if (effect.kind === 'log') {
-          const {level, message} = effect;
-          emit({kind: 'log', level, part: 'crash', message, fields: {crash}});
-        }
-      },
-    );
-  }
-  broadcastSuspects(
-    state,
-    lost.map(({fingerprint}) => fingerprint),
-    emit,
-  );
-}
-
-/**
- * Sends suspects at once to every proxy with an open link. Crashes are rare, so
- * this causes little traffic.
- */
-function broadcastSuspects(
-  state: MeshState,
-  fingerprints: readonly string[],
-  emit: MeshEmit,
-): void {
-  const known = state.suspects.byFingerprint;
-  const suspects = [...new Set(fingerprints)]
-    .flatMap(fingerprint => known.get(fingerprint) ?? [])
-    .slice(0, MAX_SUSPECTS_PER_MESSAGE);
-  broadcastToPeers(state, {kind: 'suspects', suspects}, emit);
-}
-
-/**
- * Sends the newest suspects to a proxy whose link has opened: it may have started, or
- * was cut off, since they were broadcast.
- * @param state - This proxy's state.
- * @param to - The proxy.
- * @param emit - Receives effects.
- */
-export function sendSuspects(
-  {suspects: {byFingerprint}}: MeshState,
-  to: string,
-  emit: MeshEmit,
-): void {
-  if (byFingerprint.size > 0) {
-    const suspects = [...byFingerprint.values()].slice(
-      -MAX_SUSPECTS_PER_MESSAGE,
-    );
-    emit({kind: 'sendMessage', to, message: {kind: 'suspects', suspects}});
-  }
-}
--- a/src/core/mesh/dispatch_results.ts
+++ b/src/core/mesh/dispatch_results.ts
@@ -1,6 +1,5 @@
 /** Handles the answers and failures of attempts sent to the upstream. */
 import {createUnknownOutcomeRefusal} from '../failure_refusals.js';
-import {clearSuspect} from '../owner/crash_suspects.js';
 import {createRefusal} from '../refusals.js';
 import {Answer, isServerError} from '../types.js';
 import {MeshState, getOwnInstance} from './mesh_state.js';
@@ -11,10 +10,13 @@
   UpstreamReport,
 } from './mesh_types.js';
 import {
-  deferLostRun,
+  createLostRun,
+  deferBrokenRun,
   markUpstreamDown,
   markUpstreamUp,
 } from './crash_detection.js';
+import {finishAnsweredRun} from './completed_runs.js';
+import {recordUpstreamCrash} from './crash_records.js';
 import {
   dispatchWaiting,
   finishRun,
@@ -22,9 +24,8 @@
   removeRun,
 } from './owner_attempts.js';
 import {applyUpstreamReport} from './upstream_reports.js';
-import {recordAnswerBytes} from './link_backlog.js';
-import {recordFinish} from './finish_errors.js';
-import {recordOutcome, recordRunTime} from './run_estimates.js';
+import {recordOutcome} from './run_estimates.js';
+import {forgetBrokenRuns, recordAbandonedRun} from './upstream_health.js';
 import {RunningAttempt} from './work_queue.js';
 
 /** Retry delay advised after the upstream rejected a request or connection. */
@@ -39,32 +40,47 @@
   facts: AnswerFacts,
   emit: MeshEmit,
 ): void {
-  const run = removeRun(state, attemptId);
+  const run = state.work.running.get(attemptId);
   if (run === undefined) {
     return;
   }
   state.lastWorkAt = at;
+  if (answer.unframed === true && !facts.notRun && !facts.otherInstance) {
+    reportAnswer(state, at, run, answer, facts, emit);
+    deferBrokenRun(state, at, run, answer, emit);
+    return;
+  }
+  removeRun(state, attemptId);
   state.health.answeredAt = at;
   markUpstreamUp(state, at, emit);
-  if (facts.report !== undefined && !facts.otherInstance) {
-    const isRegular = !facts.notRun && !isServerError(answer);
-    const {report} = facts;
-    applyUpstreamReport(state, at, run.attempt, report, isRegular, emit);
-  }
+  // It ran after what was broken before this run began.
+  forgetBrokenRuns(state.health, run.startedAt);
+  reportAnswer(state, at, run, answer, facts, emit);
   if (facts.otherInstance) {
     handleReplacedInstance(state, at, run, emit);
   } else if (facts.notRun) {
     handleShedRequest(state, at, run, facts.retryAfterMs, emit);
   } else {
-    const failed = isServerError(answer);
-    recordOutcome(state.estimates, failed);
-    recordCompletedRun(state, at, run, failed, emit);
-    recordAnswerBytes(state, run, answer.body.byteLength, failed, at);
-    finishRun(state, at, run, answer, emit);
+    finishAnsweredRun(state, at, run, answer, emit);
   }
   dispatchWaiting(state, at, emit);
 }
 
+/** Applies what an answer reports of its upstream. */
+function reportAnswer(
+  state: MeshState,
+  at: number,
+  run: RunningAttempt,
+  answer: Answer,
+  {report, notRun, otherInstance}: AnswerFacts,
+  emit: MeshEmit,
+): void {
+  if (report !== undefined && !otherInstance) {
+    const isRegular = !notRun && !isServerError(answer);
+    applyUpstreamReport(state, at, run.attempt, report, isRegular, emit);
+  }
+}
+
 /**
  * Handles a request that the upstream shed although it had a free slot by this
  * proxy's count.
@@ -98,29 +114,6 @@
   finishRun(state, at, run, refusal, emit);
 }
 
-/** Updates estimates, crash suspicion and metrics after a complete answer. */
-function recordCompletedRun(
-  state: MeshState,
-  at: number,
-  run: RunningAttempt,
-  failed: boolean,
-  emit: MeshEmit,
-): void {
-  const tookMs = at - run.startedAt;
-  if (!failed) {
-    recordRunTime(state.estimates, run.attempt, tookMs);
-    const {finishErrors} = state.work;
-    const errorMs = at - (run.expectedEndAt ?? at);
-    recordFinish(finishErrors, run.attempt.routeAimMs, errorMs);
-  }
-  clearSuspect(state.suspects, run.attempt.fingerprint, effect => {
-    if (effect.kind === 'count') {
-      emit({kind: 'count', counter: 'crash_suspected', reason: effect.reason});
-    }
-  });
-  emit({kind: 'observe', histogram: 'run_seconds', seconds: tookMs / 1_000});
-}
-
 /**
  * Handles an answer of another instance. The address was reassigned, so no
  * further attempt for the earlier instance may be sent there.
@@ -184,16 +177,21 @@
     recordOutcome(state.estimates, true);
     const refusal = createRefusal('upstream_down', REJECTED_RETRY_AFTER_MS);
     finishRun(state, at, run, refusal, emit, false);
+    if (!state.health.probing) {
+      recordUpstreamCrash(state, at, emit);
+    }
     markUpstreamDown(state, at, emit);
     return;
   }
-  if (failure === 'reset') {
-    deferLostRun(state, at, run, emit);
+  const kind = failure === 'foreign-answer' ? 'truncated' : failure;
+  const refusal = createUnknownOutcomeRefusal(kind);
+  if (kind === 'reset' || kind === 'truncated') {
+    deferBrokenRun(state, at, run, refusal, emit);
     return;
   }
   removeRun(state, attemptId);
+  recordAbandonedRun(state.health, createLostRun(run, at));
   recordOutcome(state.estimates, failure !== 'timeout');
-  const kind = failure === 'foreign-answer' ? 'truncated' : failure;
-  finishRun(state, at, run, createUnknownOutcomeRefusal(kind), emit);
+  finishRun(state, at, run, refusal, emit);
   dispatchWaiting(state, at, emit);
 }
--- a/src/core/mesh/mesh_core.ts
+++ b/src/core/mesh/mesh_core.ts
@@ -33,7 +33,8 @@
   handleUpstreamAnswer,
   handleDispatchFailure,
 } from './dispatch_results.js';
-import {handleConnectProbe, sendSuspects} from './crash_detection.js';
+import {handleConnectProbe} from './crash_detection.js';
+import {sendSuspects} from './crash_records.js';
 import {recordLinkBytes} from './link_load.js';
 import {takeLinksToPrepare} from './link_preparation.js';
 import {getNeighbours} from './broadcast_tree.js';
--- a/src/core/mesh/next_due.ts
+++ b/src/core/mesh/next_due.ts
@@ -48,6 +48,9 @@
   if (health.down && !health.probing) {
     add(health.probedAt + PROBE_INTERVAL_MS);
   }
+  if (health.recheckAt !== undefined && !health.probing) {
+    add(health.recheckAt);
+  }
   return earliest;
 }
 
--- a/src/core/mesh/owner_attempts.ts
+++ b/src/core/mesh/owner_attempts.ts
@@ -491,7 +491,11 @@
 ): void {
   dispatchWaiting(state, at, emit);
   const {health} = state;
-  if (health.down && tryStartProbe(health, at, false)) {
+  const isRecheckDue = at >= (health.recheckAt ?? Infinity);
+  if (
+    (health.down || isRecheckDue) &&
+    tryStartProbe(health, at, isRecheckDue)
+  ) {
     emit({kind: 'probeConnect'});
   }
 }
--- a/src/core/mesh/upstream_health.ts
+++ b/src/core/mesh/upstream_health.ts
@@ -4,13 +4,22 @@
  * answer can be misleading.
  */
 
+import {Refusal} from '../refusals.js';
+import {Answer} from '../types.js';
+
 /** Interval of connection attempts to an upstream that is down. */
 export const PROBE_INTERVAL_MS = 250;
 
-/** Runs reset at most this long before a crash was detected are suspects. */
+/** Runs that ended at most this long before a crash was detected are suspects. */
 const CRASH_WINDOW_MS = 500;
 
-/** A run whose connection was reset. */
+/**
+ * Time from a probe that succeeded to the next one. A process that ends may close the
+ * connection of a run before its other sockets.
+ */
+const RECHECK_AFTER_MS = 100;
+
+/** A run that ended without a whole answer of the upstream. */
 export interface LostRun {
   readonly attemptId: string;
   readonly fingerprint: string;
@@ -18,13 +27,23 @@
   readonly lostAt: number;
 }
 
+/** A run whose connection the upstream ended. */
+export interface BrokenRun extends LostRun {
+  /** How it ends if the upstream has not crashed; undefined: it has ended. */
+  result?: Answer | Refusal;
+}
+
 export interface UpstreamHealth {
   /** It refused a connection and has accepted none since. */
   down: boolean;
   probing: boolean;
   probedAt: number;
-  /** Reset runs, until a probe shows whether the upstream crashed. */
-  lost: LostRun[];
+  /** Runs that the upstream broke, until it is known whether it crashed. */
+  broken: BrokenRun[];
+  /** Runs that this proxy gave up, which the upstream may go on with for a while. */
+  abandoned: LostRun[];
+  /** When the upstream is probed once more; undefined: nothing makes it necessary. */
+  recheckAt?: number;
   crashCount: number;
   /** Identifier of the instance registered at the upstream's address. */
   registeredId?: string;
@@ -45,7 +64,8 @@
     down: false,
     probing: false,
     probedAt: -Infinity,
-    lost: [],
+    broken: [],
+    abandoned: [],
     crashCount: 0,
     answeredAt: 0,
   };
@@ -72,9 +92,55 @@
   return true;
 }
 
-/** Clears the reset runs and returns those that may have caused a crash. */
+/** Records a run that this proxy gave up. */
+export function recordAbandonedRun(health: UpstreamHealth, run: LostRun): void {
+  const {lostAt: at} = run;
+  health.abandoned = [...health.abandoned.filter(r => isRecent(r, at)), run];
+}
+
+/**
+ * Schedules another probe after one that succeeded, unless this was the second one:
+ * then the upstream has broken runs without a crash.
+ */
+export function scheduleRecheck(health: UpstreamHealth, at: number): void {
+  const wasRecheck = health.recheckAt !== undefined;
+  if (wasRecheck) {
+    forgetBrokenRuns(health, at);
+  } else if (health.broken.length > 0) {
+    health.recheckAt = at + RECHECK_AFTER_MS;
+  }
+}
+
+/**
+ * Forgets the broken runs before a time at which the upstream was running, as far as
+ * they have ended.
+ */
+export function forgetBrokenRuns(
+  health: UpstreamHealth,
+  aliveAt: number,
+): void {
+  health.broken = health.broken.filter(
+    ({lostAt, result}) => result !== undefined || lostAt >= aliveAt,
+  );
+  if (health.broken.length === 0) {
+    health.recheckAt = undefined;
+  }
+}
+
+/**
+ * Clears the runs that ended without an answer.
+ * @returns Those that may have caused a crash. Without a run that the upstream broke,
+ *     there are none: it has ended by itself.
+ */
 export function clearLostRuns(health: UpstreamHealth, at: number): LostRun[] {
-  const lost = health.lost.filter(run => at - run.lostAt <= CRASH_WINDOW_MS);
-  health.lost = [];
-  return lost;
+  const broken = health.broken.filter(run => isRecent(run, at));
+  const abandoned = health.abandoned.filter(run => isRecent(run, at));
+  health.broken = [];
+  health.abandoned = [];
+  health.recheckAt = undefined;
+  return broken.length === 0 ? [] : [...broken, ...abandoned];
+}
+
+function isRecent({lostAt}: LostRun, at: number): boolean {
+  return at - lostAt <= CRASH_WINDOW_MS;
 }
--- a/src/mesh/mesh_upstream_client.ts
+++ b/src/mesh/mesh_upstream_client.ts
@@ -187,7 +187,10 @@
     };
     const timer = setTimeout(() => finish(false), CONNECT_TIMEOUT_MS);
     socket.once('connect', () => finish(true));
-    socket.once('error', () => finish(false));
+    // Who resets a connection runs; it may have too many of them.
+    socket.once('error', (err: NodeJS.ErrnoException) =>
+      finish(err.code === 'ECONNRESET'),
+    );
   }
 
   /** Closes all connections. */
--- a/test/mesh/soak/simulated_fleet.ts
+++ b/test/mesh/soak/simulated_fleet.ts
@@ -8,6 +8,7 @@
 import {addAge} from '../../../src/core/mesh/message_ages.js';
 import {MeshState, createMeshState} from '../../../src/core/mesh/mesh_state.js';
 import {
+  DispatchFailure,
   EvacuationReading,
   MeshCallInfo,
   MeshEffect,
@@ -56,8 +57,8 @@
 const SLOTS = 4;
 const UPSTREAM_QUEUE_LENGTH = 2;
 
-/** Share of runs whose connection is reset. */
-const RESET_SHARE = 0.02;
+/** Share of runs whose connection breaks. */
+const BROKEN_SHARE = 0.02;
 /** Share of runs that are answered with status 500. */
 const SERVER_ERROR_SHARE = 0.01;
 
@@ -833,7 +834,7 @@
     },
   ): void {
     const {instance, runs} = node;
-    const fail = (ms: number, failure: 'connect' | 'reset' | 'timeout') =>
+    const fail = (ms: number, failure: DispatchFailure) =>
       this.postLater(node, ms, {kind: 'upstreamFailed', attemptId, failure});
     const answer = (ms: number, status: number, facts: object = {}) => {
       const {limitPerSecond, leaving} = node;
@@ -880,10 +881,11 @@
       const draw = this.chance.getFraction();
       if (workMs > timeoutMs) {
         fail(0, 'timeout');
-      } else if (draw < RESET_SHARE) {
-        fail(0, 'reset');
+      } else if (draw < BROKEN_SHARE) {
+        // Half of them after the head of the answer.
+        fail(0, draw < BROKEN_SHARE / 2 ? 'reset' : 'truncated');
       } else {
-        answer(0, draw < RESET_SHARE + SERVER_ERROR_SHARE ? 500 : 200);
+        answer(0, draw < BROKEN_SHARE + SERVER_ERROR_SHARE ? 500 : 200);
       }
     });
   }
--- a/test/platform/fleet_standin.ts
+++ b/test/platform/fleet_standin.ts
@@ -8,7 +8,7 @@
   createServer,
   request,
 } from 'node:http';
-import {AddressInfo} from 'node:net';
+import {AddressInfo, Socket} from 'node:net';
 import {
   HEADER_NAMES,
   NESTED_SEPARATOR,
@@ -46,6 +46,7 @@
   /** Returns the status for a path; by default 200 at once. */
   answer: (path: string) => Promise<number> = () => Promise.resolve(200);
   private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
 
   constructor(readonly id: string) {
     this.server = createServer((req, res) => {
@@ -76,6 +77,10 @@
         res.end(`${this.id} for ${caller}`);
       });
     });
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
   }
 
   async start(host: string, port = 0): Promise<string> {
@@ -89,11 +94,33 @@
     this.server.close();
     await once(this.server, 'close');
   }
+
+  /**
+   * Ends like a process that crashes: takes no connections for a while, and ends those
+   * that are open.
+   * @param reset - Resets them; otherwise they end in order, as those of a process do
+   *     of which everything was read.
+   * @param downMs - Time until it is back, in milliseconds.
+   */
+  crash(reset: boolean, downMs: number): void {
+    const {address, port} = this.server.address() as AddressInfo;
+    this.server.close();
+    for (const socket of this.sockets) {
+      if (reset) {
+        socket.resetAndDestroy();
+      } else {
+        socket.destroy();
+      }
+    }
+    setTimeout(() => this.server.listen(port, address), downMs);
+  }
 }
 
 /** A machine with an upstream and a proxy, both in this process. */
 export class Machine {
   private proxy?: MeshRuntime;
+  /** Least level of what its proxy logs. */
+  logLevel: 'error' | 'fatal' = 'error';
   upstreamAddress = '';
 
   constructor(
@@ -128,7 +155,7 @@
       source: this.storeAddress,
       readIntervalMs: 100,
       graceMs: 4_000,
-      logLevel: 'error',
+      logLevel: this.logLevel,
     });
     this.proxy = new MeshRuntime(settings, {
       headerNames: HEADER_NAMES,
