--- a/src/core/mesh/completed_runs.ts
+++ b/src/core/mesh/completed_runs.ts
@@ -1,6 +1,6 @@
 /** Finishes runs that the upstream has answered, and learns from them. */
-import {clearSuspect} from '../owner/crash_suspects.js';
 import {Answer, isServerError} from '../types.js';
+import {clearCompletedRequest} from './crash_records.js';
 import {recordFinish} from './finish_errors.js';
 import {recordAnswerBytes} from './link_backlog.js';
 import {MeshState} from './mesh_state.js';
@@ -39,10 +39,6 @@
     const errorMs = at - (run.expectedEndAt ?? at);
     recordFinish(finishErrors, run.attempt.routeAimMs, errorMs);
   }
-  clearSuspect(state.suspects, run.attempt.fingerprint, effect => {
-    if (effect.kind === 'count') {
-      emit({kind: 'count', counter: 'crash_suspected', reason: effect.reason});
-    }
-  });
+  clearCompletedRequest(state, run.attempt.fingerprint, emit);
   emit({kind: 'observe', histogram: 'run_seconds', seconds: tookMs / 1_000});
 }
--- a/src/core/mesh/crash_records.ts
+++ b/src/core/mesh/crash_records.ts
@@ -2,7 +2,7 @@
  * Records the requests that were running when the upstream beside this proxy crashed,
  * and notifies peers of them.
  */
-import {isSuspect, recordCrash} from '../owner/crash_suspects.js';
+import {clearSuspect, isSuspect, recordCrash} from '../owner/crash_suspects.js';
 import {broadcastToPeers} from './broadcast_to_peers.js';
 import {MeshState} from './mesh_state.js';
 import {MeshEmit} from './mesh_types.js';
@@ -82,6 +82,27 @@
   });
 }
 
+/**
+ * Clears the suspicion of a request that ran to completion, at all proxies: with the next
+ * crash beside it, those that have not run it since the last one would quarantine it.
+ */
+export function clearCompletedRequest(
+  state: MeshState,
+  fingerprint: string,
+  emit: MeshEmit,
+): void {
+  const {suspects} = state;
+  if (!isSuspect(suspects, fingerprint)) {
+    return;
+  }
+  clearSuspect(suspects, fingerprint, effect => {
+    if (effect.kind === 'count') {
+      emit({kind: 'count', counter: 'crash_suspected', reason: effect.reason});
+    }
+  });
+  broadcastSuspects(state, [fingerprint], emit);
+}
+
 /**
  * Sends suspects at once to every proxy with an open link. Crashes are rare, so
  * this causes little traffic.
--- a/test/mesh/upstream_crashes.test.ts
+++ b/test/mesh/upstream_crashes.test.ts
@@ -1,12 +1,14 @@
 /** Which ends of a run count as a crash of the upstream, and whom that makes suspect. */
 import {
   DispatchFailure,
+  MeshEffect,
   MeshEventBody,
 } from '../../src/core/mesh/mesh_types.js';
 import {expect} from '../support/chai_setup.js';
 import {
   MeshFixture,
   createAttempt,
+  createHello,
   createInstance,
   createUpstreamAnswer,
 } from './mesh_fixture.js';
@@ -14,8 +16,8 @@
 /** Time after which a broken run can have nothing to do with a crash any more. */
 const LONG_MS = 1_000;
 
-function createOwner(): MeshFixture {
-  const owner = new MeshFixture();
+function createOwner(startedAt = 1): MeshFixture {
+  const owner = new MeshFixture({startedAt});
   owner.loadFromSource([createInstance(1, {slots: 8}), createInstance(2)]);
   owner.drainEffects();
   return owner;
@@ -169,4 +171,51 @@
     probe(owner, false);
     expect(getSuspects(owner)).to.deep.equal(['poison alone']);
   });
+
+  // Guards against DENIED: a popular request runs at two upstreams that crash by
+  // themselves, and is refused everywhere although it has completed meanwhile.
+  it('is forgotten everywhere once the request that it cut completes', () => {
+    const [first, second, third] = [1, 2, 3].map(startedAt =>
+      createOwner(startedAt),
+    );
+    const peers = new Map([
+      [first, [second, third]],
+      [second, [first, third]],
+      [third, [first, second]],
+    ]);
+    for (const owner of peers.keys()) {
+      const from = '10.0.0.2:7000';
+      owner.post({kind: 'messageReceived', from, message: createHello()});
+    }
+    const spread = (owner: MeshFixture, effects: readonly MeshEffect[]) => {
+      for (const effect of effects) {
+        if (effect.kind === 'sendMessage') {
+          const {message} = effect;
+          const from = '10.0.0.2:7000';
+          peers
+            .get(owner)
+            ?.forEach(peer =>
+              peer.post({kind: 'messageReceived', from, message}),
+            );
+        }
+      }
+    };
+    const crash = (owner: MeshFixture) => {
+      run(owner, 'popular');
+      fail(owner, 'popular', 'reset');
+      const accepted = false;
+      spread(owner, owner.post({kind: 'connectProbed', accepted}));
+    };
+    crash(first);
+    run(third, 'popular');
+    spread(third, third.post(createUpstreamAnswer('popular')));
+    crash(second);
+    third.drainEffects();
+    run(third, 'popular');
+    expect(third.drainEffects()).to.deep.equal(['dispatch popular']);
+    run(first, 'popular');
+    expect(first.drainEffects().at(-1)).to.equal(
+      'finishAttempt popular upstream_down reached=false',
+    );
+  });
 });
