--- a/src/core/mesh/source_schedule.ts
+++ b/src/core/mesh/source_schedule.ts
@@ -29,11 +29,20 @@
  * Factor on the largest delay while this proxy has only a list that may be stale. It has
  * just started, like all others perhaps, and need not be up to date yet.
  */
-const START_DELAY_FACTOR = 2;
+const START_DELAY_FACTOR = 3;
+
+/**
+ * Least time for delays, as a share of the read interval. An interval that is set by hand
+ * may be longer than the list may be used.
+ */
+const MIN_DELAY_SHARE = 0.5;
 
 /** Gets the time after the read interval at which the last proxy reads. */
 function getMaxDelayMs({maxListAgeMs, readIntervalMs}: MeshSettings): number {
-  return Math.max(0, maxListAgeMs - readIntervalMs);
+  return Math.max(
+    readIntervalMs * MIN_DELAY_SHARE,
+    maxListAgeMs - readIntervalMs,
+  );
 }
 
 function getRankDelayMs(settings: MeshSettings): number {
@@ -138,7 +147,7 @@
   const ageMs = at - Math.max(sourceReads.freshAt, listedAt);
   // Checked first because the rank takes a pass over the whole fleet.
   if (
-    sourceReads.fleetReadPending ||
+    sourceReads.fleetReadStartedAt !== undefined ||
     at < sourceReads.notBefore ||
     ageMs < settings.readIntervalMs
   ) {
