--- a/src/core/mesh/source_read_state.ts
+++ b/src/core/mesh/source_read_state.ts
@@ -25,7 +25,8 @@
   freshAt: number;
   /** When this proxy last got a listing of the source that may be stale. */
   staleListedAt: number;
-  fleetReadPending: boolean;
+  /** When the read of the fleet that is in progress began; undefined: none is. */
+  fleetReadStartedAt?: number;
   /** The latest own reading was made in place of a proxy that ranks before this one. */
   standsIn: boolean;
   /** Reads of the fleet that failed in a row. */
@@ -58,7 +59,6 @@
   return {
     freshAt: -Infinity,
     staleListedAt: -Infinity,
-    fleetReadPending: false,
     standsIn: false,
     failedReads: 0,
     notBefore: 0,
@@ -97,7 +97,7 @@
   at: number,
   entropy: number,
 ): void {
-  reads.fleetReadPending = false;
+  reads.fleetReadStartedAt = undefined;
   reads.failedReads += 1;
   reads.unreachableSince ??= at;
   const doubled = BACKOFF_BASE_MS * 2 ** Math.min(reads.failedReads, 8);
@@ -107,20 +107,21 @@
 
 /**
  * Records that the source answered a read of the fleet.
- * @param mayBeStale - The listing does not show the state of this moment.
+ * @param readAt - When the list was current, at least.
+ * @param mayBeStale - The listing does not show the state of that moment.
  */
 export function recordReadSuccess(
   reads: SourceReadState,
-  at: number,
+  readAt: number,
   mayBeStale: boolean,
 ): void {
-  reads.fleetReadPending = false;
+  reads.fleetReadStartedAt = undefined;
   reads.failedReads = 0;
   reads.notBefore = 0;
   reads.unreachableSince = undefined;
   if (mayBeStale) {
-    reads.staleListedAt = at;
+    reads.staleListedAt = readAt;
   } else {
-    reads.freshAt = at;
+    reads.freshAt = Math.max(reads.freshAt, readAt);
   }
 }
--- a/src/core/mesh/source_reading.ts
+++ b/src/core/mesh/source_reading.ts
@@ -81,7 +81,7 @@
 ): void {
   if (isReadDue(state, at)) {
     pollInPlaceOfOthers(state, at, emit);
-    state.sourceReads.fleetReadPending = true;
+    state.sourceReads.fleetReadStartedAt = at;
     // Until peers are known, each proxy has to read by itself.
     const mayBeStale = state.fleet.instances.size === 0;
     requestRead({kind: 'fleet', mayBeStale}, emit);
@@ -216,15 +216,16 @@
 ): void {
   const {sourceReads, fleet, settings} = state;
   logSourceRecovery(state, at, emit);
-  const {freshAt} = sourceReads;
-  const knowledgeAgeMs = at - freshAt;
+  // The answer may have lain in the socket of this process while it stood still.
+  const {freshAt, fleetReadStartedAt: readAt = at} = sourceReads;
+  const knowledgeAgeMs = readAt - freshAt;
   const {heartbeatMs} = settings;
   const outage = findOutage(fleet, answer, knowledgeAgeMs, heartbeatMs);
   if (outage !== undefined) {
     fleet.removalsHeldUntil = at + REREGISTRATION_MS;
     logOutage(outage, knowledgeAgeMs, emit);
   }
-  recordReadSuccess(sourceReads, at, mayBeStale);
+  recordReadSuccess(sourceReads, readAt, mayBeStale);
   sourceReads.firstListedAt ??= at;
   const knownRevision = fleet.revision;
   const {revision, instances: changed, later} = answer;
@@ -246,7 +247,8 @@
   const ids = new Set([...heldLater, ...changes.map(({id}) => id)]);
   const peerUpdate = createPeerUpdate(fleet, knownRevision, ids);
   const appointment = appointPollers(state, at, emit);
-  const update = {fleet: peerUpdate, ageMs: 0, appointment};
+  const ageMs = getBoundedKnowledgeAgeMs(state, at);
+  const update = {fleet: peerUpdate, ageMs, appointment};
   broadcastUpdate(state, update, ids.size > 0, at, emit);
 }
 
--- a/test/mesh/message_ages.test.ts
+++ b/test/mesh/message_ages.test.ts
@@ -18,6 +18,28 @@
   versionAgeMs: 5_000,
 };
 
+describe('the age of a list', () => {
+  // Guards against DRAIN: a proxy that stood still while its reading was answered sent
+  // an old list as a new one.
+  it('counts from the begin of the reading', () => {
+    const proxy = new MeshFixture();
+    const instances = [createInstance(1), createInstance(2)];
+    proxy.loadFromSource(instances);
+    const request = proxy.advance(600).find(({kind}) => kind === 'readSource');
+    expect(request).to.not.equal(undefined);
+    const startedAt = proxy.at;
+    proxy.at += DELAY_MS;
+    const effects = proxy.readFleet(instances, 11);
+    expect(proxy.state.sourceReads.freshAt).to.equal(startedAt);
+    const ages = effects.flatMap(effect =>
+      effect.kind === 'sendMessage' && effect.message.kind === 'news'
+        ? [effect.message.ageMs]
+        : [],
+    );
+    expect(ages).to.deep.equal([DELAY_MS]);
+  });
+});
+
 describe('the age of a message', () => {
   // Guards against DRAIN: a relay that stood still made an old list look new, so that
   // its receivers waited a whole interval more before they read it themselves.
