--- a/test/mesh/lost_readers.test.ts
+++ b/test/mesh/lost_readers.test.ts
@@ -17,6 +17,12 @@
 /** The users' bound from an acknowledged change until calm proxies obey it. */
 const MAX_LAG_MS = 2_000;
 
+/** Age of the list at which each proxy has read it. */
+const LIST_AGE_MS = 1_400;
+
+/** Most readings in twice that time, the regular ones included. */
+const MAX_READINGS = 30;
+
 /** Part of the proxies that are lost; most in a list of the users' disturbances. */
 const LOST_SHARE = 0.55;
 
@@ -141,3 +147,37 @@
     }
   }
 });
+
+/** Readings by the proxies that are left, until one of them has told all others. */
+function countReadings(proxies: number, lostReaders: number): number {
+  const fleet = new SimulatedFleet(new SeededRandom(1), proxies, {
+    zones: ['a', 'b', 'c', 'd', 'e'],
+  });
+  fleet.startHeartbeats(1_500);
+  fleet.clock.runUntil(fleet.clock.now + STARTUP_MS);
+  let readings = 0;
+  runAfterReading(fleet, () => {
+    fleet.nodes
+      .slice(0, lostReaders)
+      .forEach(node => fleet.freeze(node, DOWN_MS));
+    fleet.onEffect = (_host, effect) => {
+      const isReading =
+        effect.kind === 'readSource' && effect.request.kind === 'fleet';
+      readings += isReading ? 1 : 0;
+    };
+  });
+  fleet.clock.runUntil(fleet.clock.now + LIST_AGE_MS * 2);
+  return readings;
+}
+
+describe('the readings after a loss of readers', () => {
+  // Guards against a herd of readers: proxies without a delay of their own read at once.
+  for (const proxies of [30, 195, 630]) {
+    it(`are few in a fleet of ${proxies}`, () => {
+      for (const lostReaders of [3, 6]) {
+        const readings = countReadings(proxies, lostReaders);
+        expect(readings, `${lostReaders} lost`).to.be.within(1, MAX_READINGS);
+      }
+    });
+  }
+});
